--- /dev/null
+++ b/include/hickoryspur/process/Check.h
@@ -0,0 +1,101 @@
+// Two kinds of check. HS_USER_ERROR builds a failure for somebody outside the program, with a
+// numbered code and a streamed message. HS_INVARIANT states what must always hold inside it: it is
+// checked and counted in every build, and a violation ends the process, since going on would risk
+// what users were promised.
+//
+//     if (settings.nodes.empty())
+//         return HS_USER_ERROR(ResultCode::SettingsInvalid) << "no nodes in " << path;
+//     HS_INVARIANT(OneLeaderPerTerm, term > m_term) << "term " << term << " after " << m_term;
+#pragma once
+
+#include "hickoryspur/process/ResultCode.h"
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <sstream>
+#include <string>
+
+namespace hickoryspur {
+
+enum class Invariant {
+    OneLeaderPerTerm,
+    CommittedKept,
+    VersionNeverLower,
+    GrantWithinLimit,
+    SingleDispatch,
+    NoWorkToRemovedDataCentre,
+    ShareWithinCap,
+    OneSnapshotPerAnswer,
+    CoverageTrue,
+    ReplyMatchesRequest,
+    ExtraWithinBudget,
+    NotRunTrue,
+    Count,
+};
+
+std::string_view invariantName(Invariant invariant);
+
+/** How often each invariant has been checked since the process started. */
+uint64_t invariantChecks(Invariant invariant);
+
+/** Replaces what a violation does; tests throw from it. The default logs and ends the process. */
+void setInvariantHandler(std::function<void(Invariant, const std::string &)> handler);
+
+namespace detail {
+
+void countInvariant(Invariant invariant);
+
+class InvariantViolation
+{
+public:
+    explicit InvariantViolation(Invariant invariant, const char *condition);
+    InvariantViolation(const InvariantViolation &) = delete;
+    InvariantViolation &operator=(const InvariantViolation &) = delete;
+    ~InvariantViolation() noexcept(false);
+
+    template <typename Value> InvariantViolation &operator<<(const Value &value)
+    {
+        m_message << value;
+        return *this;
+    }
+
+private:
+    Invariant m_invariant;
+    std::ostringstream m_message;
+};
+
+class UserError
+{
+public:
+    explicit UserError(ResultCode code)
+        : m_code(code)
+    {
+    }
+
+    template <typename Value> UserError &&operator<<(const Value &value) &&
+    {
+        m_message << value;
+        return std::move(*this);
+    }
+
+    template <typename Value> operator Result<Value>() const // NOLINT: the conversion is the purpose of the class
+    {
+        return failure(m_code, m_message.str());
+    }
+
+private:
+    ResultCode m_code;
+    std::ostringstream m_message;
+};
+
+} // namespace detail
+} // namespace hickoryspur
+
+#define HS_USER_ERROR(code) ::hickoryspur::detail::UserError(code)
+
+#define HS_INVARIANT(name, condition)                                                                                  \
+    ::hickoryspur::detail::countInvariant(::hickoryspur::Invariant::name);                                             \
+    if (!(condition))                                                                                                  \
+    ::hickoryspur::detail::InvariantViolation(::hickoryspur::Invariant::name, #condition)
--- /dev/null
+++ b/include/hickoryspur/process/ControlState.h
@@ -0,0 +1,194 @@
+// The durable state of a deployment, as the replicated log's commands build it: documents,
+// operators' outcomes, data centres that are out, shard maps, at-most-once claims, traffic moves
+// and the audit trail. Applying the same commands in the same order gives the same state on every
+// host; apply() therefore reads no clock and draws no random number.
+#pragma once
+
+#include "hickoryspur/process/Ids.h"
+#include "hickoryspur/process/ResultCode.h"
+
+#include <msgpack.hpp>
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hickoryspur {
+
+enum class Environment : uint8_t { Trial = 0, Production = 1 };
+
+std::string_view environmentName(Environment environment);
+std::optional<Environment> environmentFromName(std::string_view name);
+
+enum class CommandType : uint8_t {
+    SubmitDocument,
+    PromoteDocument,
+    MarkTried,
+    DataCentreOut,
+    DataCentreBack,
+    SetShardMap,
+    Claim,
+    ClaimOutcome,
+    SetMove,
+    ReviveVersion,
+    EntryUp,
+    EntryDown,
+};
+
+/** One command; which fields count depends on its type. New fields go at the end. */
+struct Command
+{
+    uint8_t type = 0;
+    std::string requestId;
+    std::string operatorName;
+    int64_t wallSeconds = 0;
+    uint8_t environment = 0;
+    std::string text;
+    std::string digest;
+    uint64_t expectedNumber = 0;
+    std::string expectedDigest;
+    /** The data centre, service or node that the command is about. */
+    std::string subject;
+    uint64_t number = 0;
+    uint64_t count = 0;
+    std::string key;
+    int64_t expiresAtSeconds = 0;
+    MSGPACK_DEFINE(type, requestId, operatorName, wallSeconds, environment, text, digest, expectedNumber,
+                   expectedDigest, subject, number, count, key, expiresAtSeconds)
+
+    CommandType kind() const { return static_cast<CommandType>(type); }
+};
+
+struct ApplyOutcome
+{
+    int code = 0;
+    std::string message;
+    uint64_t number = 0;
+    std::string digest;
+    MSGPACK_DEFINE(code, message, number, digest)
+
+    ResultCode resultCode() const { return static_cast<ResultCode>(code); }
+    bool ok() const { return code == 0; }
+};
+
+struct DocumentVersion
+{
+    uint64_t number = 0;
+    std::string digest;
+    std::string text;
+    std::string operatorName;
+    int64_t wallSeconds = 0;
+    bool tried = false;
+    /** Log index of its acceptance; it is in force when this index is. */
+    uint64_t index = 0;
+    MSGPACK_DEFINE(number, digest, text, operatorName, wallSeconds, tried, index)
+};
+
+struct ShardMap
+{
+    MapGeneration generation;
+    uint32_t shards = 0;
+    MSGPACK_DEFINE(generation, shards)
+};
+
+struct ClaimRecord
+{
+    std::string digest;
+    NodeId entry;
+    uint64_t incarnation = 0;
+    int64_t expiresAtSeconds = 0;
+    bool finished = false;
+    int code = 0;
+    std::string outcome;
+    /** The claiming entry's own number for it, so that its resent claim is known again. */
+    uint64_t ticket = 0;
+    MSGPACK_DEFINE(digest, entry, incarnation, expiresAtSeconds, finished, code, outcome, ticket)
+};
+
+struct StoredOutcome
+{
+    std::string requestDigest;
+    ApplyOutcome outcome;
+    MSGPACK_DEFINE(requestDigest, outcome)
+};
+
+struct AuditRecord
+{
+    uint64_t index = 0;
+    int64_t wallSeconds = 0;
+    std::string operatorName;
+    std::string action;
+    int code = 0;
+    MSGPACK_DEFINE(index, wallSeconds, operatorName, action, code)
+};
+
+class ControlState
+{
+public:
+    /** How long a claim's key stays known after it was claimed, in seconds. */
+    static constexpr int64_t kClaimLifeSeconds = 24 * 3600;
+
+    ApplyOutcome apply(LogIndex index, const Command &command);
+
+    LogIndex appliedIndex() const { return LogIndex(m_index); }
+    const DocumentVersion *current(Environment environment) const;
+    const std::vector<DocumentVersion> &history(Environment environment) const;
+    const std::set<std::string> &dataCentresOut() const { return m_out; }
+    /** The maps of a service that may still be served, the newest last. */
+    const std::map<std::string, std::vector<ShardMap>> &shardMaps() const { return m_maps; }
+    const ClaimRecord *claim(const std::string &service, const std::string &key) const;
+    size_t claimCount() const { return m_claims.size(); }
+    /** The stored state of each service's traffic move, packed by the mover. */
+    const std::map<std::string, std::string> &moves() const { return m_moves; }
+    /** Entries that hold or lately held a lease; homes are placed on these. */
+    const std::map<std::string, uint64_t> &entries() const { return m_entries; }
+    /** The entries before the last change, whose homes are waited out. */
+    const std::map<std::string, uint64_t> &previousEntries() const { return m_previousEntries; }
+    const std::set<std::string> &previousDataCentresOut() const { return m_previousOut; }
+    /** Log index of the last change to entries(), dataCentresOut() or their order; fences homes. */
+    LogIndex homeEpoch() const { return LogIndex(m_homeEpoch); }
+    const std::deque<AuditRecord> &audit() const { return m_audit; }
+
+    std::string serialize() const;
+    static std::optional<ControlState> deserialize(const std::string &bytes);
+
+    MSGPACK_DEFINE(m_index, m_wallSeconds, m_documents, m_outcomes, m_outcomeOrder, m_out, m_maps, m_claims,
+                   m_claimExpiry, m_moves, m_entries, m_homeEpoch, m_audit, m_previousEntries, m_previousOut)
+
+private:
+    ApplyOutcome applyOnce(const Command &command);
+    ApplyOutcome submit(const Command &command);
+    ApplyOutcome promote(const Command &command);
+    ApplyOutcome accept(Environment environment, const Command &command, const std::string &text);
+    ApplyOutcome setDataCentre(const Command &command, bool out);
+    ApplyOutcome setShardMap(const Command &command);
+    ApplyOutcome claimKey(const Command &command);
+    ApplyOutcome finishClaim(const Command &command);
+    ApplyOutcome setEntry(const Command &command, bool up);
+    ApplyOutcome markTried(const Command &command);
+    void startHomeEpoch();
+    void expireClaims();
+    void remember(const Command &command, const ApplyOutcome &outcome);
+    void writeAudit(const Command &command, const ApplyOutcome &outcome);
+
+    uint64_t m_index = 0;
+    int64_t m_wallSeconds = 0;
+    std::map<uint8_t, std::vector<DocumentVersion>> m_documents;
+    std::map<std::string, StoredOutcome> m_outcomes;
+    std::deque<std::string> m_outcomeOrder;
+    std::set<std::string> m_out;
+    std::map<std::string, std::vector<ShardMap>> m_maps;
+    std::map<std::string, ClaimRecord> m_claims;
+    std::set<std::pair<int64_t, std::string>> m_claimExpiry;
+    std::map<std::string, std::string> m_moves;
+    std::map<std::string, uint64_t> m_entries;
+    uint64_t m_homeEpoch = 0;
+    std::deque<AuditRecord> m_audit;
+    std::map<std::string, uint64_t> m_previousEntries;
+    std::set<std::string> m_previousOut;
+};
+
+} // namespace hickoryspur
--- /dev/null
+++ b/include/hickoryspur/process/LogStorage.h
@@ -0,0 +1,79 @@
+// Where a control host's log lives. LogStorage is the narrow interface that the control thread
+// writes through; FileLogStorage keeps it in one data folder, and the tests put a fake disk behind it.
+// Nothing counts as durable before sync() has returned.
+#pragma once
+
+#include "hickoryspur/process/ReplicatedLog.h"
+
+#include <memory>
+#include <string>
+
+namespace hickoryspur {
+
+struct RecoveredStorage
+{
+    MemberId self;
+    RecoveredLog log;
+    /** Bytes of a torn record cut off the end of the log. */
+    uint64_t cutBytes = 0;
+};
+
+class LogStorage
+{
+public:
+    LogStorage() = default;
+    LogStorage(const LogStorage &) = delete;
+    LogStorage &operator=(const LogStorage &) = delete;
+    virtual ~LogStorage() = default;
+
+    virtual Result<void> saveCheckpoint(const Checkpoint &checkpoint) = 0;
+    virtual Result<void> truncateFrom(LogIndex index) = 0;
+    virtual Result<void> append(const std::vector<LogEntry> &entries) = 0;
+    virtual Result<void> saveHardState(const HardState &state) = 0;
+    virtual Result<void> sync() = 0;
+    /** Drops records that the last checkpoint covers. */
+    virtual Result<void> compact(LogIndex upTo) = 0;
+};
+
+/** Carries out the disk part of LogActions and makes it durable. */
+Result<void> persist(LogStorage &storage, const LogActions &actions);
+
+/** One record of the log file: length, checksum, payload. A reader stops at the first bad one. */
+std::string encodeRecord(const std::string &payload);
+
+class FileLogStorage : public LogStorage
+{
+public:
+    /**
+     * Prepares an empty folder as one of the first voters. Fails where the folder already holds a
+     * log: a folder is formatted once, and a host that lost its disk joins again instead.
+     */
+    static Result<void> format(const std::string &folder, const NodeId &node, const std::vector<NodeId> &voters);
+    /** Opens the folder; an empty one becomes a new disk incarnation that belongs to no membership yet. */
+    static Result<std::unique_ptr<FileLogStorage>> open(const std::string &folder, const NodeId &node,
+                                                        uint64_t newDiskIncarnation, RecoveredStorage &recovered);
+    ~FileLogStorage() override;
+
+    Result<void> saveCheckpoint(const Checkpoint &checkpoint) override;
+    Result<void> truncateFrom(LogIndex index) override;
+    Result<void> append(const std::vector<LogEntry> &entries) override;
+    Result<void> saveHardState(const HardState &state) override;
+    Result<void> sync() override;
+    Result<void> compact(LogIndex upTo) override;
+
+private:
+    explicit FileLogStorage(std::string folder);
+    Result<void> recoverEntries(RecoveredStorage &recovered);
+    Result<void> rewriteEntries();
+    Result<void> openLog();
+
+    std::string m_folder;
+    int m_log = -1;
+    bool m_dirty = false;
+    /** Offset of each entry in the file, so that a truncation cuts at a record's start. */
+    std::vector<std::pair<LogIndex, int64_t>> m_offsets;
+    int64_t m_end = 0;
+    std::vector<LogEntry> m_kept;
+};
+
+} // namespace hickoryspur
--- /dev/null
+++ b/include/hickoryspur/process/Metrics.h
@@ -0,0 +1,34 @@
+// The process's own counters and gauges. A Counter is looked up once by name and then added to
+// without a lock; prometheusText() renders all of them for GET /metrics.
+//
+//     static Counter &hedges = Metrics::counter("hickoryspur_hedges_total");
+//     hedges.add();
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+namespace hickoryspur {
+
+class Counter
+{
+public:
+    void add(int64_t amount = 1) { m_value.fetch_add(amount, std::memory_order_relaxed); }
+    void set(int64_t value) { m_value.store(value, std::memory_order_relaxed); }
+    int64_t value() const { return m_value.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<int64_t> m_value{0};
+};
+
+class Metrics
+{
+public:
+    /** The counter of this name, made on first use; lives as long as the process. */
+    static Counter &counter(const std::string &name);
+    /** All counters in the Prometheus text format, version 0.0.4, sorted by name. */
+    static std::string prometheusText();
+};
+
+} // namespace hickoryspur
--- /dev/null
+++ b/include/hickoryspur/process/Packing.h
@@ -0,0 +1,38 @@
+// Packs a message into bytes and back with msgpack. Fields are only ever added at the end of a
+// message: an older reader ignores them, and a newer one leaves them at their defaults.
+#pragma once
+
+#include <msgpack.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hickoryspur {
+
+/** The largest message one process accepts from another; a checkpoint must fit. */
+constexpr size_t kMaxMessageBytes = 64 * 1024 * 1024;
+
+template <typename Message> std::string pack(const Message &message)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, message);
+    return {buffer.data(), buffer.size()};
+}
+
+/** Nothing where the bytes are too many or are not such a message. */
+template <typename Message> std::optional<Message> unpack(std::string_view bytes)
+{
+    if (bytes.size() > kMaxMessageBytes)
+        return std::nullopt;
+    try {
+        Message message;
+        const msgpack::unpack_limit limit(1U << 20U, 1U << 20U, kMaxMessageBytes, kMaxMessageBytes, 0, 32);
+        msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit).get().convert(message);
+        return message;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/include/hickoryspur/process/PeerMessage.h
@@ -0,0 +1,64 @@
+// The messages between our own processes: an envelope with a format version, a type, the sender and
+// a packed payload. Control types go to the control thread, traffic types to a traffic thread.
+#pragma once
+
+#include "hickoryspur/process/ControlState.h"
+
+#include <msgpack.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace hickoryspur {
+
+enum class PeerMessageType : uint8_t {
+    Ping = 0,
+    Pong = 1,
+    Log = 2,
+    LeaseRequest = 3,
+    LeaseGrant = 4,
+    OrphanQuery = 5,
+    OrphanReply = 6,
+    Directory = 7,
+    CommandRequest = 8,
+    CommandReply = 9,
+    Observations = 10,
+    Forward = 20,
+    Reply = 21,
+};
+
+struct PeerMessage
+{
+    static constexpr uint8_t kFormat = 1;
+
+    uint8_t format = kFormat;
+    uint8_t type = 0;
+    NodeId from;
+    /** For Forward and Reply, the traffic thread it is meant for. */
+    uint32_t thread = 0;
+    std::string payload;
+    MSGPACK_DEFINE(format, type, from, thread, payload)
+
+    PeerMessageType kind() const { return static_cast<PeerMessageType>(type); }
+};
+
+enum class CommandWait : uint8_t { Committed = 0, InForce = 1 };
+
+struct CommandRequest
+{
+    uint64_t ticket = 0;
+    Command command;
+    uint8_t wait = 0;
+    /** How long the leader may let the asker wait for the state to be in force. */
+    int64_t patienceMicros = 0;
+    MSGPACK_DEFINE(ticket, command, wait, patienceMicros)
+};
+
+struct CommandReply
+{
+    uint64_t ticket = 0;
+    ApplyOutcome outcome;
+    MSGPACK_DEFINE(ticket, outcome)
+};
+
+} // namespace hickoryspur
--- /dev/null
+++ b/include/hickoryspur/request/ExtraBudget.h
@@ -0,0 +1,46 @@
+// The one budget from which hedges and retries are paid: within a sliding window they are at most a
+// fixed share of the first sub-requests sent in it, also when everything fails.
+#pragma once
+
+#include "hickoryspur/process/Time.h"
+
+#include <array>
+#include <cstdint>
+
+namespace hickoryspur {
+
+class ExtraBudget
+{
+public:
+    static constexpr double kDefaultShare = 0.05;
+    static constexpr Duration kWindow = 10s;
+
+    explicit ExtraBudget(double share = kDefaultShare)
+        : m_share(share)
+    {
+    }
+
+    void noteFirst(TimePoint now, uint64_t count);
+    /** Takes one extra sub-request from the budget where it allows one. */
+    bool takeExtra(TimePoint now);
+    uint64_t firstInWindow() const { return m_first; }
+    uint64_t extraInWindow() const { return m_extra; }
+
+private:
+    static constexpr size_t kBuckets = 100;
+    struct Bucket
+    {
+        uint64_t first = 0;
+        uint64_t extra = 0;
+    };
+
+    void advance(TimePoint now);
+
+    double m_share;
+    std::array<Bucket, kBuckets> m_buckets{};
+    int64_t m_position = 0;
+    uint64_t m_first = 0;
+    uint64_t m_extra = 0;
+};
+
+} // namespace hickoryspur
--- /dev/null
+++ b/include/hickoryspur/version/LeaseHolder.h
@@ -0,0 +1,102 @@
+// The entry's side of "in force everywhere": it renews its lease on the control state, and says
+// whether this entry may take new work. An entry whose lease has ended asks the other entries. Where
+// a majority of all entries, itself included, holds no lease either, the control quorum is gone, no
+// newer state can be in force, and it goes on with the newest state that majority knows. Otherwise
+// it is the one that is cut off, and takes no new work.
+#pragma once
+
+#include "hickoryspur/process/ReplicatedLog.h"
+#include "hickoryspur/version/LeaseTable.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace hickoryspur {
+
+struct LeaseGrant
+{
+    int64_t sentAt = 0;
+    int64_t durationMicros = 0;
+    uint64_t term = 0;
+    LogIndex commit;
+    LogIndex inForce;
+    /** Committed entries after the requested index, or none where the whole state is sent. */
+    std::vector<LogEntry> entries;
+    std::string state;
+    MSGPACK_DEFINE(sentAt, durationMicros, term, commit, inForce, entries, state)
+};
+
+/** Asks another entry whether it, too, is without a lease. */
+struct OrphanQuery
+{
+    NodeId from;
+    int64_t sentAt = 0;
+    LogIndex applied;
+    MSGPACK_DEFINE(from, sentAt, applied)
+};
+
+struct OrphanReply
+{
+    NodeId from;
+    int64_t sentAt = 0;
+    bool hasLease = false;
+    /** False on a process that has not held a lease since it started. */
+    bool everLeased = false;
+    LogIndex applied;
+    /** The newer state, where the asker's is older. */
+    std::string state;
+    MSGPACK_DEFINE(from, sentAt, hasLease, everLeased, applied, state)
+};
+
+struct LeaseActions
+{
+    std::vector<std::pair<NodeId, LeaseRequest>> requests;
+    std::vector<std::pair<NodeId, OrphanQuery>> queries;
+};
+
+enum class ServingRight { None, Lease, Orphan };
+
+class LeaseHolder
+{
+public:
+    LeaseHolder(NodeId self, uint64_t incarnation, std::vector<NodeId> entries, std::vector<NodeId> controlNodes,
+                LeaseTiming timing);
+
+    LeaseActions tick(TimePoint now);
+    /** Notes a grant whose entries the caller has applied; applied is the index reached. */
+    void granted(TimePoint now, const LeaseGrant &grant, const NodeId &leader, LogIndex applied);
+    OrphanReply answer(TimePoint now, const OrphanQuery &query) const;
+    void orphanReply(TimePoint now, const OrphanReply &reply);
+    void setApplied(LogIndex applied) { m_applied = applied; }
+    void setLeaving() { m_leaving = true; }
+    /** Renews at the next tick, for example once a new state has been applied. */
+    void renewSoon() { m_nextRenewal = TimePoint(); }
+
+    ServingRight right(TimePoint now) const;
+    /** New work may be taken before this time, as things stand; TimePoint() where it may not. */
+    TimePoint servesUntil() const;
+    LogIndex applied() const { return m_applied; }
+
+private:
+    LeaseRequest makeRequest(TimePoint now) const;
+    std::optional<TimePoint> orphanEnds() const;
+
+    NodeId m_self;
+    uint64_t m_incarnation;
+    std::vector<NodeId> m_entries;
+    std::vector<NodeId> m_controlNodes;
+    LeaseTiming m_timing;
+    LogIndex m_applied;
+    std::optional<NodeId> m_leader;
+    TimePoint m_leaseEnds;
+    TimePoint m_lastGrant;
+    TimePoint m_nextRenewal;
+    TimePoint m_nextQuery;
+    bool m_everLeased = false;
+    bool m_leaving = false;
+    /** When this entry asked each other one that then said it had no lease either. */
+    std::map<NodeId, TimePoint> m_orphans;
+};
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/app/AdminApi.cpp
@@ -0,0 +1,291 @@
+#include "app/AdminApi.h"
+
+#include "hickoryspur/process/Digest.h"
+#include "request/AnswerJson.h"
+
+#include <boost/fiber/future.hpp>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace hickoryspur {
+
+namespace {
+
+/** The stated bound for a change to be in force everywhere, and some room for the answer. */
+constexpr Duration kInForceBound = 14s;
+constexpr Duration kAcceptBound = 5s;
+
+CallerResponse jsonResponse(unsigned status, const nlohmann::json &body)
+{
+    return {status, body.dump(), "application/json", {}};
+}
+
+CallerResponse refusal(ResultCode code, const std::string &message)
+{
+    return {httpStatus(code), failureJson({code, message, true}, nullptr), "application/json", {}};
+}
+
+uint64_t numberOf(const std::string &text)
+{
+    uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+nlohmann::json documentJson(const DocumentVersion &version, bool withText)
+{
+    nlohmann::json result = {{"number", version.number},         {"digest", version.digest},
+                             {"operator", version.operatorName}, {"time", version.wallSeconds},
+                             {"tried", version.tried},           {"log_index", version.index}};
+    if (withText)
+        result["text"] = version.text;
+    return result;
+}
+
+std::string_view rightName(ServingRight right)
+{
+    switch (right) {
+    case ServingRight::Lease:
+        return "lease";
+    case ServingRight::Orphan:
+        return "without control quorum";
+    default:
+        return "none";
+    }
+}
+
+nlohmann::json logJson(const ReplicatedLog &log)
+{
+    nlohmann::json voters = nlohmann::json::array();
+    for (const MemberId &voter : log.membership().voters)
+        voters.push_back(voter.node.value());
+    nlohmann::json learners = nlohmann::json::array();
+    for (const MemberId &learner : log.membership().learners)
+        learners.push_back(learner.node.value());
+    return {{"term", log.term().value()},
+            {"last", log.lastIndex().value()},
+            {"commit", log.commitIndex().value()},
+            {"first", log.firstIndex().value()},
+            {"leads", log.isLeader()},
+            {"voters", voters},
+            {"learners", learners}};
+}
+
+nlohmann::json statusJson(const ControlNode &node, TimePoint now, const Settings &settings)
+{
+    nlohmann::json result;
+    result["node"] = settings.node.value();
+    result["data_centre"] = settings.self().dataCentre.value();
+    result["leader"] = node.leader() ? node.leader()->value() : "";
+    result["right"] = rightName(node.right(now));
+    result["applied"] = node.state().appliedIndex().value();
+    result["in_force"] = node.inForce().value();
+    result["upstreams"] = node.directory().size();
+    result["claims"] = node.state().claimCount();
+    result["data_centres_out"] = node.state().dataCentresOut();
+    result["entries"] = nlohmann::json::array();
+    for (const auto &[entry, incarnation] : node.state().entries())
+        result["entries"].push_back(entry);
+    for (const Environment environment : {Environment::Trial, Environment::Production})
+        if (const DocumentVersion *version = node.state().current(environment))
+            result["documents"][std::string(environmentName(environment))] = documentJson(*version, false);
+    for (const auto &[service, maps] : node.state().shardMaps())
+        result["shard_maps"][service] = {{"generation", maps.back().generation.value()},
+                                         {"shards", maps.back().shards}};
+    if (node.log())
+        result["log"] = logJson(*node.log());
+    return result;
+}
+
+} // namespace
+
+struct AdminApi::Route
+{
+    const char *method;
+    const char *path;
+    const char *role;
+    CallerResponse (AdminApi::*handler)(const CallerRequest &, const TokenHolder &);
+};
+
+const std::vector<AdminApi::Route> &AdminApi::routes()
+{
+    static const std::vector<Route> all = {
+        {"GET", "/v1/admin/status", "read", &AdminApi::status},
+        {"GET", "/v1/admin/document", "read", &AdminApi::document},
+        {"GET", "/v1/admin/history", "read", &AdminApi::history},
+        {"GET", "/v1/admin/audit", "read", &AdminApi::audit},
+        {"POST", "/v1/admin/document", "trial", &AdminApi::submit},
+        {"POST", "/v1/admin/promote", "promote", &AdminApi::promote},
+        {"POST", "/v1/admin/data-centre", "data-centre", &AdminApi::dataCentre},
+    };
+    return all;
+}
+
+AdminApi::AdminApi(const Settings &settings, const TokenFile &operators, ControlThread &control)
+    : m_settings(settings)
+    , m_operators(operators)
+    , m_control(control)
+{
+}
+
+bool AdminApi::owns(const std::string &path) const
+{
+    return path.rfind("/v1/admin/", 0) == 0;
+}
+
+CallerResponse AdminApi::handle(const CallerRequest &request)
+{
+    const std::optional<TokenHolder> holder = m_operators.find(request.header("authorization"));
+    if (!holder)
+        return refusal(ResultCode::UnknownCaller, "no operator has this token");
+    for (const Route &route : routes()) {
+        if (route.method != request.method || route.path != request.path)
+            continue;
+        if (!holder->has(route.role))
+            return refusal(ResultCode::NotAllowed, holder->name + " lacks the role " + route.role);
+        return (this->*route.handler)(request, *holder);
+    }
+    return refusal(ResultCode::UnknownPath, "there is no " + request.method + ' ' + request.path);
+}
+
+nlohmann::json AdminApi::read(const std::function<nlohmann::json(const ControlNode &, TimePoint)> &reader)
+{
+    const auto promise = std::make_shared<boost::fibers::promise<nlohmann::json>>();
+    boost::fibers::future<nlohmann::json> future = promise->get_future();
+    m_control.inspect(
+        [promise, reader](const ControlNode &node, TimePoint now) { promise->set_value(reader(node, now)); });
+    return future.get();
+}
+
+CallerResponse AdminApi::status(const CallerRequest &, const TokenHolder &)
+{
+    return jsonResponse(
+        200, read([this](const ControlNode &node, TimePoint now) { return statusJson(node, now, m_settings); }));
+}
+
+CallerResponse AdminApi::document(const CallerRequest &request, const TokenHolder &)
+{
+    const std::optional<Environment> environment = environmentFromName(request.parameter("environment"));
+    if (!environment)
+        return refusal(ResultCode::MalformedRequest, "environment must be trial or production");
+    const nlohmann::json body = read([environment](const ControlNode &node, TimePoint) {
+        const DocumentVersion *version = node.state().current(*environment);
+        return version ? documentJson(*version, true) : nlohmann::json();
+    });
+    if (body.is_null())
+        return refusal(ResultCode::NoSuchDocument, "this environment has no document yet");
+    return jsonResponse(200, body);
+}
+
+CallerResponse AdminApi::history(const CallerRequest &request, const TokenHolder &)
+{
+    const std::optional<Environment> environment = environmentFromName(request.parameter("environment"));
+    if (!environment)
+        return refusal(ResultCode::MalformedRequest, "environment must be trial or production");
+    const bool withText = request.parameter("text") == "true";
+    return jsonResponse(200, read([environment, withText](const ControlNode &node, TimePoint) {
+                            nlohmann::json list = nlohmann::json::array();
+                            for (const DocumentVersion &version : node.state().history(*environment))
+                                list.push_back(documentJson(version, withText));
+                            return list;
+                        }));
+}
+
+CallerResponse AdminApi::audit(const CallerRequest &, const TokenHolder &)
+{
+    return jsonResponse(200, read([](const ControlNode &node, TimePoint) {
+                            nlohmann::json list = nlohmann::json::array();
+                            for (const AuditRecord &record : node.state().audit())
+                                list.push_back({{"log_index", record.index},
+                                                {"time", record.wallSeconds},
+                                                {"operator", record.operatorName},
+                                                {"action", record.action},
+                                                {"code", record.code}});
+                            return list;
+                        }));
+}
+
+CallerResponse AdminApi::submit(const CallerRequest &request, const TokenHolder &holder)
+{
+    if (request.parameter("environment") != "trial")
+        return refusal(ResultCode::NotAllowed,
+                       "a document is submitted to trial; production takes only a promoted one");
+    const Result<Document> checked = parseDocument(request.body, "document");
+    if (!checked)
+        return refusal(checked.error().code, checked.error().message);
+    Command command;
+    command.type = static_cast<uint8_t>(CommandType::SubmitDocument);
+    command.environment = static_cast<uint8_t>(Environment::Trial);
+    command.text = request.body;
+    command.digest = sha256Hex(request.body);
+    return execute(request, holder, std::move(command));
+}
+
+CallerResponse AdminApi::promote(const CallerRequest &request, const TokenHolder &holder)
+{
+    Command command;
+    command.type = static_cast<uint8_t>(CommandType::PromoteDocument);
+    command.environment = static_cast<uint8_t>(Environment::Production);
+    command.digest = request.parameter("digest");
+    return execute(request, holder, std::move(command));
+}
+
+CallerResponse AdminApi::dataCentre(const CallerRequest &request, const TokenHolder &holder)
+{
+    const std::string name = request.parameter("name");
+    size_t others = 0;
+    bool known = false;
+    size_t votersLeft = 0;
+    size_t voters = 0;
+    for (const NodeSettings &node : m_settings.nodes) {
+        const bool here = node.dataCentre.value() == name;
+        known = known || here;
+        others += here ? 0 : 1;
+        voters += node.control ? 1 : 0;
+        votersLeft += node.control && !here ? 1 : 0;
+    }
+    if (!known)
+        return refusal(ResultCode::MalformedRequest, "no node is in a data centre " + name);
+    const bool out = request.parameter("out") == "true";
+    if (out && others == 0)
+        return refusal(ResultCode::LastDataCentre, "no entry would be left");
+    Command command;
+    command.type = static_cast<uint8_t>(out ? CommandType::DataCentreOut : CommandType::DataCentreBack);
+    command.subject = name;
+    CallerResponse response = execute(request, holder, std::move(command));
+    nlohmann::json body = nlohmann::json::parse(response.body);
+    if (out && votersLeft < voters / 2 + 2)
+        body["warning"] = "with " + name
+            + " gone, one more lost control host leaves no quorum: no change could be"
+              " accepted until one is back";
+    response.body = body.dump();
+    return response;
+}
+
+CallerResponse AdminApi::execute(const CallerRequest &request, const TokenHolder &holder, Command command)
+{
+    command.requestId = request.parameter("request-id");
+    if (command.requestId.empty())
+        return refusal(ResultCode::MalformedRequest, "the parameter request-id is needed, so that a resend is known");
+    command.operatorName = holder.name;
+    command.expectedNumber = numberOf(request.parameter("expected-number"));
+    command.expectedDigest = request.parameter("expected-digest");
+    const bool wait = request.parameter("wait") == "in-force";
+    const auto promise = std::make_shared<boost::fibers::promise<ApplyOutcome>>();
+    boost::fibers::future<ApplyOutcome> future = promise->get_future();
+    m_control.submit(std::move(command), wait ? CommandWait::InForce : CommandWait::Committed,
+                     wait ? kInForceBound : kAcceptBound,
+                     [promise](ApplyOutcome outcome) { promise->set_value(std::move(outcome)); });
+    const ApplyOutcome outcome = future.get();
+    const ResultCode code = outcome.resultCode();
+    return jsonResponse(httpStatus(code),
+                        {{"code", outcome.code},
+                         {"result", resultCodeName(code)},
+                         {"message", outcome.message},
+                         {"number", outcome.number},
+                         {"digest", outcome.digest},
+                         {"in_force", wait && outcome.ok()}});
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/app/AdminApi.h
@@ -0,0 +1,41 @@
+// The administration API under /v1/admin/ and the report under /v1/report. Every request carries an
+// operator's bearer token, whose roles say what it may do; every change is a command in the log.
+#pragma once
+
+#include "hickoryspur/process/TokenFile.h"
+#include "process/ControlThread.h"
+#include "request/HttpCallerServer.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace hickoryspur {
+
+class AdminApi
+{
+public:
+    AdminApi(const Settings &settings, const TokenFile &operators, ControlThread &control);
+
+    bool owns(const std::string &path) const;
+    /** Must be called on a fiber. */
+    CallerResponse handle(const CallerRequest &request);
+
+private:
+    struct Route;
+    static const std::vector<Route> &routes();
+
+    CallerResponse status(const CallerRequest &request, const TokenHolder &holder);
+    CallerResponse document(const CallerRequest &request, const TokenHolder &holder);
+    CallerResponse history(const CallerRequest &request, const TokenHolder &holder);
+    CallerResponse submit(const CallerRequest &request, const TokenHolder &holder);
+    CallerResponse promote(const CallerRequest &request, const TokenHolder &holder);
+    CallerResponse dataCentre(const CallerRequest &request, const TokenHolder &holder);
+    CallerResponse audit(const CallerRequest &request, const TokenHolder &holder);
+    CallerResponse execute(const CallerRequest &request, const TokenHolder &holder, Command command);
+    nlohmann::json read(const std::function<nlohmann::json(const ControlNode &, TimePoint)> &reader);
+
+    const Settings &m_settings;
+    const TokenFile &m_operators;
+    ControlThread &m_control;
+};
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/app/CallerApi.cpp
@@ -0,0 +1,163 @@
+#include "app/CallerApi.h"
+
+#include "hickoryspur/process/Check.h"
+#include "hickoryspur/process/Metrics.h"
+#include "request/AnswerJson.h"
+
+#include <charconv>
+
+namespace hickoryspur {
+
+namespace {
+
+constexpr size_t kMaxKeyBytes = 200;
+constexpr int64_t kMaxDeadlineMs = 60'000;
+
+CallerResponse refusal(const Failure &failure)
+{
+    return {httpStatus(failure.code), failureJson(failure, nullptr), "application/json", {}};
+}
+
+/** A whole number in a header or parameter; the fallback where it is absent. */
+Result<int64_t> number(const std::string &text, const std::string &name, int64_t fallback, int64_t most)
+{
+    if (text.empty())
+        return fallback;
+    int64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size() || value < 0 || value > most)
+        return HS_USER_ERROR(ResultCode::MalformedRequest) << name << " must be a whole number from 0 to " << most;
+    return value;
+}
+
+Result<double> coverageShare(const std::string &text)
+{
+    if (text.empty())
+        return 0.0;
+    double value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size() || value < 0 || value > 1)
+        return HS_USER_ERROR(ResultCode::MalformedRequest) << "hickoryspur-least-coverage must be from 0 to 1";
+    return value;
+}
+
+Result<Environment> environmentOf(const CallerRequest &request)
+{
+    const std::string name = request.header("hickoryspur-environment");
+    const std::optional<Environment> environment = environmentFromName(name.empty() ? "production" : name);
+    if (!environment)
+        return HS_USER_ERROR(ResultCode::MalformedRequest) << "there is no environment " << name;
+    return *environment;
+}
+
+} // namespace
+
+CallerApi::CallerApi(const Settings &settings, const TokenFile &callers, AdminApi &admin, ControlThread &control)
+    : m_settings(settings)
+    , m_callers(callers)
+    , m_admin(admin)
+    , m_control(control)
+{
+}
+
+CallerResponse CallerApi::handle(const CallerRequest &request, QueryService &service) const
+{
+    if (request.path == "/v1/entries" && request.method == "GET")
+        return entries(request, service);
+    if (request.path == "/v1/query" && request.method == "POST")
+        return query(request, service);
+    if (request.path == "/v1/action" && request.method == "POST")
+        return action(request, service);
+    if (request.path == "/v1/announce" && request.method == "POST")
+        return announce(request);
+    if (request.path == "/metrics" && request.method == "GET")
+        return {200, Metrics::prometheusText(), "text/plain; version=0.0.4", {}};
+    if (m_admin.owns(request.path))
+        return m_admin.handle(request);
+    return refusal({ResultCode::UnknownPath, "there is no " + request.method + ' ' + request.path, true});
+}
+
+Result<CallerName> CallerApi::caller(const CallerRequest &request) const
+{
+    const std::optional<TokenHolder> holder = m_callers.find(request.header("authorization"));
+    if (!holder)
+        return failure(ResultCode::UnknownCaller, "no caller has this token", true);
+    return CallerName(holder->name);
+}
+
+CallerResponse CallerApi::entries(const CallerRequest &request, QueryService &service) const
+{
+    if (!service.view())
+        return refusal({ResultCode::EntryWithoutLease, "this entry has only just started", true});
+    const std::string dataCentre = request.parameter("data-centre");
+    const DataCentreName nearest = dataCentre.empty() ? m_settings.self().dataCentre : DataCentreName(dataCentre);
+    return {200, entriesJson(*service.view(), nearest, m_settings.node), "application/json", {}};
+}
+
+CallerResponse CallerApi::query(const CallerRequest &request, QueryService &service) const
+{
+    const Result<CallerName> name = caller(request);
+    if (!name)
+        return refusal(name.error());
+    const Result<Environment> environment = environmentOf(request);
+    const Result<int64_t> deadline =
+        number(request.header("hickoryspur-deadline-ms"), "hickoryspur-deadline-ms", 0, kMaxDeadlineMs);
+    const Result<double> coverage = coverageShare(request.header("hickoryspur-least-coverage"));
+    for (const Failure *failure : {environment ? nullptr : &environment.error(), deadline ? nullptr : &deadline.error(),
+                                   coverage ? nullptr : &coverage.error()})
+        if (failure)
+            return refusal({failure->code, failure->message, true});
+    QueryRequest query;
+    query.environment = *environment;
+    query.service = ServiceName(request.parameter("service"));
+    query.caller = *name;
+    query.deadline = std::chrono::milliseconds(*deadline);
+    query.leastCoverage = *coverage;
+    query.body = request.body;
+    query.callerGone = request.gone;
+    const ServiceAnswer answer = service.query(query);
+    return {httpStatus(answer.code), answer.json, "application/json", {}};
+}
+
+CallerResponse CallerApi::action(const CallerRequest &request, QueryService &service) const
+{
+    const Result<CallerName> name = caller(request);
+    if (!name)
+        return refusal(name.error());
+    const Result<Environment> environment = environmentOf(request);
+    const Result<int64_t> deadline =
+        number(request.header("hickoryspur-deadline-ms"), "hickoryspur-deadline-ms", 0, kMaxDeadlineMs);
+    const Result<int64_t> shard = number(request.parameter("shard"), "shard", 0, UINT32_MAX);
+    const Result<int64_t> keySeconds =
+        number(request.header("hickoryspur-key-time"), "hickoryspur-key-time", 0, INT64_MAX);
+    for (const Failure *failure : {environment ? nullptr : &environment.error(), deadline ? nullptr : &deadline.error(),
+                                   shard ? nullptr : &shard.error(), keySeconds ? nullptr : &keySeconds.error()})
+        if (failure)
+            return refusal({failure->code, failure->message, true});
+    ActionRequest action;
+    action.environment = *environment;
+    action.service = ServiceName(request.parameter("service"));
+    action.caller = *name;
+    action.shard = static_cast<uint32_t>(*shard);
+    action.deadline = std::chrono::milliseconds(*deadline);
+    action.key = request.header("hickoryspur-key");
+    action.keySeconds = *keySeconds;
+    action.body = request.body;
+    if (action.key.size() > kMaxKeyBytes)
+        return refusal({ResultCode::MalformedRequest, "the key must have at most 200 bytes", true});
+    if (!action.key.empty() && action.keySeconds == 0)
+        return refusal({ResultCode::KeyRequired, "a key needs hickoryspur-key-time, when it was first used", true});
+    const ServiceAnswer answer = service.act(action);
+    return {httpStatus(answer.code), answer.json, "application/json", {}};
+}
+
+CallerResponse CallerApi::announce(const CallerRequest &request) const
+{
+    Result<Announcement> announcement = parseAnnouncement(request.body);
+    if (!announcement)
+        return refusal(announcement.error());
+    m_control.announce(std::move(*announcement));
+    return {200, "{}", "application/json", {}};
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/app/OperatorCommands.cpp
@@ -0,0 +1,354 @@
+#include "app/OperatorCommands.h"
+
+#include "app/EntryProcess.h"
+#include "hickoryspur/process/LogStorage.h"
+#include "hickoryspur/process/TokenFile.h"
+#include "hickoryspur/version/Document.h"
+#include "request/HttpCallerServer.h"
+
+#include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+#include <random>
+#include <thread>
+
+namespace hickoryspur {
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr std::chrono::milliseconds kExchangePatience{20000};
+
+struct OperatorCommand
+{
+    const char *name;
+    const char *summary;
+    void (*describe)(options::options_description &);
+    Result<std::string> (*run)(const options::variables_map &);
+};
+
+std::string text(const options::variables_map &values, const char *name)
+{
+    return values.count(name) > 0 ? values[name].as<std::string>() : "";
+}
+
+std::string urlEncoded(const std::string &plain)
+{
+    static constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string result;
+    for (const char c : plain) {
+        if (std::isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '.' || c == '_') {
+            result.push_back(c);
+            continue;
+        }
+        const auto byte = static_cast<unsigned char>(c);
+        result += {'%', digits[byte >> 4U], digits[byte & 15U]};
+    }
+    return result;
+}
+
+std::string drawRequestId()
+{
+    std::random_device source;
+    return "cli-" + std::to_string(source()) + '-' + std::to_string(source());
+}
+
+Result<HostAddress> parseAddress(const std::string &given)
+{
+    const size_t colon = given.rfind(':');
+    const int port = colon == std::string::npos ? 0 : std::atoi(given.c_str() + colon + 1);
+    if (port < 1 || port > 65535)
+        return failure(ResultCode::UsageError, "--to must be an IP address and a port, as in 10.0.0.1:8100");
+    return HostAddress{given.substr(0, colon), static_cast<uint16_t>(port)};
+}
+
+void describeRemote(options::options_description &description)
+{
+    description.add_options()("to", options::value<std::string>()->required(), "address of any entry, IP:PORT")(
+        "token-file", options::value<std::string>()->required(),
+        "file that holds the operator's token on one line")("json", "print the answer as JSON");
+}
+
+/** Sends one request; an answer with a code other than zero becomes a failure with that code. */
+Result<nlohmann::json> exchange(const options::variables_map &values, const std::string &method,
+                                const std::string &path, const std::string &body)
+{
+    const Result<HostAddress> address = parseAddress(text(values, "to"));
+    if (!address)
+        return tl::unexpected(address.error());
+    const Result<std::string> token = readFile(text(values, "token-file"));
+    if (!token)
+        return tl::unexpected(token.error());
+    CallerRequest request;
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    request.headers["Authorization"] = "Bearer " + token->substr(0, token->find_first_of("\r\n"));
+    const Result<CallerResponse> response = httpExchange(*address, request, kExchangePatience);
+    if (!response)
+        return tl::unexpected(response.error());
+    const nlohmann::json answer = nlohmann::json::parse(response->body, nullptr, false);
+    if (answer.is_discarded())
+        return failure(ResultCode::ConnectionFailed, "the entry's answer is not JSON");
+    const int code = answer.is_object() ? answer.value("code", 0) : 0;
+    if (code != 0)
+        return failure(static_cast<ResultCode>(code), answer.value("message", ""));
+    return answer;
+}
+
+std::string outcomeText(const options::variables_map &values, const nlohmann::json &answer)
+{
+    if (values.count("json") > 0)
+        return answer.dump();
+    std::string line = answer.value("message", "") + ", number " + std::to_string(answer.value("number", 0ULL));
+    if (const std::string digest = answer.value("digest", ""); !digest.empty())
+        line += ", digest " + digest;
+    if (answer.value("in_force", false))
+        line += ", in force everywhere";
+    if (answer.contains("warning"))
+        line += "\nwarning: " + answer["warning"].get<std::string>();
+    return line;
+}
+
+void describeChange(options::options_description &description)
+{
+    describeRemote(description);
+    description.add_options()("request-id", options::value<std::string>(),
+                              "name of this request; repeat it to resend after a lost answer")(
+        "wait", "return once it is in force on every entry");
+}
+
+std::string changeParameters(const options::variables_map &values)
+{
+    const std::string given = text(values, "request-id");
+    return "request-id=" + urlEncoded(given.empty() ? drawRequestId() : given)
+        + (values.count("wait") > 0 ? "&wait=in-force" : "");
+}
+
+/** The predecessor as --after NUMBER:DIGEST, or --after none for the first document. */
+Result<std::string> predecessor(const options::variables_map &values)
+{
+    const std::string after = text(values, "after");
+    if (after == "none")
+        return std::string("expected-number=0&expected-digest=");
+    const size_t colon = after.find(':');
+    if (colon == std::string::npos)
+        return failure(ResultCode::UsageError,
+                       "--after must be NUMBER:DIGEST of the document this one replaces, or none");
+    return "expected-number=" + after.substr(0, colon) + "&expected-digest=" + after.substr(colon + 1);
+}
+
+void describeCheck(options::options_description &description)
+{
+    description.add_options()("file", options::value<std::string>()->required(), "settings file or document")(
+        "kind", options::value<std::string>()->default_value("settings"), "settings, document or tokens");
+}
+
+Result<std::string> runCheck(const options::variables_map &values)
+{
+    const std::string path = text(values, "file");
+    const std::string kind = text(values, "kind");
+    if (kind == "settings")
+        return loadSettings(path).map([&](const Settings &) { return path + ": the settings are in order"; });
+    if (kind == "tokens")
+        return TokenFile::load(path).map([&](const TokenFile &) { return path + ": the token file is in order"; });
+    if (kind != "document")
+        return failure(ResultCode::UsageError, "--kind must be settings, document or tokens");
+    return readFile(path)
+        .and_then([&](const std::string &content) { return parseDocument(content, path); })
+        .map([&](const Document &) { return path + ": the document is in order"; });
+}
+
+void describeFormat(options::options_description &description)
+{
+    description.add_options()("settings", options::value<std::string>()->required(), "settings file of a control host");
+}
+
+Result<std::string> runFormat(const options::variables_map &values)
+{
+    return loadSettings(text(values, "settings")).and_then([](const Settings &settings) -> Result<std::string> {
+        if (!settings.self().control)
+            return failure(ResultCode::SettingsInvalid, settings.node.value() + " is not a control host");
+        return FileLogStorage::format(settings.dataFolder, settings.node, settings.controlNodes()).map([&] {
+            return settings.dataFolder + ": ready";
+        });
+    });
+}
+
+void describeSubmit(options::options_description &description)
+{
+    describeChange(description);
+    description.add_options()("file", options::value<std::string>()->required(), "the document, in YAML")(
+        "after", options::value<std::string>()->required(), "NUMBER:DIGEST of the trial document it replaces, or none");
+}
+
+Result<std::string> runSubmit(const options::variables_map &values)
+{
+    const Result<std::string> document = readFile(text(values, "file"));
+    const Result<std::string> after = predecessor(values);
+    if (!document || !after)
+        return tl::unexpected(document ? after.error() : document.error());
+    return exchange(values, "POST", "/v1/admin/document?environment=trial&" + *after + '&' + changeParameters(values),
+                    *document)
+        .map([&](const nlohmann::json &answer) { return outcomeText(values, answer); });
+}
+
+void describePromote(options::options_description &description)
+{
+    describeChange(description);
+    description.add_options()("digest", options::value<std::string>()->required(), "digest of the tried document")(
+        "after", options::value<std::string>()->required(),
+        "NUMBER:DIGEST of the production document it replaces, or none");
+}
+
+Result<std::string> runPromote(const options::variables_map &values)
+{
+    const Result<std::string> after = predecessor(values);
+    if (!after)
+        return tl::unexpected(after.error());
+    return exchange(values, "POST",
+                    "/v1/admin/promote?digest=" + urlEncoded(text(values, "digest")) + '&' + *after + '&'
+                        + changeParameters(values),
+                    "")
+        .map([&](const nlohmann::json &answer) { return outcomeText(values, answer); });
+}
+
+Result<std::string> runStatus(const options::variables_map &values)
+{
+    return exchange(values, "GET", "/v1/admin/status", "").map([&](const nlohmann::json &answer) {
+        return answer.dump(values.count("json") > 0 ? -1 : 2);
+    });
+}
+
+void describeHistory(options::options_description &description)
+{
+    describeRemote(description);
+    description.add_options()("environment", options::value<std::string>()->default_value("production"),
+                              "trial or production")("text", "with the documents' texts");
+}
+
+Result<std::string> runHistory(const options::variables_map &values)
+{
+    return exchange(values, "GET",
+                    "/v1/admin/history?environment=" + urlEncoded(text(values, "environment"))
+                        + (values.count("text") > 0 ? "&text=true" : ""),
+                    "")
+        .map([&](const nlohmann::json &answer) {
+            if (values.count("json") > 0)
+                return answer.dump();
+            std::string lines;
+            for (const nlohmann::json &version : answer) {
+                lines += version.at("number").dump() + ':' + version.at("digest").get<std::string>() + ' '
+                    + version.at("operator").get<std::string>() + '\n';
+                if (version.contains("text"))
+                    lines += version.at("text").get<std::string>() + '\n';
+            }
+            return lines;
+        });
+}
+
+Result<std::string> runAudit(const options::variables_map &values)
+{
+    return exchange(values, "GET", "/v1/admin/audit", "").map([&](const nlohmann::json &answer) {
+        return answer.dump(values.count("json") > 0 ? -1 : 2);
+    });
+}
+
+void describeDataCentre(options::options_description &description)
+{
+    describeChange(description);
+    description.add_options()("direction", options::value<std::string>()->required(),
+                              "out or back")("name", options::value<std::string>()->required(), "the data centre");
+}
+
+Result<std::string> runDataCentre(const options::variables_map &values)
+{
+    const std::string direction = text(values, "direction");
+    if (direction != "out" && direction != "back")
+        return failure(ResultCode::UsageError, "say `data-centre out NAME` or `data-centre back NAME`");
+    return exchange(values, "POST",
+                    "/v1/admin/data-centre?name=" + urlEncoded(text(values, "name"))
+                        + "&out=" + (direction == "out" ? "true" : "false") + '&' + changeParameters(values),
+                    "")
+        .map([&](const nlohmann::json &answer) { return outcomeText(values, answer); });
+}
+
+const std::vector<OperatorCommand> &commands()
+{
+    static const std::vector<OperatorCommand> all = {
+        {"check", "check a settings file, document or token file", describeCheck, runCheck},
+        {"format", "prepare the data folder of one of the first control hosts", describeFormat, runFormat},
+        {"submit", "submit a document to trial", describeSubmit, runSubmit},
+        {"promote", "make the tried document that of production", describePromote, runPromote},
+        {"status", "show what an entry knows", describeRemote, runStatus},
+        {"history", "list an environment's documents", describeHistory, runHistory},
+        {"audit", "list what operators did", describeRemote, runAudit},
+        {"data-centre", "take a data centre out or back in", describeDataCentre, runDataCentre},
+    };
+    return all;
+}
+
+options::positional_options_description positionsFor(const std::string &name)
+{
+    options::positional_options_description positions;
+    if (name == "data-centre")
+        positions.add("direction", 1).add("name", 1);
+    else
+        positions.add("file", 1);
+    return positions;
+}
+
+int report(const Failure &failure)
+{
+    std::cerr << "hickoryspur: " << failure.message << " (" << static_cast<int>(failure.code) << ' '
+              << resultCodeName(failure.code) << ")\n";
+    return exitCode(failure.code);
+}
+
+int run(const OperatorCommand &command, const std::vector<std::string> &arguments)
+{
+    options::options_description description(std::string("hickoryspur ") + command.name + ": " + command.summary);
+    description.add_options()("help", "show this help");
+    command.describe(description);
+    options::variables_map values;
+    try {
+        options::store(
+            options::command_line_parser(arguments).options(description).positional(positionsFor(command.name)).run(),
+            values);
+        if (values.count("help") > 0) {
+            std::cout << description << '\n';
+            return 0;
+        }
+        options::notify(values);
+    } catch (const options::error &error) {
+        return report({ResultCode::UsageError, error.what(), true});
+    }
+    const Result<std::string> result = command.run(values);
+    if (!result)
+        return report(result.error());
+    std::cout << *result << '\n';
+    return 0;
+}
+
+} // namespace
+
+std::string operatorCommandList()
+{
+    std::string list;
+    for (const OperatorCommand &command : commands())
+        list += std::string("  ") + command.name + std::string(14 - std::string(command.name).size(), ' ')
+            + command.summary + '\n';
+    return list;
+}
+
+int runOperatorCommand(const std::string &name, const std::vector<std::string> &arguments)
+{
+    for (const OperatorCommand &command : commands())
+        if (name == command.name)
+            return run(command, arguments);
+    return report({ResultCode::UsageError, "there is no command " + name + "; see hickoryspur --help", true});
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/app/OperatorCommands.h
@@ -0,0 +1,16 @@
+// The subcommands that operators type: check, format, submit, promote, status, data-centre and the
+// rest. Each has --help, prints what happened and exits with the code of the result-code table.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace hickoryspur {
+
+/** Runs one subcommand with its arguments; returns the exit code. */
+int runOperatorCommand(const std::string &name, const std::vector<std::string> &arguments);
+
+/** The subcommands' names and one line on each, for the general help. */
+std::string operatorCommandList();
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/connection/ColdLimit.cpp
@@ -0,0 +1,58 @@
+#include "hickoryspur/connection/ColdLimit.h"
+
+namespace hickoryspur {
+
+namespace {
+
+Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+/** The floor rises slowly, so that an upstream whose work has grown is not held at one for ever. */
+constexpr double kFloorRise = 1.01;
+
+} // namespace
+
+void ColdLimit::setSlots(uint32_t slots)
+{
+    m_slots = slots;
+    m_limit = std::min(m_limit, slots);
+}
+
+void ColdLimit::answered(TimePoint, Duration latency)
+{
+    m_pause = Duration::zero();
+    const bool known = m_floor > Duration::zero();
+    const bool jumped = known && latency > scaled(m_floor, kJumpFactor) && latency > m_floor + kSmallestJump;
+    const bool quick = !known || latency < scaled(m_floor, kQuickFactor) || latency < m_floor + kSmallestJump;
+    m_floor = known ? std::min(scaled(m_floor, kFloorRise), latency) : latency;
+    m_floor = std::max(m_floor, Duration(1));
+    if (jumped) {
+        turnedCold();
+        return;
+    }
+    if (!quick) {
+        m_quickAnswers = 0;
+        return;
+    }
+    if (++m_quickAnswers >= m_limit && m_limit < m_slots) {
+        ++m_limit;
+        m_quickAnswers = 0;
+    }
+}
+
+void ColdLimit::refused(TimePoint now)
+{
+    turnedCold();
+    m_pause = std::clamp(2 * m_pause, kFirstPause, kLongestPause);
+    m_pausedUntil = now + m_pause;
+}
+
+void ColdLimit::turnedCold()
+{
+    m_limit = 1;
+    m_quickAnswers = 0;
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/connection/HttpUpstreamChannel.cpp
@@ -0,0 +1,337 @@
+#include "connection/HttpUpstreamChannel.h"
+
+#include "hickoryspur/connection/ConnectionPolicy.h"
+#include "hickoryspur/process/Check.h"
+#include "hickoryspur/process/LogEvent.h"
+#include "hickoryspur/process/Metrics.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <unordered_map>
+
+namespace hickoryspur {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+
+constexpr size_t kMaxAnswerBytes = 8U * 1024 * 1024;
+constexpr unsigned kMaxHeaderBytes = 16U * 1024;
+
+uint64_t numberOr(beast::string_view text, uint64_t fallback)
+{
+    uint64_t value = fallback;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+SubOutcome outcomeOf(const http::response<http::string_body> &response)
+{
+    const beast::string_view word = response["Hickoryspur-Outcome"];
+    if (response.result() == http::status::ok)
+        return word.empty() || word == "ok" ? SubOutcome::Ok : SubOutcome::Failed;
+    if (word == "shed")
+        return SubOutcome::Shed;
+    if (word == "draining")
+        return SubOutcome::Draining;
+    if (word == "snapshot-gone")
+        return SubOutcome::SnapshotGone;
+    if (word == "cancelled")
+        return SubOutcome::Cancelled;
+    return SubOutcome::Failed;
+}
+
+/** One connection; it owns itself through its pending handlers and outlives its channel. */
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    /** Called with the response, or with the error and whether any byte of the request was written. */
+    using Ended = std::function<void(error_code, bool, const http::response<http::string_body> &)>;
+
+    explicit Connection(asio::io_context &context)
+        : m_stream(context)
+    {
+    }
+
+    void run(const asio::ip::tcp::endpoint &endpoint, http::request<http::string_body> request, Ended ended)
+    {
+        m_request = std::move(request);
+        m_ended = std::move(ended);
+        m_written = false;
+        if (m_connected) {
+            write();
+            return;
+        }
+        m_stream.async_connect(endpoint, [self = shared_from_this()](error_code error) {
+            if (error)
+                return self->end(error);
+            self->m_connected = true;
+            error_code ignored;
+            self->m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->write();
+        });
+    }
+
+    /** Ends what runs with an error; the connection is not used again. */
+    void abandon()
+    {
+        m_stream.cancel();
+        error_code ignored;
+        m_stream.socket().close(ignored);
+    }
+
+private:
+    void write()
+    {
+        // From here on the upstream may have received the request.
+        m_written = true;
+        http::async_write(m_stream, m_request, [self = shared_from_this()](error_code error, size_t) {
+            if (error)
+                return self->end(error);
+            self->read();
+        });
+    }
+
+    void read()
+    {
+        m_parser.emplace();
+        m_parser->body_limit(kMaxAnswerBytes);
+        m_parser->header_limit(kMaxHeaderBytes);
+        http::async_read(m_stream, m_buffer, *m_parser,
+                         [self = shared_from_this()](error_code error, size_t) { self->end(error); });
+    }
+
+    void end(error_code error)
+    {
+        Ended ended = std::move(m_ended);
+        m_ended = nullptr;
+        http::response<http::string_body> response;
+        if (!error && m_parser)
+            response = m_parser->release();
+        m_parser.reset();
+        if (ended)
+            ended(error, m_written, response);
+    }
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    http::request<http::string_body> m_request;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    Ended m_ended;
+    bool m_connected = false;
+    bool m_written = false;
+};
+
+/** The channel's state, shared with the handlers of its connections. */
+class ChannelState : public std::enable_shared_from_this<ChannelState>
+{
+public:
+    ChannelState(asio::io_context &context, const Announcement &upstream)
+        : m_context(context)
+        , m_endpoint(asio::ip::make_address(upstream.address), upstream.port)
+        , m_policy(upstream.connectionLimit)
+        , m_name(upstream.id)
+    {
+    }
+
+    void send(ChannelRequest request, UpstreamChannel::Done done);
+    void cancel(GateKey key);
+    void tick(TimePoint now);
+
+private:
+    struct Job
+    {
+        ChannelRequest request;
+        UpstreamChannel::Done done;
+        TimePoint started;
+    };
+
+    std::optional<ConnectionId> connect(TimePoint now);
+    void finished(ConnectionId id, const std::shared_ptr<Job> &job, error_code error, bool written,
+                  const http::response<http::string_body> &response);
+    void probe(ConnectionId id);
+    http::request<http::string_body> makeRequest(http::verb verb, const std::string &target) const;
+    ChannelResult readResult(const Job &job, const http::response<http::string_body> &response) const;
+
+    asio::io_context &m_context;
+    asio::ip::tcp::endpoint m_endpoint;
+    ConnectionPolicy m_policy;
+    UpstreamId m_name;
+    std::unordered_map<ConnectionId, std::shared_ptr<Connection>> m_connections;
+    std::unordered_map<GateKey, std::string> m_running;
+};
+
+http::request<http::string_body> ChannelState::makeRequest(http::verb verb, const std::string &target) const
+{
+    http::request<http::string_body> request{verb, target, 11};
+    request.set(http::field::host, m_endpoint.address().to_string());
+    return request;
+}
+
+std::optional<ConnectionId> ChannelState::connect(TimePoint now)
+{
+    std::optional<ConnectionId> id = m_policy.takeIdle(now);
+    if (id)
+        return id;
+    id = m_policy.add(now);
+    if (id)
+        m_connections[*id] = std::make_shared<Connection>(m_context);
+    return id;
+}
+
+void ChannelState::send(ChannelRequest channelRequest, UpstreamChannel::Done done)
+{
+    const TimePoint now = monotonicNow();
+    auto job = std::make_shared<Job>(Job{std::move(channelRequest), std::move(done), now});
+    const std::optional<ConnectionId> id = connect(now);
+    if (!id) {
+        asio::post(m_context, [job] { job->done({SubOutcome::NotSent, 0, {}, {}, ""}); });
+        return;
+    }
+    http::request<http::string_body> request = makeRequest(http::verb::post, "/v1/sub-request");
+    request.set("Hickoryspur-Request-Id", job->request.requestId);
+    request.set("Hickoryspur-Shard", std::to_string(job->request.shard));
+    request.set("Hickoryspur-Map-Generation", std::to_string(job->request.generation.value()));
+    request.set("Hickoryspur-Snapshot", std::to_string(job->request.snapshot.value()));
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(job->request.deadline - now);
+    request.set("Hickoryspur-Deadline-Ms", std::to_string(std::max<int64_t>(1, left.count())));
+    request.set(http::field::content_type, "application/json");
+    request.body() = job->request.body;
+    request.prepare_payload();
+    m_running[job->request.key] = job->request.requestId;
+    m_connections.at(*id)->run(
+        m_endpoint, std::move(request),
+        [self = shared_from_this(), id = *id, job](error_code error, bool written, const auto &response) {
+            self->finished(id, job, error, written, response);
+        });
+}
+
+ChannelResult ChannelState::readResult(const Job &job, const http::response<http::string_body> &response) const
+{
+    ChannelResult result;
+    result.outcome = outcomeOf(response);
+    result.shard = static_cast<uint32_t>(numberOr(response["Hickoryspur-Shard"], UINT32_MAX));
+    result.generation = MapGeneration(numberOr(response["Hickoryspur-Map-Generation"], 0));
+    result.snapshot = SnapshotId(numberOr(response["Hickoryspur-Snapshot"], 0));
+    result.body = response.body();
+    if (result.outcome == SubOutcome::Ok && !nlohmann::json::accept(result.body))
+        result.outcome = SubOutcome::Failed;
+    static_cast<void>(job);
+    return result;
+}
+
+void ChannelState::finished(ConnectionId id, const std::shared_ptr<Job> &job, error_code error, bool written,
+                            const http::response<http::string_body> &response)
+{
+    static Counter &mismatches = Metrics::counter("hickoryspur_upstream_reply_mismatch_total");
+    const TimePoint now = monotonicNow();
+    m_running.erase(job->request.key);
+    if (error) {
+        m_policy.remove(id);
+        m_connections.erase(id);
+        job->done({written ? SubOutcome::Unknown : SubOutcome::NotSent, 0, {}, {}, ""});
+        return;
+    }
+    if (response["Hickoryspur-Request-Id"] != job->request.requestId) {
+        // The answer belongs to another request, so nothing more on this connection can be trusted.
+        mismatches.add();
+        HS_LOG(WARNING, LogEvent::ReplyMismatch) << m_name << " answered a request that was not asked";
+        m_connections.at(id)->abandon();
+        m_policy.remove(id);
+        m_connections.erase(id);
+        job->done({SubOutcome::Unknown, 0, {}, {}, ""});
+        return;
+    }
+    m_policy.noteLatency(now - job->started);
+    if (response.keep_alive()) {
+        m_policy.becameIdle(now, id);
+    } else {
+        m_policy.remove(id);
+        m_connections.erase(id);
+    }
+    job->done(readResult(*job, response));
+}
+
+void ChannelState::cancel(GateKey key)
+{
+    const auto running = m_running.find(key);
+    if (running == m_running.end())
+        return;
+    const TimePoint now = monotonicNow();
+    const std::optional<ConnectionId> id = connect(now);
+    if (!id)
+        return; // No connection to spare: it ends by itself or at its deadline.
+    http::request<http::string_body> request = makeRequest(http::verb::post, "/v1/cancel");
+    request.set("Hickoryspur-Request-Id", running->second);
+    request.prepare_payload();
+    m_connections.at(*id)->run(m_endpoint, std::move(request),
+                               [self = shared_from_this(), id = *id](error_code error, bool, const auto &response) {
+                                   if (!error && response.keep_alive())
+                                       return self->m_policy.becameIdle(monotonicNow(), id);
+                                   self->m_policy.remove(id);
+                                   self->m_connections.erase(id);
+                               });
+}
+
+void ChannelState::probe(ConnectionId id)
+{
+    http::request<http::string_body> request = makeRequest(http::verb::get, "/v1/ping");
+    m_connections.at(id)->run(m_endpoint, std::move(request),
+                              [self = shared_from_this(), id](error_code error, bool, const auto &response) {
+                                  if (!error && response.keep_alive())
+                                      return self->m_policy.becameIdle(monotonicNow(), id);
+                                  self->m_policy.remove(id);
+                                  self->m_connections.erase(id);
+                              });
+}
+
+void ChannelState::tick(TimePoint now)
+{
+    static Counter &silent = Metrics::counter("hickoryspur_upstream_connections_abandoned_total");
+    const ConnectionActions actions = m_policy.tick(now);
+    for (const ConnectionId id : actions.abandon) {
+        silent.add();
+        const auto found = m_connections.find(id);
+        if (found == m_connections.end())
+            continue;
+        found->second->abandon();
+        m_connections.erase(found);
+    }
+    for (const ConnectionId id : actions.probe)
+        probe(id);
+}
+
+class HttpUpstreamChannel : public UpstreamChannel
+{
+public:
+    HttpUpstreamChannel(asio::io_context &context, const Announcement &upstream)
+        : m_state(std::make_shared<ChannelState>(context, upstream))
+    {
+    }
+
+    void send(ChannelRequest request, Done done) override { m_state->send(std::move(request), std::move(done)); }
+    void cancel(GateKey key) override { m_state->cancel(key); }
+    void tick(TimePoint now) override { m_state->tick(now); }
+
+private:
+    std::shared_ptr<ChannelState> m_state;
+};
+
+} // namespace
+
+ChannelFactory httpChannelFactory(asio::io_context &context)
+{
+    return
+        [&context](const Announcement &upstream) { return std::make_unique<HttpUpstreamChannel>(context, upstream); };
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/connection/UpstreamDirectory.cpp
@@ -0,0 +1,130 @@
+#include "hickoryspur/connection/UpstreamDirectory.h"
+
+#include "hickoryspur/process/Digest.h"
+
+namespace hickoryspur {
+
+DirectoryChange UpstreamDirectory::store(TimePoint now, const Announcement &announcement, bool fromUpstream)
+{
+    const auto found = m_records.find(announcement.id);
+    if (found == m_records.end()) {
+        m_records[announcement.id] = {announcement, now, fromUpstream, false};
+        ++m_revision;
+        return DirectoryChange::Arrived;
+    }
+    Record &record = found->second;
+    const Announcement &known = record.announcement;
+    if (announcement.incarnation < known.incarnation)
+        return known.address == announcement.address && known.port == announcement.port ? DirectoryChange::None
+                                                                                        : DirectoryChange::Conflict;
+    const bool sameLife = announcement.incarnation == known.incarnation;
+    if (sameLife && (known.address != announcement.address || known.port != announcement.port))
+        return DirectoryChange::Conflict;
+    if (sameLife && announcement.sequence <= known.sequence)
+        return DirectoryChange::None;
+    const bool same = sameLife && known.sameBut(announcement);
+    const bool leaves = announcement.isLeaving() && !known.isLeaving();
+    record.announcement = announcement;
+    record.heard = now;
+    if (fromUpstream)
+        (same ? record.spreadTouch : record.spreadRecord) = true;
+    if (same)
+        return DirectoryChange::None;
+    ++m_revision;
+    if (leaves)
+        return DirectoryChange::Leaving;
+    return sameLife ? DirectoryChange::Changed : DirectoryChange::Restarted;
+}
+
+DirectoryChange UpstreamDirectory::announce(TimePoint now, const Announcement &announcement)
+{
+    const DirectoryChange change = store(now, announcement, true);
+    if (change == DirectoryChange::Leaving)
+        m_nextSpread = now;
+    return change;
+}
+
+DirectoryUpdate UpstreamDirectory::merge(TimePoint now, const DirectoryUpdate &update)
+{
+    DirectoryUpdate answer;
+    for (const Announcement &announcement : update.records)
+        store(now, announcement, false);
+    for (const AnnouncementTouch &touch : update.touches) {
+        const auto found = m_records.find(touch.id);
+        if (found == m_records.end() || found->second.announcement.incarnation < touch.incarnation) {
+            answer.wanted.push_back(touch.id);
+            continue;
+        }
+        Record &record = found->second;
+        if (record.announcement.incarnation == touch.incarnation && record.announcement.sequence < touch.sequence) {
+            record.announcement.sequence = touch.sequence;
+            record.heard = now;
+        }
+    }
+    return answer;
+}
+
+DirectoryUpdate UpstreamDirectory::answerWanted(const std::vector<UpstreamId> &wanted) const
+{
+    DirectoryUpdate update;
+    for (const UpstreamId &id : wanted) {
+        const auto found = m_records.find(id);
+        if (found != m_records.end())
+            update.records.push_back(found->second.announcement);
+    }
+    return update;
+}
+
+DirectoryUpdate UpstreamDirectory::tick(TimePoint now)
+{
+    m_lost.clear();
+    for (auto item = m_records.begin(); item != m_records.end();) {
+        if (now - item->second.heard <= kRecordLife) {
+            ++item;
+            continue;
+        }
+        m_lost.push_back(item->first);
+        item = m_records.erase(item);
+        ++m_revision;
+    }
+    DirectoryUpdate update;
+    if (now < m_nextSpread)
+        return update;
+    m_nextSpread = now + kSpreadInterval;
+    for (auto &[id, record] : m_records) {
+        if (record.spreadRecord)
+            update.records.push_back(record.announcement);
+        else if (record.spreadTouch)
+            update.touches.push_back({id, record.announcement.incarnation, record.announcement.sequence});
+        record.spreadRecord = false;
+        record.spreadTouch = false;
+    }
+    return update;
+}
+
+std::vector<Announcement> UpstreamDirectory::records() const
+{
+    std::vector<Announcement> result;
+    result.reserve(m_records.size());
+    for (const auto &[id, record] : m_records)
+        result.push_back(record.announcement);
+    return result;
+}
+
+NodeId homeOf(const UpstreamId &upstream, const std::vector<NodeId> &sameDataCentre,
+              const std::vector<NodeId> &allEntries)
+{
+    const std::vector<NodeId> &choices = sameDataCentre.empty() ? allEntries : sameDataCentre;
+    NodeId best;
+    uint64_t bestScore = 0;
+    for (const NodeId &node : choices) {
+        const uint64_t score = hash64(node.value(), hash64(upstream.value()));
+        if (best.value().empty() || score > bestScore) {
+            best = node;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/process/CheckedYaml.h
@@ -0,0 +1,74 @@
+// Reads a YAML document field by field and collects every error with its line, so that an operator
+// sees all of them at once. A section remembers which fields were read; finish() reports the rest
+// as unknown.
+//
+//     YamlErrors errors("settings.yaml");
+//     YamlSection section(root, "settings", errors);
+//     settings.node = NodeId(section.text("node"));
+//     section.finish();
+#pragma once
+
+#include "hickoryspur/process/Time.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hickoryspur {
+
+class YamlErrors
+{
+public:
+    explicit YamlErrors(std::string source)
+        : m_source(std::move(source))
+    {
+    }
+
+    void add(const YAML::Node &node, const std::string &message);
+    bool empty() const { return m_messages.empty(); }
+    /** One error a line, each as "source:line: message". */
+    std::string text() const;
+
+private:
+    std::string m_source;
+    std::vector<std::string> m_messages;
+};
+
+/** A whole document; on a syntax error the result is null and the error names the line. */
+YAML::Node parseYaml(const std::string &text, YamlErrors &errors);
+
+class YamlSection
+{
+public:
+    YamlSection(const YAML::Node &node, std::string name, YamlErrors &errors);
+
+    bool has(const std::string &field) const;
+    std::string text(const std::string &field);
+    std::string text(const std::string &field, const std::string &fallback);
+    int64_t integer(const std::string &field, int64_t least, int64_t most, std::optional<int64_t> fallback = {});
+    bool boolean(const std::string &field, bool fallback);
+    /** A duration such as 340ms, 5s, 30m or 2h. */
+    Duration duration(const std::string &field, Duration least, Duration most, std::optional<Duration> fallback = {});
+    /** A share such as 2% or 99.9%, as a fraction. */
+    double share(const std::string &field, double fallback);
+    std::vector<std::string> texts(const std::string &field);
+    /** The items of a list, each of which is a section of its own. */
+    std::vector<YAML::Node> items(const std::string &field);
+    YAML::Node child(const std::string &field);
+    void error(const std::string &field, const std::string &message);
+    void finish();
+
+private:
+    YAML::Node take(const std::string &field);
+    std::string missing(const std::string &field);
+
+    YAML::Node m_node;
+    std::string m_name;
+    YamlErrors &m_errors;
+    std::set<std::string> m_read;
+};
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/process/ControlNode.cpp
@@ -0,0 +1,514 @@
+#include "hickoryspur/process/ControlNode.h"
+
+#include "hickoryspur/process/LogEvent.h"
+#include "hickoryspur/process/MemberRepair.h"
+#include "hickoryspur/process/Packing.h"
+
+#include <algorithm>
+
+namespace hickoryspur {
+
+namespace {
+
+constexpr Duration kTicketResend = 300ms;
+constexpr size_t kEntriesPerGrant = 256;
+/** Longer than the longest deadline of any document, so that work of an earlier home has ended. */
+constexpr Duration kHomeHandover = 1s;
+
+std::string shardMapSubject(const Announcement &announcement)
+{
+    return std::string(environmentName(static_cast<Environment>(announcement.environment))) + '/'
+        + announcement.service.value();
+}
+
+} // namespace
+
+ControlNode::ControlNode(ControlNodeConfig config, std::optional<RecoveredStorage> recovered, TimePoint now)
+    : m_config(std::move(config))
+    , m_leases(m_config.settings.entryNodes(), m_config.leaseTiming)
+    , m_holder(m_config.settings.node, m_config.incarnation, m_config.settings.entryNodes(),
+               m_config.settings.controlNodes(), m_config.leaseTiming)
+    , m_views(m_config.settings)
+{
+    if (!recovered)
+        return;
+    m_logState = ControlState::deserialize(recovered->log.checkpoint.state).value_or(ControlState());
+    m_lastCheckpoint = recovered->log.checkpoint.index;
+    m_log.emplace(recovered->self, m_config.settings.controlNodes(), std::move(recovered->log), m_config.logTiming,
+                  m_config.seed, now);
+}
+
+template <typename Message>
+void ControlNode::send(const NodeId &to, PeerMessageType type, const Message &message, NodeActions &result)
+{
+    result.sends.push_back({to, type, pack(message)});
+}
+
+void ControlNode::take(TimePoint now, LogActions actions, NodeActions &result)
+{
+    if (actions.installCheckpoint) {
+        m_logState = ControlState::deserialize(actions.installCheckpoint->state).value_or(ControlState());
+        m_lastCheckpoint = actions.installCheckpoint->index;
+    }
+    if (actions.becameLeader) {
+        HS_LOG(INFO, LogEvent::LeaderElected) << m_config.settings.node << " leads term " << m_log->term();
+        m_leases.becameLeader(now, m_inForce);
+    }
+    if (actions.lostLeadership) {
+        HS_LOG(WARNING, LogEvent::LeaderLost) << m_config.settings.node << " no longer leads";
+        m_waiting.clear();
+    }
+    for (const LogEnvelope &envelope : actions.messages)
+        send(envelope.to, PeerMessageType::Log, envelope.message, result);
+    actions.messages.clear();
+    const std::vector<LogEntry> committed = std::move(actions.committed);
+    if (actions.needsSync())
+        result.log.push_back(std::move(actions));
+    applyCommitted(committed, result);
+    if (!committed.empty())
+        answerWaiting(now, result);
+}
+
+void ControlNode::applyCommitted(const std::vector<LogEntry> &entries, NodeActions &result)
+{
+    for (const LogEntry &entry : entries) {
+        ApplyOutcome outcome;
+        if (entry.kind == static_cast<uint8_t>(EntryKind::Command)) {
+            const std::optional<Command> command = unpack<Command>(entry.data);
+            if (command)
+                outcome = m_logState.apply(entry.index, *command);
+        }
+        m_leases.committed(entry.index);
+        const auto [first, last] = m_waiting.equal_range(entry.index);
+        for (auto item = first; item != last; ++item)
+            item->second.outcome = outcome;
+    }
+    if (!entries.empty() && m_log->isLeader())
+        pushStateToEntries(result);
+}
+
+void ControlNode::pushStateToEntries(NodeActions &result)
+{
+    // A grant without a lease: it only carries the new entries, which the holder confirms by renewing.
+    for (const NodeId &entry : m_leases.entries()) {
+        LeaseRequest request;
+        request.from = entry;
+        request.applied = m_leases.applied(entry);
+        LeaseGrant grant = makeGrant(request);
+        grant.durationMicros = 0;
+        send(entry, PeerMessageType::LeaseGrant, grant, result);
+    }
+}
+
+void ControlNode::answer(const Waiting &waiting, const ApplyOutcome &outcome, NodeActions &result)
+{
+    send(waiting.asker, PeerMessageType::CommandReply, CommandReply{waiting.ticket, outcome}, result);
+}
+
+std::optional<ApplyOutcome> ControlNode::settledOutcome(TimePoint now, LogIndex index, const Waiting &waiting) const
+{
+    if (!waiting.outcome)
+        return std::nullopt;
+    if (waiting.wait == CommandWait::Committed || !waiting.outcome->ok() || index <= m_leases.inForce())
+        return waiting.outcome;
+    if (now < waiting.deadline)
+        return std::nullopt;
+    ApplyOutcome outcome = *waiting.outcome;
+    outcome.code = static_cast<int>(ResultCode::NotInForce);
+    outcome.message = "accepted, but not in force yet";
+    for (const auto &[entry, reason] : m_leases.blocking(index, now))
+        outcome.message += "; " + entry.value() + ' ' + reason;
+    return outcome;
+}
+
+void ControlNode::answerWaiting(TimePoint now, NodeActions &result)
+{
+    if (!leads(now))
+        return;
+    for (auto item = m_waiting.begin(); item != m_waiting.end();) {
+        const std::optional<ApplyOutcome> outcome = settledOutcome(now, item->first, item->second);
+        if (!outcome) {
+            ++item;
+            continue;
+        }
+        answer(item->second, *outcome, result);
+        item = m_waiting.erase(item);
+    }
+}
+
+NodeActions ControlNode::tick(TimePoint now, int64_t wallSeconds)
+{
+    NodeActions result;
+    m_wallSeconds = wallSeconds;
+    if (m_log) {
+        take(now, m_log->tick(now), result);
+        leaderDuties(now, result);
+        checkpointIfDue(result);
+    }
+    const LeaseActions lease = m_holder.tick(now);
+    for (const auto &[to, request] : lease.requests)
+        send(to, PeerMessageType::LeaseRequest, request, result);
+    for (const auto &[to, query] : lease.queries)
+        send(to, PeerMessageType::OrphanQuery, query, result);
+    spreadDirectory(now, result);
+    sendTickets(now, result);
+    publishIfChanged(now, result);
+    return result;
+}
+
+void ControlNode::leaderDuties(TimePoint now, NodeActions &result)
+{
+    if (!leads(now))
+        return;
+    if (m_leases.update(now))
+        m_inForce = std::max(m_inForce, m_leases.inForce());
+    proposeHousekeeping(now, result);
+    repairMembership(now, result);
+    answerWaiting(now, result);
+}
+
+void ControlNode::proposeHousekeeping(TimePoint now, NodeActions &result)
+{
+    if (m_housekeeping > m_log->commitIndex())
+        return;
+    std::optional<Command> command = nextHousekeeping(now);
+    if (!command)
+        return;
+    command->wallSeconds = m_wallSeconds;
+    LogActions actions;
+    const Result<LogIndex> index = m_log->propose(pack(*command), actions);
+    if (index)
+        m_housekeeping = *index;
+    take(now, std::move(actions), result);
+}
+
+std::optional<Command> ControlNode::nextHousekeeping(TimePoint now) const
+{
+    std::optional<Command> command = nextEntryChange(now);
+    if (!command)
+        command = nextShardMap();
+    const DocumentVersion *trial = m_logState.current(Environment::Trial);
+    if (!command && trial && !trial->tried && trial->index <= m_leases.inForce().value()) {
+        command.emplace();
+        command->type = static_cast<uint8_t>(CommandType::MarkTried);
+        command->digest = trial->digest;
+    }
+    return command;
+}
+
+std::optional<Command> ControlNode::nextEntryChange(TimePoint now) const
+{
+    for (const NodeId &entry : m_leases.entries()) {
+        const auto known = m_logState.entries().find(entry.value());
+        const std::optional<uint64_t> incarnation = m_leases.incarnation(entry);
+        const bool present = m_leases.holdsLease(entry, now) && incarnation.has_value() && !m_leases.isLeaving(entry);
+        const bool gone = !m_leases.holdsLease(entry, now) || m_leases.isLeaving(entry);
+        Command command;
+        command.subject = entry.value();
+        if (present && (known == m_logState.entries().end() || known->second != *incarnation)) {
+            command.type = static_cast<uint8_t>(CommandType::EntryUp);
+            command.number = *incarnation;
+            return command;
+        }
+        if (gone && known != m_logState.entries().end()) {
+            command.type = static_cast<uint8_t>(CommandType::EntryDown);
+            return command;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<Command> ControlNode::nextShardMap() const
+{
+    for (const Announcement &announcement : m_directory.records()) {
+        const std::string subject = shardMapSubject(announcement);
+        const auto maps = m_logState.shardMaps().find(subject);
+        const auto isKnown = [&](const ShardMap &map) { return map.generation >= announcement.generation; };
+        if (maps != m_logState.shardMaps().end() && std::any_of(maps->second.begin(), maps->second.end(), isKnown))
+            continue;
+        Command command;
+        command.type = static_cast<uint8_t>(CommandType::SetShardMap);
+        command.subject = subject;
+        command.number = announcement.generation.value();
+        command.count = announcement.shardCount;
+        return command;
+    }
+    return std::nullopt;
+}
+
+void ControlNode::repairMembership(TimePoint now, NodeActions &result)
+{
+    if (m_log->membershipChangePending())
+        return;
+    const auto isCaughtUp = [this](const MemberId &member) { return m_log->isCaughtUp(member); };
+    const std::optional<Membership> next = nextRepairStep(m_log->membership(), isCaughtUp);
+    if (!next)
+        return;
+    LogActions actions;
+    if (m_log->proposeMembership(*next, actions))
+        HS_LOG(INFO, LogEvent::MemberChanged)
+            << next->voters.size() << " voters, " << next->learners.size() << " learners";
+    take(now, std::move(actions), result);
+}
+
+void ControlNode::checkpointIfDue(NodeActions &result)
+{
+    const LogIndex applied = m_log->commitIndex();
+    if (applied.value() - m_lastCheckpoint.value() < m_config.entriesPerCheckpoint)
+        return;
+    result.checkpoint = m_log->makeCheckpoint(applied, m_logState.serialize());
+    m_lastCheckpoint = applied;
+}
+
+NodeActions ControlNode::persisted(TimePoint now)
+{
+    NodeActions result;
+    if (m_log)
+        take(now, m_log->persisted(now, m_log->lastIndex()), result);
+    return result;
+}
+
+NodeActions ControlNode::receive(TimePoint now, const PeerMessage &message)
+{
+    NodeActions result;
+    const std::string &payload = message.payload;
+    switch (message.kind()) {
+    case PeerMessageType::Ping:
+        result.sends.push_back({message.from, PeerMessageType::Pong, ""});
+        break;
+    case PeerMessageType::Log:
+        if (const auto log = unpack<LogMessage>(payload); log && m_log)
+            take(now, m_log->receive(now, *log), result);
+        break;
+    case PeerMessageType::LeaseRequest:
+        if (const auto request = unpack<LeaseRequest>(payload))
+            handleLeaseRequest(now, *request, result);
+        break;
+    case PeerMessageType::LeaseGrant:
+        if (const auto grant = unpack<LeaseGrant>(payload))
+            handleLeaseGrant(now, message.from, *grant, result);
+        break;
+    case PeerMessageType::OrphanQuery:
+        if (const auto query = unpack<OrphanQuery>(payload))
+            handleOrphanQuery(now, *query, result);
+        break;
+    case PeerMessageType::OrphanReply:
+        if (const auto reply = unpack<OrphanReply>(payload))
+            handleOrphanReply(now, *reply);
+        break;
+    case PeerMessageType::Directory:
+        if (const auto update = unpack<DirectoryUpdate>(payload))
+            handleDirectory(now, message.from, *update, result);
+        break;
+    case PeerMessageType::CommandRequest:
+        if (const auto request = unpack<CommandRequest>(payload))
+            handleCommand(now, message.from, *request, result);
+        break;
+    case PeerMessageType::CommandReply:
+        if (const auto reply = unpack<CommandReply>(payload); reply && m_tickets.erase(reply->ticket) > 0)
+            result.replies.push_back({reply->ticket, reply->outcome});
+        break;
+    default:
+        break;
+    }
+    return result;
+}
+
+void ControlNode::handleCommand(TimePoint now, const NodeId &from, const CommandRequest &request, NodeActions &result)
+{
+    if (!leads(now))
+        return; // The asker sends it again to whoever leads.
+    const auto same = [&](const auto &item) {
+        return item.second.asker == from && item.second.ticket == request.ticket;
+    };
+    if (std::any_of(m_waiting.begin(), m_waiting.end(), same))
+        return;
+    LogActions actions;
+    Command command = request.command;
+    command.wallSeconds = m_wallSeconds;
+    const Result<LogIndex> index = m_log->propose(pack(command), actions);
+    if (index)
+        m_waiting.emplace(*index,
+                          Waiting{from, request.ticket, static_cast<CommandWait>(request.wait),
+                                  now + Duration(request.patienceMicros), std::nullopt});
+    take(now, std::move(actions), result);
+}
+
+LeaseGrant ControlNode::makeGrant(const LeaseRequest &request) const
+{
+    LeaseGrant grant;
+    grant.sentAt = request.sentAt;
+    grant.durationMicros = m_config.leaseTiming.lease.count();
+    grant.term = m_log->term().value();
+    grant.commit = m_log->commitIndex();
+    grant.inForce = m_leases.inForce();
+    if (const auto entries = m_log->committedAfter(request.applied, kEntriesPerGrant))
+        grant.entries = *entries;
+    else
+        grant.state = m_logState.serialize();
+    return grant;
+}
+
+void ControlNode::handleLeaseRequest(TimePoint now, const LeaseRequest &request, NodeActions &result)
+{
+    if (!leads(now))
+        return;
+    m_leases.request(now, request);
+    send(request.from, PeerMessageType::LeaseGrant, makeGrant(request), result);
+}
+
+void ControlNode::handleLeaseGrant(TimePoint now, const NodeId &from, const LeaseGrant &grant, NodeActions &result)
+{
+    const LogIndex before = m_holder.applied();
+    if (!grant.state.empty()) {
+        std::optional<ControlState> state = ControlState::deserialize(grant.state);
+        if (state && state->appliedIndex() >= m_entryState.appliedIndex()) {
+            m_entryState = std::move(*state);
+            m_holder.setApplied(std::max(m_holder.applied(), grant.commit));
+        }
+    }
+    LogIndex applied = m_holder.applied();
+    for (const LogEntry &entry : grant.entries) {
+        if (entry.index.value() != applied.value() + 1)
+            continue;
+        if (entry.kind == static_cast<uint8_t>(EntryKind::Command))
+            if (const std::optional<Command> command = unpack<Command>(entry.data))
+                m_entryState.apply(entry.index, *command);
+        applied = entry.index;
+    }
+    m_holder.setApplied(applied);
+    m_leader = from;
+    m_inForce = std::max(m_inForce, grant.inForce);
+    if (grant.durationMicros > 0)
+        m_holder.granted(now, grant, from, applied);
+    if (applied > before)
+        m_holder.renewSoon();
+    publishIfChanged(now, result);
+}
+
+void ControlNode::handleOrphanQuery(TimePoint now, const OrphanQuery &query, NodeActions &result)
+{
+    OrphanReply reply = m_holder.answer(now, query);
+    if (reply.applied > query.applied)
+        reply.state = m_entryState.serialize();
+    send(query.from, PeerMessageType::OrphanReply, reply, result);
+}
+
+void ControlNode::handleOrphanReply(TimePoint now, const OrphanReply &reply)
+{
+    if (reply.applied > m_holder.applied() && !reply.state.empty()) {
+        std::optional<ControlState> state = ControlState::deserialize(reply.state);
+        if (state && state->appliedIndex() >= m_entryState.appliedIndex()) {
+            m_entryState = std::move(*state);
+            m_holder.setApplied(reply.applied);
+        }
+    }
+    m_holder.orphanReply(now, reply);
+}
+
+NodeActions ControlNode::announce(TimePoint now, const Announcement &announcement)
+{
+    NodeActions result;
+    switch (m_directory.announce(now, announcement)) {
+    case DirectoryChange::Arrived:
+        HS_LOG(INFO, LogEvent::UpstreamArrived) << announcement.id << " of " << announcement.service;
+        break;
+    case DirectoryChange::Restarted:
+        HS_LOG(INFO, LogEvent::UpstreamRestarted) << announcement.id << " incarnation " << announcement.incarnation;
+        break;
+    case DirectoryChange::Leaving:
+        HS_LOG(INFO, LogEvent::UpstreamLeaving) << announcement.id;
+        break;
+    case DirectoryChange::Conflict:
+        HS_LOG(WARNING, LogEvent::IdentityConflict)
+            << announcement.id << " is also claimed at " << announcement.address << ':' << announcement.port;
+        break;
+    default:
+        break;
+    }
+    return result;
+}
+
+void ControlNode::handleDirectory(TimePoint now, const NodeId &from, const DirectoryUpdate &update, NodeActions &result)
+{
+    DirectoryUpdate answer = m_directory.answerWanted(update.wanted);
+    answer.wanted = m_directory.merge(now, update).wanted;
+    if (!answer.empty())
+        send(from, PeerMessageType::Directory, answer, result);
+}
+
+void ControlNode::spreadDirectory(TimePoint now, NodeActions &result)
+{
+    const DirectoryUpdate update = m_directory.tick(now);
+    for (const UpstreamId &id : m_directory.lost())
+        HS_LOG(WARNING, LogEvent::UpstreamLost) << id << " has stopped announcing itself";
+    if (update.empty())
+        return;
+    for (const NodeId &entry : m_leases.entries())
+        if (entry != m_config.settings.node)
+            send(entry, PeerMessageType::Directory, update, result);
+}
+
+NodeActions ControlNode::submit(TimePoint now, uint64_t ticket, Command command, CommandWait wait, Duration patience)
+{
+    NodeActions result;
+    Ticket entry;
+    entry.request.ticket = ticket;
+    entry.request.command = std::move(command);
+    entry.request.wait = static_cast<uint8_t>(wait);
+    // The leader's own answer, which names the entries that are behind, must come before this deadline.
+    entry.request.patienceMicros = patience.count() * 4 / 5;
+    entry.deadline = now + patience;
+    m_tickets.emplace(ticket, std::move(entry));
+    sendTickets(now, result);
+    return result;
+}
+
+void ControlNode::sendTickets(TimePoint now, NodeActions &result)
+{
+    for (auto item = m_tickets.begin(); item != m_tickets.end();) {
+        Ticket &ticket = item->second;
+        if (now >= ticket.deadline) {
+            ApplyOutcome outcome;
+            const bool waited = ticket.request.wait == static_cast<uint8_t>(CommandWait::InForce) && m_leader;
+            outcome.code = static_cast<int>(waited ? ResultCode::NotInForce : ResultCode::NoLeader);
+            outcome.message = "no answer from a leader in time; the outcome is not known, send the same request again";
+            result.replies.push_back({item->first, outcome});
+            item = m_tickets.erase(item);
+            continue;
+        }
+        if (m_leader && now >= ticket.nextSend) {
+            ticket.nextSend = now + kTicketResend;
+            send(*m_leader, PeerMessageType::CommandRequest, ticket.request, result);
+        }
+        ++item;
+    }
+}
+
+bool ControlNode::isSettling(TimePoint now) const
+{
+    if (m_entryState.homeEpoch().value() == 0)
+        return false;
+    return m_inForce < m_entryState.homeEpoch() || m_homesSeen != m_entryState.homeEpoch()
+        || now < m_homesInForceSince + kHomeHandover;
+}
+
+void ControlNode::publishIfChanged(TimePoint now, NodeActions &result)
+{
+    if (m_inForce >= m_entryState.homeEpoch() && m_homesSeen != m_entryState.homeEpoch()) {
+        m_homesSeen = m_entryState.homeEpoch();
+        m_homesInForceSince = now;
+    }
+    const bool settling = isSettling(now);
+    const bool same = m_published && m_publishedApplied == m_entryState.appliedIndex()
+        && m_publishedRevision == m_directory.revision() && m_publishedSettling == settling;
+    if (same)
+        return;
+    m_published = true;
+    m_publishedApplied = m_entryState.appliedIndex();
+    m_publishedRevision = m_directory.revision();
+    m_publishedSettling = settling;
+    result.view = m_views.build(m_entryState, m_directory, m_inForce, settling);
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/process/ControlThread.cpp
@@ -0,0 +1,221 @@
+#include "process/ControlThread.h"
+
+#include "hickoryspur/process/LogEvent.h"
+#include "hickoryspur/process/Metrics.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <thread>
+#include <unordered_map>
+
+namespace hickoryspur {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kTick = 10ms;
+
+} // namespace
+
+struct ControlThread::State
+{
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> work{context.get_executor()};
+    asio::steady_timer timer{context};
+    Hooks hooks;
+    std::unique_ptr<FileLogStorage> storage;
+    std::unique_ptr<ControlNode> node;
+    std::unordered_map<uint64_t, Done> tickets;
+    uint64_t nextTicket = 1;
+    std::vector<NodeActions> pending;
+    bool flushPosted = false;
+    std::atomic<int64_t> servesUntilMicros{0};
+    ServingRight lastRight = ServingRight::None;
+    std::thread thread;
+
+    void take(NodeActions actions);
+    void flush();
+    bool writeLog(const std::vector<NodeActions> &batch);
+    void finishBatch(std::vector<NodeActions> &batch);
+    void noteRight();
+    void startTimer();
+    void onTimer();
+};
+
+void ControlThread::State::take(NodeActions actions)
+{
+    pending.push_back(std::move(actions));
+    if (flushPosted)
+        return;
+    flushPosted = true;
+    // Posted behind the events that are already waiting, so that they share the disk write.
+    asio::post(context, [this] { flush(); });
+}
+
+bool ControlThread::State::writeLog(const std::vector<NodeActions> &batch)
+{
+    bool wrote = false;
+    for (const NodeActions &actions : batch) {
+        for (const LogActions &log : actions.log) {
+            const Result<void> result = persist(*storage, log);
+            LOG_IF(FATAL, !result) << "cannot write the log, so nothing more can be promised: "
+                                   << result.error().message;
+            wrote = true;
+        }
+        if (actions.checkpoint) {
+            const Result<void> result = storage->saveCheckpoint(*actions.checkpoint);
+            LOG_IF(FATAL, !result) << "cannot write the checkpoint: " << result.error().message;
+            HS_LOG(INFO, LogEvent::CheckpointWritten) << "up to entry " << actions.checkpoint->index;
+        }
+    }
+    return wrote;
+}
+
+void ControlThread::State::finishBatch(std::vector<NodeActions> &batch)
+{
+    for (NodeActions &actions : batch) {
+        for (const PeerSend &message : actions.sends)
+            hooks.send(message);
+        for (TicketReply &reply : actions.replies) {
+            const auto found = tickets.find(reply.ticket);
+            if (found == tickets.end())
+                continue;
+            const Done done = std::move(found->second);
+            tickets.erase(found);
+            done(std::move(reply.outcome));
+        }
+        if (actions.view)
+            hooks.publish(actions.view);
+    }
+}
+
+void ControlThread::State::flush()
+{
+    flushPosted = false;
+    std::vector<NodeActions> batch = std::move(pending);
+    pending.clear();
+    const bool wrote = writeLog(batch);
+    finishBatch(batch);
+    if (wrote)
+        take(node->persisted(monotonicNow()));
+    noteRight();
+}
+
+void ControlThread::State::noteRight()
+{
+    const TimePoint now = monotonicNow();
+    servesUntilMicros.store(node->servesUntil().time_since_epoch().count());
+    const ServingRight right = node->right(now);
+    if (right == lastRight)
+        return;
+    if (right == ServingRight::None)
+        HS_LOG(WARNING, LogEvent::LeaseLost) << "no lease and no majority of entries without one: no new work is taken";
+    else if (right == ServingRight::Orphan)
+        HS_LOG(WARNING, LogEvent::ServingWithoutControl) << "the control quorum is gone; serving goes on as it was";
+    else
+        HS_LOG(INFO, LogEvent::LeaseRegained) << "this entry holds a lease";
+    lastRight = right;
+}
+
+void ControlThread::State::startTimer()
+{
+    timer.expires_after(kTick);
+    timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            onTimer();
+    });
+}
+
+void ControlThread::State::onTimer()
+{
+    const TimePoint now = monotonicNow();
+    hooks.tick(now);
+    take(node->tick(now, wallClockSeconds()));
+    startTimer();
+}
+
+ControlThread::ControlThread(std::unique_ptr<State> state)
+    : m_state(std::move(state))
+{
+}
+
+ControlThread::~ControlThread()
+{
+    m_state->context.stop();
+    if (m_state->thread.joinable())
+        m_state->thread.join();
+}
+
+Result<std::unique_ptr<ControlThread>> ControlThread::start(const Settings &settings, uint64_t incarnation, Hooks hooks)
+{
+    auto state = std::make_unique<State>();
+    State *raw = state.get();
+    state->hooks = std::move(hooks);
+    std::optional<RecoveredStorage> recovered;
+    if (settings.self().control) {
+        recovered.emplace();
+        auto storage = FileLogStorage::open(settings.dataFolder, settings.node, incarnation, *recovered);
+        if (!storage)
+            return tl::unexpected(storage.error());
+        state->storage = std::move(*storage);
+        HS_LOG(INFO, LogEvent::LogRecovered) << "checkpoint " << recovered->log.checkpoint.index << " and "
+                                             << recovered->log.entries.size() << " entries after it";
+        if (recovered->cutBytes > 0)
+            HS_LOG(WARNING, LogEvent::LogTailCut) << recovered->cutBytes << " bytes of an unfinished record";
+    }
+    ControlNodeConfig config;
+    config.settings = settings;
+    config.incarnation = incarnation;
+    config.seed = incarnation;
+    state->node = std::make_unique<ControlNode>(std::move(config), std::move(recovered), monotonicNow());
+    state->startTimer();
+    state->thread = std::thread([raw] { raw->context.run(); });
+    return std::unique_ptr<ControlThread>(new ControlThread(std::move(state)));
+}
+
+void ControlThread::receive(PeerMessage message)
+{
+    asio::post(m_state->context, [state = m_state.get(), message = std::move(message)] {
+        state->take(state->node->receive(monotonicNow(), message));
+    });
+}
+
+void ControlThread::announce(Announcement announcement)
+{
+    asio::post(m_state->context, [state = m_state.get(), announcement = std::move(announcement)] {
+        state->take(state->node->announce(monotonicNow(), announcement));
+    });
+}
+
+void ControlThread::submit(Command command, CommandWait wait, Duration patience, Done done)
+{
+    asio::post(m_state->context,
+               [state = m_state.get(), command = std::move(command), wait, patience, done = std::move(done)]() mutable {
+                   const uint64_t ticket = state->nextTicket++;
+                   state->tickets.emplace(ticket, std::move(done));
+                   if (command.kind() == CommandType::Claim)
+                       command.count = ticket;
+                   state->take(state->node->submit(monotonicNow(), ticket, std::move(command), wait, patience));
+               });
+}
+
+void ControlThread::inspect(std::function<void(const ControlNode &, TimePoint)> reader)
+{
+    asio::post(m_state->context,
+               [state = m_state.get(), reader = std::move(reader)] { reader(*state->node, monotonicNow()); });
+}
+
+void ControlThread::setLeaving()
+{
+    asio::post(m_state->context, [state = m_state.get()] { state->node->setLeaving(); });
+}
+
+bool ControlThread::mayServe(TimePoint now) const
+{
+    return now.time_since_epoch().count() < m_state->servesUntilMicros.load(std::memory_order_relaxed);
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/process/LogStorage.cpp
@@ -0,0 +1,328 @@
+#include "hickoryspur/process/LogStorage.h"
+
+#include "hickoryspur/process/Check.h"
+#include "hickoryspur/process/Digest.h"
+#include "hickoryspur/process/Packing.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+namespace hickoryspur {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr const char *kLogFile = "log";
+constexpr const char *kStateFile = "hard-state";
+constexpr const char *kCheckpointFile = "checkpoint";
+constexpr const char *kIdentityFile = "identity";
+constexpr size_t kHeaderBytes = 16;
+/** The disk incarnation of a folder that format() made. */
+constexpr uint64_t kFormattedIncarnation = 1;
+
+Result<void> diskFailure(const std::string &what)
+{
+    return failure(ResultCode::DiskFailed, what + ": " + std::strerror(errno));
+}
+
+Result<void> writeAll(int file, const std::string &bytes, const std::string &path)
+{
+    size_t done = 0;
+    while (done < bytes.size()) {
+        const ssize_t written = ::write(file, bytes.data() + done, bytes.size() - done);
+        if (written < 0)
+            return diskFailure(path);
+        done += static_cast<size_t>(written);
+    }
+    return {};
+}
+
+Result<void> syncFolder(const std::string &folder)
+{
+    const int handle = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (handle < 0)
+        return diskFailure(folder);
+    const int status = ::fsync(handle);
+    ::close(handle);
+    return status == 0 ? Result<void>() : diskFailure(folder);
+}
+
+/** Replaces a file as a whole: a crash leaves the old one or the new one. */
+Result<void> replaceFile(const std::string &folder, const std::string &name, const std::string &bytes)
+{
+    const std::string path = folder + '/' + name;
+    const std::string temporary = path + ".new";
+    const int file = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    if (file < 0)
+        return diskFailure(temporary);
+    Result<void> result = writeAll(file, bytes, temporary);
+    if (result && ::fdatasync(file) != 0)
+        result = diskFailure(temporary);
+    ::close(file);
+    if (!result)
+        return result;
+    if (::rename(temporary.c_str(), path.c_str()) != 0)
+        return diskFailure(path);
+    return syncFolder(folder);
+}
+
+uint64_t readNumber(const char *bytes)
+{
+    uint64_t value = 0;
+    std::memcpy(&value, bytes, sizeof(value));
+    return value;
+}
+
+std::optional<std::string> readWhole(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file)
+        return std::nullopt;
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/** The payload of the record at an offset, or nothing where it is short or its checksum is wrong. */
+std::optional<std::string> decodeRecord(const std::string &bytes, size_t offset)
+{
+    if (bytes.size() < offset + kHeaderBytes)
+        return std::nullopt;
+    const uint64_t size = readNumber(bytes.data() + offset);
+    if (size > kMaxMessageBytes || bytes.size() - offset - kHeaderBytes < size)
+        return std::nullopt;
+    std::string payload = bytes.substr(offset + kHeaderBytes, size);
+    if (hash64(payload, size) != readNumber(bytes.data() + offset + sizeof(uint64_t)))
+        return std::nullopt;
+    return payload;
+}
+
+template <typename Value> Result<std::optional<Value>> readRecordFile(const std::string &folder, const char *name)
+{
+    const std::string path = folder + '/' + name;
+    const std::optional<std::string> bytes = readWhole(path);
+    if (!bytes)
+        return std::optional<Value>();
+    const std::optional<std::string> payload = decodeRecord(*bytes, 0);
+    const std::optional<Value> value = payload ? unpack<Value>(*payload) : std::nullopt;
+    if (!value)
+        return failure(ResultCode::LogCorrupt, path + ": the record at offset 0 is damaged");
+    return value;
+}
+
+/** True where any later byte position starts a whole record: then the damage is not a torn end. */
+bool hasRecordAfter(const std::string &bytes, size_t offset)
+{
+    for (size_t next = offset + 1; next + kHeaderBytes < bytes.size(); ++next)
+        if (decodeRecord(bytes, next))
+            return true;
+    return false;
+}
+
+} // namespace
+
+std::string encodeRecord(const std::string &payload)
+{
+    const std::array<uint64_t, 2> header = {payload.size(), hash64(payload, payload.size())};
+    std::string result(reinterpret_cast<const char *>(header.data()), sizeof(header));
+    return result + payload;
+}
+
+Result<void> persist(LogStorage &storage, const LogActions &actions)
+{
+    if (!actions.needsSync())
+        return {};
+    Result<void> result;
+    if (actions.installCheckpoint)
+        result = storage.saveCheckpoint(*actions.installCheckpoint);
+    if (result && actions.truncateFrom)
+        result = storage.truncateFrom(*actions.truncateFrom);
+    if (result && !actions.append.empty())
+        result = storage.append(actions.append);
+    if (result && actions.saveHardState)
+        result = storage.saveHardState(*actions.saveHardState);
+    return result ? storage.sync() : result;
+}
+
+FileLogStorage::FileLogStorage(std::string folder)
+    : m_folder(std::move(folder))
+{
+}
+
+FileLogStorage::~FileLogStorage()
+{
+    if (m_log >= 0)
+        ::close(m_log);
+}
+
+Result<void> FileLogStorage::format(const std::string &folder, const NodeId &node, const std::vector<NodeId> &voters)
+{
+    std::error_code error;
+    fs::create_directories(folder, error);
+    if (fs::exists(folder + '/' + kIdentityFile))
+        return failure(ResultCode::DiskFailed, folder + " already holds a log; a folder is formatted only once");
+    Checkpoint checkpoint;
+    for (const NodeId &voter : voters)
+        checkpoint.membership.voters.push_back({voter, DiskIncarnation(kFormattedIncarnation)});
+    return replaceFile(folder, kCheckpointFile, encodeRecord(pack(checkpoint))).and_then([&] {
+        return replaceFile(folder, kIdentityFile,
+                           encodeRecord(pack(MemberId{node, DiskIncarnation(kFormattedIncarnation)})));
+    });
+}
+
+Result<std::unique_ptr<FileLogStorage>> FileLogStorage::open(const std::string &folder, const NodeId &node,
+                                                             uint64_t newDiskIncarnation, RecoveredStorage &recovered)
+{
+    std::error_code error;
+    fs::create_directories(folder, error);
+    std::unique_ptr<FileLogStorage> storage(new FileLogStorage(folder));
+    const auto identity = readRecordFile<MemberId>(folder, kIdentityFile);
+    if (!identity)
+        return tl::unexpected(identity.error());
+    recovered.self = identity->value_or(MemberId{node, DiskIncarnation(newDiskIncarnation)});
+    if (recovered.self.node != node)
+        return failure(ResultCode::LogCorrupt, folder + " belongs to " + recovered.self.node.value());
+    if (!*identity) {
+        const Result<void> written = replaceFile(folder, kIdentityFile, encodeRecord(pack(recovered.self)));
+        if (!written)
+            return tl::unexpected(written.error());
+    }
+    const auto checkpoint = readRecordFile<Checkpoint>(folder, kCheckpointFile);
+    if (!checkpoint)
+        return tl::unexpected(checkpoint.error());
+    recovered.log.checkpoint = checkpoint->value_or(Checkpoint());
+    const auto hardState = readRecordFile<HardState>(folder, kStateFile);
+    if (!hardState)
+        return tl::unexpected(hardState.error());
+    recovered.log.hardState = hardState->value_or(HardState());
+    Result<void> result = storage->openLog().and_then([&] { return storage->recoverEntries(recovered); });
+    if (!result)
+        return tl::unexpected(result.error());
+    return storage;
+}
+
+Result<void> FileLogStorage::openLog()
+{
+    const std::string path = m_folder + '/' + kLogFile;
+    m_log = ::open(path.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    return m_log < 0 ? diskFailure(path) : syncFolder(m_folder);
+}
+
+Result<void> FileLogStorage::recoverEntries(RecoveredStorage &recovered)
+{
+    const std::string path = m_folder + '/' + kLogFile;
+    const std::string bytes = readWhole(path).value_or("");
+    LogIndex expected(recovered.log.checkpoint.index.value() + 1);
+    size_t offset = 0;
+    while (offset < bytes.size()) {
+        const std::optional<std::string> payload = decodeRecord(bytes, offset);
+        const std::optional<LogEntry> entry = payload ? unpack<LogEntry>(*payload) : std::nullopt;
+        if (!entry) {
+            if (hasRecordAfter(bytes, offset))
+                return failure(ResultCode::LogCorrupt,
+                               path + ": the record at offset " + std::to_string(offset) + " is damaged");
+            recovered.cutBytes = bytes.size() - offset;
+            break;
+        }
+        // Records that the checkpoint already covers were not yet compacted away; a later one must follow on.
+        if (entry->index > expected)
+            return failure(ResultCode::LogCorrupt,
+                           path + ": offset " + std::to_string(offset) + " holds entry "
+                               + std::to_string(entry->index.value()) + ", expected "
+                               + std::to_string(expected.value()));
+        m_offsets.emplace_back(entry->index, static_cast<int64_t>(offset));
+        offset += kHeaderBytes + payload->size();
+        if (entry->index < expected)
+            continue;
+        expected = LogIndex(expected.value() + 1);
+        m_kept.push_back(*entry);
+    }
+    m_end = static_cast<int64_t>(offset);
+    recovered.log.entries = m_kept;
+    if (recovered.cutBytes > 0 && ::ftruncate(m_log, m_end) != 0)
+        return diskFailure(path);
+    return {};
+}
+
+Result<void> FileLogStorage::append(const std::vector<LogEntry> &entries)
+{
+    std::string bytes;
+    for (const LogEntry &entry : entries) {
+        m_offsets.emplace_back(entry.index, m_end + static_cast<int64_t>(bytes.size()));
+        bytes += encodeRecord(pack(entry));
+        m_kept.push_back(entry);
+    }
+    m_end += static_cast<int64_t>(bytes.size());
+    m_dirty = true;
+    return writeAll(m_log, bytes, m_folder + '/' + kLogFile);
+}
+
+Result<void> FileLogStorage::truncateFrom(LogIndex index)
+{
+    std::erase_if(m_kept, [index](const LogEntry &entry) { return entry.index >= index; });
+    const auto first =
+        std::find_if(m_offsets.begin(), m_offsets.end(), [index](const auto &item) { return item.first >= index; });
+    if (first == m_offsets.end())
+        return {};
+    m_end = first->second;
+    m_offsets.erase(first, m_offsets.end());
+    m_dirty = true;
+    return ::ftruncate(m_log, m_end) == 0 ? Result<void>() : diskFailure(m_folder + '/' + kLogFile);
+}
+
+Result<void> FileLogStorage::saveHardState(const HardState &state)
+{
+    return replaceFile(m_folder, kStateFile, encodeRecord(pack(state)));
+}
+
+Result<void> FileLogStorage::saveCheckpoint(const Checkpoint &checkpoint)
+{
+    Result<void> result = replaceFile(m_folder, kCheckpointFile, encodeRecord(pack(checkpoint)));
+    if (!result)
+        return result;
+    // Entries that do not follow on from the checkpoint are void once it stands.
+    const LogIndex next(checkpoint.index.value() + 1);
+    if (!m_kept.empty() && m_kept.back().index < next)
+        m_kept.clear();
+    std::erase_if(m_kept, [next](const LogEntry &entry) { return entry.index < next; });
+    return rewriteEntries();
+}
+
+Result<void> FileLogStorage::compact(LogIndex upTo)
+{
+    std::erase_if(m_kept, [upTo](const LogEntry &entry) { return entry.index <= upTo; });
+    return rewriteEntries();
+}
+
+Result<void> FileLogStorage::rewriteEntries()
+{
+    std::string bytes;
+    m_offsets.clear();
+    for (const LogEntry &entry : m_kept) {
+        m_offsets.emplace_back(entry.index, static_cast<int64_t>(bytes.size()));
+        bytes += encodeRecord(pack(entry));
+    }
+    m_end = static_cast<int64_t>(bytes.size());
+    return replaceFile(m_folder, kLogFile, bytes).and_then([&] {
+        ::close(m_log);
+        return openLog();
+    });
+}
+
+Result<void> FileLogStorage::sync()
+{
+    if (!m_dirty)
+        return {};
+    m_dirty = false;
+    return ::fdatasync(m_log) == 0 ? Result<void>() : diskFailure(m_folder + '/' + kLogFile);
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/process/ReplicatedLog.cpp
@@ -0,0 +1,579 @@
+#include "hickoryspur/process/ReplicatedLog.h"
+
+#include "hickoryspur/process/Check.h"
+
+#include <algorithm>
+
+namespace hickoryspur {
+
+namespace {
+
+LogIndex after(LogIndex index)
+{
+    return LogIndex(index.value() + 1);
+}
+
+Membership unpackMembership(const std::string &data)
+{
+    return msgpack::unpack(data.data(), data.size()).get().as<Membership>();
+}
+
+std::string packMembership(const Membership &membership)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, membership);
+    return {buffer.data(), buffer.size()};
+}
+
+bool contains(const std::vector<MemberId> &members, const MemberId &member)
+{
+    return std::find(members.begin(), members.end(), member) != members.end();
+}
+
+} // namespace
+
+bool Membership::isVoter(const MemberId &member) const
+{
+    return contains(voters, member);
+}
+
+bool Membership::isLearner(const MemberId &member) const
+{
+    return contains(learners, member);
+}
+
+ReplicatedLog::ReplicatedLog(MemberId self, std::vector<NodeId> controlNodes, RecoveredLog recovered, LogTiming timing,
+                             uint64_t seed, TimePoint now)
+    : m_self(std::move(self))
+    , m_controlNodes(std::move(controlNodes))
+    , m_timing(timing)
+    , m_random(seed)
+    , m_hard(recovered.hardState)
+    , m_checkpoint(std::move(recovered.checkpoint))
+    , m_commit(m_checkpoint.index)
+    , m_persisted(m_checkpoint.index)
+    // A member that restarts may have promised not to vote just before, so it counts its start as a heartbeat.
+    , m_lastHeard(now)
+    , m_nextHeartbeat(now)
+    , m_ledSince(now)
+{
+    m_memberships[m_checkpoint.index] = m_checkpoint.membership;
+    for (LogEntry &entry : recovered.entries) {
+        noteMembership(entry);
+        m_entries.push_back(std::move(entry));
+    }
+    m_persisted = lastIndex();
+    resetElectionTimer(now);
+}
+
+LogIndex ReplicatedLog::lastIndex() const
+{
+    return LogIndex(m_checkpoint.index.value() + m_entries.size());
+}
+
+const LogEntry &ReplicatedLog::entryAt(LogIndex index) const
+{
+    return m_entries.at(index.value() - m_checkpoint.index.value() - 1);
+}
+
+Term ReplicatedLog::termAt(LogIndex index) const
+{
+    if (index == m_checkpoint.index)
+        return m_checkpoint.term;
+    return entryAt(index).term;
+}
+
+const Membership &ReplicatedLog::membership() const
+{
+    return m_memberships.rbegin()->second;
+}
+
+bool ReplicatedLog::membershipChangePending() const
+{
+    return m_memberships.rbegin()->first > m_commit;
+}
+
+void ReplicatedLog::noteMembership(const LogEntry &entry)
+{
+    if (entry.kind == static_cast<uint8_t>(EntryKind::Membership))
+        m_memberships[entry.index] = unpackMembership(entry.data);
+}
+
+void ReplicatedLog::resetElectionTimer(TimePoint now)
+{
+    std::uniform_int_distribution<int64_t> extra(0, m_timing.electionTimeout.count());
+    m_electionDeadline = now + m_timing.electionTimeout + Duration(extra(m_random));
+}
+
+bool ReplicatedLog::heardLeaderLately(TimePoint now) const
+{
+    return now - m_lastHeard < m_timing.electionTimeout;
+}
+
+bool ReplicatedLog::logIsAtLeast(LogIndex index, Term term) const
+{
+    const Term lastTerm = termAt(lastIndex());
+    return term != lastTerm ? term > lastTerm : index >= lastIndex();
+}
+
+std::vector<MemberId> ReplicatedLog::others() const
+{
+    std::vector<MemberId> result;
+    for (const auto *group : {&membership().voters, &membership().learners})
+        std::copy_if(group->begin(), group->end(), std::back_inserter(result),
+                     [this](const MemberId &member) { return member != m_self; });
+    return result;
+}
+
+LogMessage ReplicatedLog::makeMessage(LogMessageType type, Term term) const
+{
+    LogMessage message;
+    message.type = static_cast<uint8_t>(type);
+    message.from = m_self;
+    message.term = term;
+    return message;
+}
+
+LogActions ReplicatedLog::tick(TimePoint now)
+{
+    LogActions actions;
+    if (m_role == Role::Leader) {
+        const std::optional<TimePoint> acked = quorumAckedSend();
+        const TimePoint since = std::max(acked.value_or(m_ledSince), m_ledSince);
+        if (now - since > 2 * m_timing.electionTimeout) {
+            becomeFollower(m_hard.term, now, actions);
+            return actions;
+        }
+        if (now >= m_nextHeartbeat)
+            broadcast(now, actions);
+        return actions;
+    }
+    if (now < m_electionDeadline)
+        return actions;
+    resetElectionTimer(now);
+    if (isVoter()) {
+        startPreVote(now, actions);
+        return actions;
+    }
+    // A member outside the voters cannot elect anybody; it asks whoever leads to take it in.
+    if (!membership().isLearner(m_self))
+        for (const NodeId &node : m_controlNodes)
+            if (node != m_self.node)
+                actions.messages.push_back({node, makeMessage(LogMessageType::JoinRequest, m_hard.term)});
+    return actions;
+}
+
+void ReplicatedLog::becomeFollower(Term term, TimePoint now, LogActions &actions)
+{
+    if (m_role == Role::Leader)
+        actions.lostLeadership = true;
+    if (term > m_hard.term) {
+        m_hard = HardState{term, MemberId()};
+        actions.saveHardState = m_hard;
+    }
+    m_role = Role::Follower;
+    m_leader.reset();
+    m_votes.clear();
+    resetElectionTimer(now);
+}
+
+void ReplicatedLog::requestVotes(LogMessageType type, Term term, LogActions &actions)
+{
+    for (const MemberId &voter : membership().voters) {
+        if (voter == m_self)
+            continue;
+        LogMessage message = makeMessage(type, term);
+        message.index = lastIndex();
+        message.indexTerm = termAt(lastIndex());
+        actions.messages.push_back({voter.node, std::move(message)});
+    }
+}
+
+void ReplicatedLog::startPreVote(TimePoint now, LogActions &actions)
+{
+    m_role = Role::PreCandidate;
+    m_leader.reset();
+    m_votes = {{m_self, true}};
+    if (m_votes.size() >= membership().majority()) {
+        startElection(now, actions);
+        return;
+    }
+    requestVotes(LogMessageType::PreVoteRequest, Term(m_hard.term.value() + 1), actions);
+}
+
+void ReplicatedLog::startElection(TimePoint now, LogActions &actions)
+{
+    m_role = Role::Candidate;
+    m_hard = HardState{Term(m_hard.term.value() + 1), m_self};
+    actions.saveHardState = m_hard;
+    m_votes = {{m_self, true}};
+    resetElectionTimer(now);
+    if (m_votes.size() >= membership().majority()) {
+        becomeLeader(now, actions);
+        return;
+    }
+    requestVotes(LogMessageType::VoteRequest, m_hard.term, actions);
+}
+
+void ReplicatedLog::becomeLeader(TimePoint now, LogActions &actions)
+{
+    m_role = Role::Leader;
+    m_leader = m_self.node;
+    m_ledSince = now;
+    m_progress.clear();
+    for (const MemberId &member : others())
+        m_progress[member].next = after(lastIndex());
+    actions.becameLeader = true;
+    m_termStart = after(lastIndex());
+    appendEntry({m_termStart, m_hard.term, static_cast<uint8_t>(EntryKind::TermStart), ""}, actions);
+    broadcast(now, actions);
+}
+
+LogActions ReplicatedLog::receive(TimePoint now, const LogMessage &message)
+{
+    LogActions actions;
+    const LogMessageType kind = message.kind();
+    if (kind == LogMessageType::JoinRequest) {
+        takeInLearner(message.from, actions);
+        return actions;
+    }
+    if (kind == LogMessageType::PreVoteRequest || kind == LogMessageType::VoteRequest) {
+        answerVote(now, message, actions);
+        return actions;
+    }
+    if (message.term < m_hard.term) {
+        // The sender's term is over; the answer tells it so. Replies need none.
+        if (kind == LogMessageType::Append || kind == LogMessageType::InstallCheckpoint)
+            actions.messages.push_back({message.from.node, makeMessage(LogMessageType::AppendReply, m_hard.term)});
+        return actions;
+    }
+    if (kind == LogMessageType::PreVoteReply || kind == LogMessageType::VoteReply) {
+        countVote(now, message, actions);
+        return actions;
+    }
+    if (message.term > m_hard.term)
+        becomeFollower(message.term, now, actions);
+    if (kind == LogMessageType::AppendReply) {
+        handleAppendReply(now, message, actions);
+        return actions;
+    }
+    HS_INVARIANT(OneLeaderPerTerm, m_role != Role::Leader)
+        << m_self.node << " leads term " << m_hard.term << " and hears another leader " << message.from.node;
+    HS_INVARIANT(OneLeaderPerTerm, !m_leader || *m_leader == message.from.node)
+        << "term " << m_hard.term << " has leaders " << *m_leader << " and " << message.from.node;
+    if (m_role != Role::Follower)
+        becomeFollower(message.term, now, actions);
+    m_leader = message.from.node;
+    m_lastHeard = now;
+    resetElectionTimer(now);
+    if (kind == LogMessageType::Append)
+        handleAppend(now, message, actions);
+    else
+        handleCheckpoint(now, message, actions);
+    return actions;
+}
+
+void ReplicatedLog::takeInLearner(const MemberId &member, LogActions &actions)
+{
+    const bool known = membership().isVoter(member) || membership().isLearner(member);
+    if (!isCurrent() || known || membershipChangePending())
+        return;
+    Membership next = membership();
+    std::erase_if(next.learners, [&](const MemberId &other) { return other.node == member.node; });
+    next.learners.push_back(member);
+    static_cast<void>(proposeMembership(next, actions));
+}
+
+void ReplicatedLog::answerVote(TimePoint now, const LogMessage &message, LogActions &actions)
+{
+    const bool preVote = message.kind() == LogMessageType::PreVoteRequest;
+    // The leader's lease rests on this: whoever heard from a leader lately helps nobody else to lead.
+    const bool bound = isLeader() ? holdsLease(now) : heardLeaderLately(now);
+    const bool known = membership().isVoter(message.from);
+    if (bound || !known || message.term < m_hard.term) {
+        LogMessage reply = makeMessage(preVote ? LogMessageType::PreVoteReply : LogMessageType::VoteReply, m_hard.term);
+        actions.messages.push_back({message.from.node, std::move(reply)});
+        return;
+    }
+    if (!preVote && message.term > m_hard.term)
+        becomeFollower(message.term, now, actions);
+    bool granted = logIsAtLeast(message.index, message.indexTerm) && isVoter();
+    if (preVote) {
+        granted = granted && message.term > m_hard.term;
+    } else {
+        granted = granted && (m_hard.votedFor == MemberId() || m_hard.votedFor == message.from);
+        if (granted) {
+            m_hard.votedFor = message.from;
+            actions.saveHardState = m_hard;
+            resetElectionTimer(now);
+        }
+    }
+    LogMessage reply = makeMessage(preVote ? LogMessageType::PreVoteReply : LogMessageType::VoteReply,
+                                   granted ? message.term : m_hard.term);
+    reply.accepted = granted;
+    actions.messages.push_back({message.from.node, std::move(reply)});
+}
+
+void ReplicatedLog::countVote(TimePoint now, const LogMessage &message, LogActions &actions)
+{
+    const bool preVote = message.kind() == LogMessageType::PreVoteReply;
+    if (!message.accepted) {
+        if (message.term > m_hard.term)
+            becomeFollower(message.term, now, actions);
+        return;
+    }
+    if (!membership().isVoter(message.from))
+        return;
+    const Role expected = preVote ? Role::PreCandidate : Role::Candidate;
+    const uint64_t expectedTerm = m_hard.term.value() + (preVote ? 1 : 0);
+    if (m_role != expected || message.term.value() != expectedTerm)
+        return;
+    m_votes[message.from] = true;
+    if (m_votes.size() < membership().majority())
+        return;
+    if (preVote)
+        startElection(now, actions);
+    else
+        becomeLeader(now, actions);
+}
+
+void ReplicatedLog::truncate(LogIndex from, LogActions &actions)
+{
+    HS_INVARIANT(CommittedKept, from > m_commit) << "truncating from " << from << " below commit " << m_commit;
+    m_entries.resize(from.value() - m_checkpoint.index.value() - 1);
+    m_memberships.erase(m_memberships.lower_bound(from), m_memberships.end());
+    m_persisted = std::min(m_persisted, lastIndex());
+    actions.truncateFrom = actions.truncateFrom ? std::min(*actions.truncateFrom, from) : from;
+    std::erase_if(actions.append, [from](const LogEntry &entry) { return entry.index >= from; });
+}
+
+void ReplicatedLog::appendEntry(LogEntry entry, LogActions &actions)
+{
+    noteMembership(entry);
+    actions.append.push_back(entry);
+    m_entries.push_back(std::move(entry));
+}
+
+void ReplicatedLog::appendFromLeader(const LogMessage &message, LogActions &actions)
+{
+    for (const LogEntry &entry : message.entries) {
+        if (entry.index <= m_checkpoint.index)
+            continue;
+        if (entry.index <= lastIndex()) {
+            if (termAt(entry.index) == entry.term)
+                continue;
+            truncate(entry.index, actions);
+        }
+        appendEntry(entry, actions);
+    }
+}
+
+void ReplicatedLog::handleAppend(TimePoint, const LogMessage &message, LogActions &actions)
+{
+    LogMessage reply = makeMessage(LogMessageType::AppendReply, m_hard.term);
+    reply.sentAt = message.sentAt;
+    const bool behind = message.index > lastIndex();
+    const bool covered = message.index < m_checkpoint.index;
+    if (behind || (!covered && termAt(message.index) != message.indexTerm)) {
+        // Asking from the commit index on skips over any number of conflicting terms at once.
+        reply.index = std::min(m_commit, lastIndex());
+        actions.messages.push_back({message.from.node, std::move(reply)});
+        return;
+    }
+    appendFromLeader(message, actions);
+    reply.accepted = true;
+    const uint64_t sent = message.index.value() + message.entries.size();
+    reply.index = LogIndex(std::max(sent, m_checkpoint.index.value()));
+    actions.messages.push_back({message.from.node, std::move(reply)});
+    commitTo(std::min(message.commit, LogIndex(sent)), actions);
+}
+
+void ReplicatedLog::handleCheckpoint(TimePoint, const LogMessage &message, LogActions &actions)
+{
+    LogMessage reply = makeMessage(LogMessageType::AppendReply, m_hard.term);
+    reply.sentAt = message.sentAt;
+    reply.accepted = true;
+    if (message.checkpoint.index > m_commit) {
+        m_checkpoint = message.checkpoint;
+        m_entries.clear();
+        m_memberships = {{m_checkpoint.index, m_checkpoint.membership}};
+        m_commit = m_checkpoint.index;
+        m_persisted = m_checkpoint.index;
+        actions.installCheckpoint = m_checkpoint;
+    }
+    reply.index = m_commit;
+    actions.messages.push_back({message.from.node, std::move(reply)});
+}
+
+void ReplicatedLog::handleAppendReply(TimePoint now, const LogMessage &message, LogActions &actions)
+{
+    if (!isLeader())
+        return;
+    const auto found = m_progress.find(message.from);
+    if (found == m_progress.end())
+        return;
+    Progress &progress = found->second;
+    const TimePoint sent{Duration(message.sentAt)};
+    if (!progress.ackedSend || sent > *progress.ackedSend)
+        progress.ackedSend = sent;
+    if (!message.accepted) {
+        progress.next = after(message.index);
+        sendAppend(now, message.from, actions);
+        return;
+    }
+    progress.match = std::max(progress.match, message.index);
+    progress.next = std::max(progress.next, after(progress.match));
+    advanceCommit(actions);
+    if (progress.match < lastIndex() && progress.next <= lastIndex())
+        sendAppend(now, message.from, actions);
+}
+
+void ReplicatedLog::sendAppend(TimePoint now, const MemberId &to, LogActions &actions)
+{
+    Progress &progress = m_progress[to];
+    const bool needsCheckpoint = progress.next <= m_checkpoint.index;
+    LogMessage message =
+        makeMessage(needsCheckpoint ? LogMessageType::InstallCheckpoint : LogMessageType::Append, m_hard.term);
+    message.sentAt = now.time_since_epoch().count();
+    message.commit = m_commit;
+    if (needsCheckpoint) {
+        message.checkpoint = m_checkpoint;
+        actions.messages.push_back({to.node, std::move(message)});
+        return;
+    }
+    message.index = LogIndex(progress.next.value() - 1);
+    message.indexTerm = termAt(message.index);
+    for (LogIndex index = progress.next; index <= lastIndex() && message.entries.size() < m_timing.maxEntriesPerMessage;
+         index = after(index))
+        message.entries.push_back(entryAt(index));
+    // Sent optimistically: a lost message shows as a refused one at the next heartbeat.
+    progress.next = LogIndex(progress.next.value() + message.entries.size());
+    actions.messages.push_back({to.node, std::move(message)});
+}
+
+void ReplicatedLog::broadcast(TimePoint now, LogActions &actions)
+{
+    m_nextHeartbeat = now + m_timing.heartbeat;
+    for (const MemberId &member : others()) {
+        if (!m_progress.contains(member))
+            m_progress[member].next = after(lastIndex());
+        sendAppend(now, member, actions);
+    }
+}
+
+Result<LogIndex> ReplicatedLog::propose(const std::string &command, LogActions &actions)
+{
+    if (!isLeader())
+        return failure(ResultCode::NoLeader, "this host does not lead the log", true);
+    appendEntry({after(lastIndex()), m_hard.term, static_cast<uint8_t>(EntryKind::Command), command}, actions);
+    // The next tick sends it; commands of one batch share a message and a disk write.
+    m_nextHeartbeat = TimePoint();
+    return lastIndex();
+}
+
+Result<LogIndex> ReplicatedLog::proposeMembership(const Membership &next, LogActions &actions)
+{
+    if (!isLeader())
+        return failure(ResultCode::NoLeader, "this host does not lead the log", true);
+    if (membershipChangePending() || !isCurrent())
+        return failure(ResultCode::MemberChangePending, "another membership change is not committed yet", true);
+    if (next.voters.empty())
+        return failure(ResultCode::TooFewVoters, "the last voter cannot be removed", true);
+    const LogEntry entry{after(lastIndex()), m_hard.term, static_cast<uint8_t>(EntryKind::Membership),
+                         packMembership(next)};
+    appendEntry(entry, actions);
+    m_nextHeartbeat = TimePoint();
+    return entry.index;
+}
+
+LogActions ReplicatedLog::persisted(TimePoint, LogIndex index)
+{
+    LogActions actions;
+    m_persisted = std::max(m_persisted, std::min(index, lastIndex()));
+    if (isLeader())
+        advanceCommit(actions);
+    return actions;
+}
+
+void ReplicatedLog::advanceCommit(LogActions &actions)
+{
+    std::vector<LogIndex> matches;
+    for (const MemberId &voter : membership().voters)
+        matches.push_back(voter == m_self ? m_persisted : m_progress[voter].match);
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    const LogIndex agreed = matches.at(membership().majority() - 1);
+    // Entries of earlier terms become committed only along with one of this term.
+    if (agreed > m_commit && termAt(agreed) == m_hard.term)
+        commitTo(agreed, actions);
+}
+
+void ReplicatedLog::commitTo(LogIndex index, LogActions &actions)
+{
+    for (LogIndex next = after(m_commit); next <= std::min(index, lastIndex()); next = after(next)) {
+        actions.committed.push_back(entryAt(next));
+        m_commit = next;
+    }
+}
+
+std::optional<TimePoint> ReplicatedLog::quorumAckedSend() const
+{
+    std::vector<TimePoint> sends;
+    for (const MemberId &voter : membership().voters) {
+        if (voter == m_self) {
+            sends.push_back(TimePoint::max());
+            continue;
+        }
+        const auto found = m_progress.find(voter);
+        if (found != m_progress.end() && found->second.ackedSend)
+            sends.push_back(*found->second.ackedSend);
+    }
+    if (sends.size() < membership().majority())
+        return std::nullopt;
+    std::sort(sends.begin(), sends.end(), std::greater<>());
+    return sends.at(membership().majority() - 1);
+}
+
+bool ReplicatedLog::holdsLease(TimePoint now) const
+{
+    if (!isLeader())
+        return false;
+    const std::optional<TimePoint> sent = quorumAckedSend();
+    if (!sent)
+        return false;
+    const Duration usable(
+        static_cast<int64_t>(static_cast<double>(m_timing.electionTimeout.count()) * (1.0 - m_timing.allowedDrift)));
+    return *sent == TimePoint::max() || now - *sent < usable;
+}
+
+bool ReplicatedLog::isCaughtUp(const MemberId &member) const
+{
+    const auto found = m_progress.find(member);
+    return isLeader() && found != m_progress.end() && found->second.match >= m_commit && m_commit >= m_termStart;
+}
+
+std::optional<std::vector<LogEntry>> ReplicatedLog::committedAfter(LogIndex index, size_t most) const
+{
+    if (index < m_checkpoint.index)
+        return std::nullopt;
+    std::vector<LogEntry> result;
+    for (LogIndex next = after(index); next <= m_commit && result.size() < most; next = after(next))
+        result.push_back(entryAt(next));
+    return result;
+}
+
+Checkpoint ReplicatedLog::makeCheckpoint(LogIndex applied, std::string state)
+{
+    HS_INVARIANT(CommittedKept, applied <= m_commit) << "checkpoint " << applied << " beyond commit " << m_commit;
+    Checkpoint checkpoint;
+    checkpoint.index = applied;
+    checkpoint.term = termAt(applied);
+    checkpoint.membership = std::prev(m_memberships.upper_bound(applied))->second;
+    checkpoint.state = std::move(state);
+    const uint64_t dropped = applied.value() - m_checkpoint.index.value();
+    m_entries.erase(m_entries.begin(), m_entries.begin() + static_cast<int64_t>(dropped));
+    m_memberships.erase(m_memberships.begin(), std::prev(m_memberships.upper_bound(applied)));
+    m_checkpoint = checkpoint;
+    return checkpoint;
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/process/View.cpp
@@ -0,0 +1,123 @@
+#include "hickoryspur/process/View.h"
+
+#include "hickoryspur/connection/UpstreamDirectory.h"
+
+#include <algorithm>
+
+namespace hickoryspur {
+
+namespace {
+
+/** The key of a service's shard maps in control state. */
+std::string mapKey(uint8_t environment, const ServiceName &service)
+{
+    return std::string(environmentName(static_cast<Environment>(environment))) + '/' + service.value();
+}
+
+} // namespace
+
+const EnvironmentView *View::find(Environment environment) const
+{
+    const auto found = environments.find(environment);
+    return found == environments.end() ? nullptr : &found->second;
+}
+
+std::vector<NodeId> ViewBuilder::homesIn(const EntrySet &entries, const std::set<std::string> &out,
+                                         const DataCentreName *dataCentre) const
+{
+    std::vector<NodeId> result;
+    for (const auto &[name, incarnation] : entries) {
+        const NodeSettings *node = m_settings.find(NodeId(name));
+        if (!node || out.contains(node->dataCentre.value()))
+            continue;
+        if (!dataCentre || node->dataCentre == *dataCentre)
+            result.push_back(node->name);
+    }
+    return result;
+}
+
+NodeId ViewBuilder::home(const Announcement &upstream, const EntrySet &entries, const std::set<std::string> &out) const
+{
+    return homeOf(upstream.id, homesIn(entries, out, &upstream.dataCentre), homesIn(entries, out, nullptr));
+}
+
+void ViewBuilder::addUpstream(View &view, const ControlState &state, const Announcement &announcement, bool settling)
+{
+    if (view.isOut(announcement.dataCentre))
+        return;
+    EnvironmentView &environment = view.environments[static_cast<Environment>(announcement.environment)];
+    ServiceView &service = environment.services[announcement.service];
+    UpstreamView upstream;
+    upstream.announcement = announcement;
+    upstream.home = home(announcement, state.entries(), state.dataCentresOut());
+    if (settling)
+        upstream.settling =
+            upstream.home != home(announcement, state.previousEntries(), state.previousDataCentresOut());
+    uint64_t &newest = m_newestSnapshots[mapKey(announcement.environment, announcement.service)];
+    for (const uint64_t snapshot : announcement.snapshots)
+        newest = std::max(newest, snapshot);
+    service.upstreams.push_back(std::move(upstream));
+}
+
+void ViewBuilder::addDocument(View &view, const ControlState &state, Environment environment)
+{
+    const DocumentVersion *version = state.current(environment);
+    if (!version)
+        return;
+    EnvironmentView &target = view.environments[environment];
+    target.number = version->number;
+    target.digest = version->digest;
+    auto parsed = m_parsed.find(version->digest);
+    if (parsed == m_parsed.end()) {
+        Result<Document> document = parseDocument(version->text, "document");
+        parsed = m_parsed.emplace(version->digest, document.value_or(Document())).first;
+    }
+    target.document = parsed->second;
+}
+
+void ViewBuilder::addEntries(View &view, const ControlState &state) const
+{
+    for (const NodeSettings &node : m_settings.nodes) {
+        if (!node.entry)
+            continue;
+        const bool offered = state.entries().contains(node.name.value()) && !view.isOut(node.dataCentre);
+        view.entries.push_back({node, offered});
+    }
+}
+
+void ViewBuilder::addShardMaps(View &view, const ControlState &state) const
+{
+    // A service whose upstreams are all lost keeps its map, so that its coverage is told as nothing of all.
+    for (auto &[environment, content] : view.environments) {
+        for (const auto &[name, config] : content.document.services) {
+            const std::string key = mapKey(static_cast<uint8_t>(environment), name);
+            const auto maps = state.shardMaps().find(key);
+            if (maps == state.shardMaps().end())
+                continue;
+            ServiceView &service = content.services[name];
+            service.maps = maps->second;
+            const auto newest = m_newestSnapshots.find(key);
+            if (newest != m_newestSnapshots.end())
+                service.newestSnapshot = SnapshotId(newest->second);
+        }
+    }
+}
+
+ViewPointer ViewBuilder::build(const ControlState &state, const UpstreamDirectory &directory, LogIndex inForce,
+                               bool settling)
+{
+    auto view = std::make_shared<View>();
+    view->applied = state.appliedIndex();
+    view->homeEpoch = state.homeEpoch();
+    view->inForce = inForce;
+    view->dataCentresOut = state.dataCentresOut();
+    addDocument(*view, state, Environment::Trial);
+    addDocument(*view, state, Environment::Production);
+    addEntries(*view, state);
+    for (const Announcement &announcement : directory.records())
+        addUpstream(*view, state, announcement, settling);
+    addShardMaps(*view, state);
+    return view;
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/request/Admission.cpp
@@ -0,0 +1,108 @@
+#include "hickoryspur/request/Admission.h"
+
+#include <algorithm>
+
+namespace hickoryspur {
+
+namespace {
+
+constexpr double kDecrease = 0.9;
+constexpr Duration kDecreaseInterval = 100ms;
+/** Weight of a new sample in the usual time, as one in this many. */
+constexpr int kTimeWeight = 16;
+
+} // namespace
+
+AdmissionActions Admission::arrive(TimePoint now, QueryNumber query, const CallerName &caller, uint32_t weight,
+                                   TimePoint deadline)
+{
+    AdmissionActions actions;
+    Caller &state = m_callers[caller];
+    state.weight = std::max<uint32_t>(1, weight);
+    // A caller that was idle gets no credit for the time it asked for nothing.
+    if (state.queue.empty())
+        state.virtualTime = std::max(state.virtualTime, m_virtualTime);
+    state.queue.insert({deadline, query});
+    ++m_waitingCount;
+    pump(now, actions);
+    if (m_waitingCount > kMostWaiting)
+        dropFromLongest(actions);
+    return actions;
+}
+
+void Admission::dropFromLongest(AdmissionActions &actions)
+{
+    const auto load = [](const Caller &caller) { return static_cast<double>(caller.queue.size()) / caller.weight; };
+    const auto longest = std::max_element(m_callers.begin(), m_callers.end(), [&](const auto &left, const auto &right) {
+        return load(left.second) < load(right.second);
+    });
+    std::set<Waiting> &queue = longest->second.queue;
+    actions.refuse.emplace_back(queue.rbegin()->query, ResultCode::Overloaded);
+    queue.erase(std::prev(queue.end()));
+    --m_waitingCount;
+}
+
+void Admission::dropDoomed(TimePoint now, AdmissionActions &actions)
+{
+    for (auto &[name, caller] : m_callers) {
+        while (!caller.queue.empty() && caller.queue.begin()->deadline <= now + m_usualTime) {
+            actions.refuse.emplace_back(caller.queue.begin()->query, ResultCode::DeadlineTooShort);
+            caller.queue.erase(caller.queue.begin());
+            --m_waitingCount;
+        }
+    }
+}
+
+Admission::Caller *Admission::nextCaller()
+{
+    Caller *next = nullptr;
+    for (auto &[name, caller] : m_callers)
+        if (!caller.queue.empty() && (!next || caller.virtualTime < next->virtualTime))
+            next = &caller;
+    return next;
+}
+
+void Admission::pump(TimePoint now, AdmissionActions &actions)
+{
+    dropDoomed(now, actions);
+    while (static_cast<double>(m_running.size() + 1) <= m_limit) {
+        Caller *caller = nextCaller();
+        if (!caller)
+            return;
+        const QueryNumber query = caller->queue.begin()->query;
+        caller->queue.erase(caller->queue.begin());
+        --m_waitingCount;
+        m_virtualTime = caller->virtualTime;
+        caller->virtualTime += 1.0 / caller->weight;
+        m_running[query] = now;
+        actions.admit.push_back(query);
+    }
+}
+
+AdmissionActions Admission::finished(TimePoint now, QueryNumber query, bool inTime)
+{
+    AdmissionActions actions;
+    const auto found = m_running.find(query);
+    if (found == m_running.end())
+        return actions;
+    const Duration took = now - found->second;
+    m_running.erase(found);
+    m_usualTime = m_usualTime == Duration::zero() ? took : m_usualTime + (took - m_usualTime) / kTimeWeight;
+    if (!inTime && now >= m_nextDecrease) {
+        m_limit = std::max(1.0, m_limit * kDecrease);
+        m_nextDecrease = now + kDecreaseInterval;
+    } else if (inTime && m_waitingCount > 0) {
+        m_limit = std::min(kLargestLimit, m_limit + 1.0 / m_limit);
+    }
+    pump(now, actions);
+    return actions;
+}
+
+AdmissionActions Admission::tick(TimePoint now)
+{
+    AdmissionActions actions;
+    pump(now, actions);
+    return actions;
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/request/FanOut.cpp
@@ -0,0 +1,299 @@
+#include "hickoryspur/request/FanOut.h"
+
+#include "hickoryspur/process/Check.h"
+
+#include <algorithm>
+
+namespace hickoryspur {
+
+double FanOutAnswer::coverage() const
+{
+    return shardCount == 0 ? 0 : static_cast<double>(bodies.size()) / shardCount;
+}
+
+FanOut::FanOut(FanOutConfig config, FanOutHooks hooks)
+    : m_config(std::move(config))
+    , m_hooks(std::move(hooks))
+    , m_random(m_config.seed)
+    , m_shards(m_config.plan.shardCount)
+{
+}
+
+FanOutActions FanOut::start(TimePoint now)
+{
+    FanOutActions actions;
+    for (uint32_t shard = 0; shard < m_shards.size() && !m_finished; ++shard)
+        sendFirst(now, shard, actions);
+    finishIfComplete(now, actions);
+    scheduleWake(actions);
+    return actions;
+}
+
+void FanOut::sendFirst(TimePoint now, uint32_t shard, FanOutActions &actions)
+{
+    if (!sendTo(now, shard, false, actions))
+        giveUpShard(now, shard, actions);
+}
+
+std::optional<uint32_t> FanOut::chooseUpstream(const Shard &state, uint32_t shard)
+{
+    std::vector<uint32_t> untried;
+    for (const uint32_t candidate : m_config.plan.candidates[shard])
+        if (std::find(state.tried.begin(), state.tried.end(), candidate) == state.tried.end())
+            untried.push_back(candidate);
+    if (untried.empty())
+        return std::nullopt;
+    // Two at random and the cheaper of them: the cheapest of all would draw every entry to one replica.
+    std::shuffle(untried.begin(), untried.end(), m_random);
+    if (untried.size() == 1 || m_hooks.cost(untried[0]) <= m_hooks.cost(untried[1]))
+        return untried[0];
+    return untried[1];
+}
+
+bool FanOut::sendTo(TimePoint now, uint32_t shard, bool extra, FanOutActions &actions)
+{
+    Shard &state = m_shards[shard];
+    const std::optional<uint32_t> upstream = chooseUpstream(state, shard);
+    if (!upstream)
+        return false;
+    FanOutSend send;
+    send.id = m_hooks.nextId();
+    send.shard = shard;
+    send.upstream = *upstream;
+    send.generation = m_config.plan.generation;
+    send.snapshot = m_config.plan.snapshot;
+    send.deadline = lastMoment();
+    send.extra = extra;
+    state.tried.push_back(*upstream);
+    ++state.running;
+    const Duration delay = m_hooks.hedgeDelay(shard);
+    state.hedgeAt = delay > Duration::zero() ? now + delay : TimePoint::max();
+    m_live[send.id] = {shard, *upstream, now};
+    actions.sends.push_back(send);
+    return true;
+}
+
+std::optional<Duration> FanOut::age(SubRequestId id, TimePoint now) const
+{
+    const auto found = m_live.find(id);
+    if (found == m_live.end())
+        return std::nullopt;
+    return now - found->second.sent;
+}
+
+FanOutActions FanOut::reply(TimePoint now, const SubReply &reply)
+{
+    FanOutActions actions;
+    const auto found = m_live.find(reply.id);
+    if (m_finished || found == m_live.end()) {
+        ++m_droppedReplies;
+        return actions;
+    }
+    const uint32_t shard = found->second.shard;
+    m_live.erase(found);
+    Shard &state = m_shards[shard];
+    --state.running;
+    const SubOutcome outcome = reply.kind();
+    m_mayHaveRun = m_mayHaveRun || !provesNotRun(outcome);
+    const bool matches = reply.shard == shard && reply.snapshot == m_config.plan.snapshot
+        && reply.generation == m_config.plan.generation;
+    if (outcome == SubOutcome::Ok && matches) {
+        state.body = reply.body;
+        ++m_answered;
+        cancelShard(shard, actions);
+    } else {
+        m_droppedReplies += outcome == SubOutcome::Ok ? 1 : 0;
+        shardFailed(now, shard, outcome == SubOutcome::Ok ? SubOutcome::Failed : outcome, actions);
+    }
+    finishIfComplete(now, actions);
+    scheduleWake(actions);
+    return actions;
+}
+
+void FanOut::cancelShard(uint32_t shard, FanOutActions &actions)
+{
+    if (m_shards[shard].running == 0)
+        return;
+    std::erase_if(m_live, [&](const auto &item) {
+        if (item.second.shard != shard)
+            return false;
+        actions.cancels.push_back(item.first);
+        return true;
+    });
+    m_mayHaveRun = true;
+    m_shards[shard].running = 0;
+}
+
+void FanOut::shardFailed(TimePoint now, uint32_t shard, SubOutcome outcome, FanOutActions &actions)
+{
+    const Shard &state = m_shards[shard];
+    if (state.running > 0)
+        return; // Its hedge is still out.
+    const std::vector<uint32_t> &candidates = m_config.plan.candidates[shard];
+    const bool exhausted = state.tried.size() >= candidates.size();
+    if (outcome == SubOutcome::SnapshotGone && exhausted && restart(now, actions))
+        return;
+    if (exhausted && !provesNotRun(outcome)) {
+        giveUpShard(now, shard, actions);
+        return;
+    }
+    retry(now, shard, actions);
+}
+
+void FanOut::retry(TimePoint now, uint32_t shard, FanOutActions &actions)
+{
+    Shard &state = m_shards[shard];
+    state.wantsRetry = true;
+    state.retryAt = now + kRetryCheck;
+    if (now >= lastMoment() || !m_hooks.takeExtra(now))
+        return;
+    // When every replica has refused, the first may have room again.
+    if (state.tried.size() >= m_config.plan.candidates[shard].size())
+        state.tried.clear();
+    if (!sendTo(now, shard, true, actions))
+        return;
+    state.wantsRetry = false;
+    ++m_retries;
+}
+
+void FanOut::hedge(TimePoint now, uint32_t shard, FanOutActions &actions)
+{
+    Shard &state = m_shards[shard];
+    const bool hasOther = state.tried.size() < m_config.plan.candidates[shard].size();
+    if (!hasOther) {
+        state.hedged = true;
+        return;
+    }
+    if (!m_hooks.takeExtra(now)) {
+        state.hedgeAt = now + kRetryCheck;
+        return;
+    }
+    state.hedged = true;
+    if (sendTo(now, shard, true, actions))
+        ++m_hedges;
+}
+
+bool FanOut::restart(TimePoint now, FanOutActions &actions)
+{
+    if (m_restarted || now >= lastMoment())
+        return false;
+    std::optional<QueryPlan> plan = m_hooks.replan(now, m_config.plan.snapshot);
+    if (!plan)
+        return false;
+    m_restarted = true;
+    for (uint32_t shard = 0; shard < m_shards.size(); ++shard)
+        cancelShard(shard, actions);
+    m_config.plan = std::move(*plan);
+    m_shards.assign(m_config.plan.shardCount, Shard());
+    m_answered = 0;
+    m_lost = 0;
+    for (uint32_t shard = 0; shard < m_shards.size() && !m_finished; ++shard)
+        sendFirst(now, shard, actions);
+    return true;
+}
+
+bool FanOut::isReachable(uint32_t answeredOrOpen) const
+{
+    return static_cast<double>(answeredOrOpen) >= m_config.leastCoverage * m_config.plan.shardCount;
+}
+
+void FanOut::giveUpShard(TimePoint, uint32_t shard, FanOutActions &actions)
+{
+    Shard &state = m_shards[shard];
+    if (state.lost)
+        return;
+    state.lost = true;
+    ++m_lost;
+    const auto total = static_cast<uint32_t>(m_shards.size());
+    // Once the least coverage is out of reach the siblings only take up slots.
+    if (!m_finished && !isReachable(total - m_lost))
+        finish(ResultCode::CoverageTooLow, "too few shards can be reached", actions);
+}
+
+FanOutActions FanOut::tick(TimePoint now)
+{
+    FanOutActions actions;
+    if (m_finished)
+        return actions;
+    if (now >= lastMoment()) {
+        if (isReachable(m_answered) && m_answered > 0)
+            finish(ResultCode::Ok, "", actions);
+        else
+            finish(ResultCode::CoverageTooLow, "the deadline passed with too few shards answered", actions);
+        return actions;
+    }
+    for (uint32_t shard = 0; shard < m_shards.size() && !m_finished; ++shard) {
+        const Shard &state = m_shards[shard];
+        if (state.body || state.lost)
+            continue;
+        if (state.wantsRetry && now >= state.retryAt)
+            retry(now, shard, actions);
+        else if (!state.wantsRetry && !state.hedged && now >= state.hedgeAt)
+            hedge(now, shard, actions);
+    }
+    scheduleWake(actions);
+    return actions;
+}
+
+FanOutActions FanOut::cancel(TimePoint, ResultCode code)
+{
+    FanOutActions actions;
+    if (!m_finished)
+        finish(code, "cancelled", actions);
+    return actions;
+}
+
+void FanOut::finishIfComplete(TimePoint, FanOutActions &actions)
+{
+    if (m_finished || m_answered + m_lost < m_shards.size())
+        return;
+    if (isReachable(m_answered) && m_answered > 0)
+        finish(ResultCode::Ok, "", actions);
+    else
+        finish(ResultCode::CoverageTooLow, "too few shards could be reached", actions);
+}
+
+void FanOut::finish(ResultCode code, std::string message, FanOutActions &actions)
+{
+    m_finished = true;
+    for (uint32_t shard = 0; shard < m_shards.size(); ++shard)
+        cancelShard(shard, actions);
+    FanOutAnswer answer;
+    answer.code = code;
+    answer.message = std::move(message);
+    answer.generation = m_config.plan.generation;
+    answer.snapshot = m_config.plan.snapshot;
+    answer.shardCount = m_config.plan.shardCount;
+    answer.hedges = m_hedges;
+    answer.retries = m_retries;
+    answer.restarted = m_restarted;
+    answer.notRun = code != ResultCode::Ok && !m_mayHaveRun;
+    for (uint32_t shard = 0; shard < m_shards.size(); ++shard) {
+        if (m_shards[shard].body)
+            answer.bodies.emplace(shard, std::move(*m_shards[shard].body));
+        else
+            answer.missing.push_back(shard);
+    }
+    HS_INVARIANT(CoverageTrue, answer.bodies.size() + answer.missing.size() == answer.shardCount)
+        << answer.bodies.size() << " answered and " << answer.missing.size() << " missing of " << answer.shardCount;
+    actions.answer = std::move(answer);
+    actions.wakeAt.reset();
+}
+
+void FanOut::scheduleWake(FanOutActions &actions) const
+{
+    if (m_finished)
+        return;
+    TimePoint wake = lastMoment();
+    for (const Shard &state : m_shards) {
+        if (state.body || state.lost)
+            continue;
+        if (state.wantsRetry)
+            wake = std::min(wake, state.retryAt);
+        else if (!state.hedged)
+            wake = std::min(wake, state.hedgeAt);
+    }
+    actions.wakeAt = wake;
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/request/HttpCallerServer.cpp
@@ -0,0 +1,283 @@
+#include "request/HttpCallerServer.h"
+
+#include "hickoryspur/process/Metrics.h"
+#include "request/AnswerJson.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/fiber/all.hpp>
+
+#include <algorithm>
+#include <sys/socket.h>
+
+namespace hickoryspur {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+
+/** Starts an asynchronous operation and holds the fiber until it has ended. */
+template <typename Start> error_code await(Start start)
+{
+    boost::fibers::promise<error_code> promise;
+    boost::fibers::future<error_code> future = promise.get_future();
+    start([&promise](error_code error, auto &&...) { promise.set_value(error); });
+    return future.get();
+}
+
+std::string decodePercent(const std::string &text)
+{
+    std::string result;
+    for (size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + 2 < text.size()) {
+            result.push_back(static_cast<char>(std::strtol(text.substr(i + 1, 2).c_str(), nullptr, 16)));
+            i += 2;
+        } else {
+            result.push_back(text[i] == '+' ? ' ' : text[i]);
+        }
+    }
+    return result;
+}
+
+void splitTarget(const std::string &target, CallerRequest &request)
+{
+    const size_t question = target.find('?');
+    request.path = target.substr(0, question);
+    if (question == std::string::npos)
+        return;
+    std::string rest = target.substr(question + 1);
+    while (!rest.empty()) {
+        const size_t ampersand = rest.find('&');
+        const std::string item = rest.substr(0, ampersand);
+        const size_t equals = item.find('=');
+        if (equals != std::string::npos)
+            request.parameters[decodePercent(item.substr(0, equals))] = decodePercent(item.substr(equals + 1));
+        rest = ampersand == std::string::npos ? "" : rest.substr(ampersand + 1);
+    }
+}
+
+CallerRequest toCallerRequest(http::request<http::string_body> &&message)
+{
+    CallerRequest request;
+    request.method = std::string(message.method_string());
+    splitTarget(std::string(message.target()), request);
+    for (const auto &field : message) {
+        std::string name(field.name_string());
+        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+        request.headers[name] = std::string(field.value());
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+http::response<http::string_body> toMessage(const CallerResponse &response, bool keepAlive)
+{
+    http::response<http::string_body> message{static_cast<http::status>(response.status), 11};
+    message.set(http::field::content_type, response.contentType);
+    for (const auto &[name, value] : response.headers)
+        message.set(name, value);
+    message.keep_alive(keepAlive);
+    message.body() = response.body;
+    message.prepare_payload();
+    return message;
+}
+
+CallerResponse refusalFor(error_code error)
+{
+    Failure failure{ResultCode::MalformedRequest, "not HTTP/1.1: " + error.message(), true};
+    if (error == http::error::body_limit)
+        failure = {ResultCode::BodyTooLarge, "the body is too large", true};
+    else if (error == http::error::header_limit)
+        failure = {ResultCode::BodyTooLarge, "the header is too large", true};
+    CallerResponse response;
+    response.status = httpStatus(failure.code);
+    response.body = failureJson(failure, nullptr);
+    return response;
+}
+
+bool isProtocolError(error_code error)
+{
+    return error.category() == http::make_error_code(http::error::bad_method).category()
+        && error != http::error::end_of_stream && error != http::error::partial_message;
+}
+
+} // namespace
+
+struct HttpCallerServer::State
+{
+    State(asio::io_context &contextOf, ServerLimits limitsOf, CallerHandler handlerOf)
+        : context(contextOf)
+        , acceptor(contextOf)
+        , limits(limitsOf)
+        , handler(std::move(handlerOf))
+    {
+    }
+
+    asio::io_context &context;
+    asio::ip::tcp::acceptor acceptor;
+    ServerLimits limits;
+    CallerHandler handler;
+    size_t connections = 0;
+    bool stopping = false;
+
+    static void acceptLoop(const std::shared_ptr<State> &state);
+    static void serve(const std::shared_ptr<State> &state, beast::tcp_stream stream);
+    bool serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer);
+    CallerResponse handle(beast::tcp_stream &stream, CallerRequest request);
+};
+
+std::string CallerRequest::header(const std::string &name) const
+{
+    const auto found = headers.find(name);
+    return found == headers.end() ? "" : found->second;
+}
+
+std::string CallerRequest::parameter(const std::string &name) const
+{
+    const auto found = parameters.find(name);
+    return found == parameters.end() ? "" : found->second;
+}
+
+void HttpCallerServer::State::acceptLoop(const std::shared_ptr<State> &state)
+{
+    static Counter &refused = Metrics::counter("hickoryspur_caller_connections_refused_total");
+    while (!state->stopping) {
+        asio::ip::tcp::socket socket(state->context);
+        const error_code error = await([&](auto done) { state->acceptor.async_accept(socket, std::move(done)); });
+        if (error)
+            continue;
+        if (state->connections >= state->limits.connections) {
+            refused.add();
+            continue;
+        }
+        error_code ignored;
+        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        boost::fibers::fiber([state, stream = beast::tcp_stream(std::move(socket))]() mutable {
+            serve(state, std::move(stream));
+        }).detach();
+    }
+}
+
+void HttpCallerServer::State::serve(const std::shared_ptr<State> &state, beast::tcp_stream stream)
+{
+    ++state->connections;
+    beast::flat_buffer buffer;
+    while (!state->stopping && state->serveOne(stream, buffer)) { }
+    error_code ignored;
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    --state->connections;
+}
+
+bool HttpCallerServer::State::serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer)
+{
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(limits.bodyBytes);
+    parser.header_limit(limits.headerBytes);
+    stream.expires_after(limits.silence);
+    const error_code error = await([&](auto done) { http::async_read(stream, buffer, parser, std::move(done)); });
+    if (error && !isProtocolError(error))
+        return false;
+    const bool keepAlive = !error && parser.get().keep_alive();
+    const CallerResponse response = error ? refusalFor(error) : handle(stream, toCallerRequest(parser.release()));
+    const http::response<http::string_body> message = toMessage(response, keepAlive);
+    stream.expires_after(limits.silence);
+    const error_code written = await([&](auto done) { http::async_write(stream, message, std::move(done)); });
+    return !written && keepAlive;
+}
+
+CallerResponse HttpCallerServer::State::handle(beast::tcp_stream &stream, CallerRequest request)
+{
+    // While the request runs, a readable socket without bytes means that the caller has gone away.
+    auto gone = std::make_shared<bool>(false);
+    boost::fibers::promise<void> ended;
+    boost::fibers::future<void> watch = ended.get_future();
+    asio::ip::tcp::socket &socket = stream.socket();
+    socket.async_wait(asio::ip::tcp::socket::wait_read, [&, gone](error_code error) {
+        error_code ignored;
+        if (!error && socket.available(ignored) == 0)
+            *gone = true;
+        ended.set_value();
+    });
+    request.gone = [gone] { return *gone; };
+    CallerResponse response = handler(request);
+    error_code ignored;
+    socket.cancel(ignored);
+    watch.wait();
+    return response;
+}
+
+HttpCallerServer::HttpCallerServer(std::shared_ptr<State> state)
+    : m_state(std::move(state))
+{
+}
+
+HttpCallerServer::~HttpCallerServer()
+{
+    m_state->stopping = true;
+    error_code ignored;
+    m_state->acceptor.close(ignored);
+}
+
+Result<std::unique_ptr<HttpCallerServer>> HttpCallerServer::listen(asio::io_context &context,
+                                                                   const HostAddress &address, ServerLimits limits,
+                                                                   CallerHandler handler)
+{
+    using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+    auto state = std::make_shared<State>(context, limits, std::move(handler));
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.address), address.port);
+    error_code error;
+    state->acceptor.open(endpoint.protocol(), error);
+    state->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    state->acceptor.set_option(ReusePort(true), error);
+    if (!error)
+        state->acceptor.bind(endpoint, error);
+    if (!error)
+        state->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return failure(ResultCode::AddressInUse, address.text() + ": " + error.message());
+    boost::fibers::fiber([state] { State::acceptLoop(state); }).detach();
+    return std::unique_ptr<HttpCallerServer>(new HttpCallerServer(std::move(state)));
+}
+
+Result<CallerResponse> httpExchange(const HostAddress &address, const CallerRequest &request,
+                                    std::chrono::milliseconds patience)
+{
+    asio::io_context context(1);
+    beast::tcp_stream stream(context);
+    stream.expires_after(patience);
+    http::request<http::string_body> message{http::string_to_verb(request.method), request.path, 11};
+    message.set(http::field::host, address.text());
+    for (const auto &[name, value] : request.headers)
+        message.set(name, value);
+    message.body() = request.body;
+    message.prepare_payload();
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
+    error_code error;
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.address), address.port);
+    stream.async_connect(endpoint, [&](error_code connected) {
+        error = connected;
+        if (error)
+            return;
+        http::async_write(stream, message, [&](error_code written, size_t) {
+            error = written;
+            if (error)
+                return;
+            http::async_read(stream, buffer, parser, [&](error_code read, size_t) { error = read; });
+        });
+    });
+    context.run();
+    if (error)
+        return failure(ResultCode::ConnectionFailed, address.text() + ": " + error.message());
+    CallerResponse response;
+    response.status = parser.get().result_int();
+    response.body = parser.get().body();
+    return response;
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/request/LatencyQuantile.cpp
@@ -0,0 +1,33 @@
+#include "hickoryspur/request/LatencyQuantile.h"
+
+#include <algorithm>
+
+namespace hickoryspur {
+
+namespace {
+
+/** Share of the estimate by which a sample above it moves it. */
+constexpr double kStep = 0.1;
+constexpr double kSmallestEstimateMicros = 50;
+
+} // namespace
+
+void LatencyQuantile::add(Duration latency)
+{
+    const auto sample = static_cast<double>(latency.count());
+    ++m_samples;
+    if (m_samples <= kLeastSamples) {
+        m_estimate = std::max(m_estimate, sample);
+        return;
+    }
+    const double step = kStep * std::max(m_estimate, kSmallestEstimateMicros);
+    m_estimate += sample > m_estimate ? step * m_quantile : -step * (1 - m_quantile);
+    m_estimate = std::max(m_estimate, kSmallestEstimateMicros);
+}
+
+Duration LatencyQuantile::value() const
+{
+    return m_samples < kLeastSamples ? Duration::zero() : Duration(static_cast<int64_t>(m_estimate));
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/request/QueryService.h
@@ -0,0 +1,129 @@
+// Runs the queries and actions of one traffic thread, each on the fiber of its caller's connection:
+// admission, plan, fan-out, answer. The decisions are in Admission, makePlan() and FanOut; this
+// class carries them out over the SubRequestRouter.
+#pragma once
+
+#include "hickoryspur/process/View.h"
+#include "hickoryspur/request/Admission.h"
+#include "hickoryspur/request/ExtraBudget.h"
+#include "hickoryspur/request/FanOut.h"
+#include "hickoryspur/request/LatencyQuantile.h"
+#include "hickoryspur/request/UpstreamScores.h"
+#include "request/SubRequestRouter.h"
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/future.hpp>
+#include <boost/fiber/mutex.hpp>
+
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+
+namespace hickoryspur {
+
+struct QueryRequest
+{
+    Environment environment = Environment::Production;
+    ServiceName service;
+    CallerName caller;
+    Duration deadline = Duration::zero();
+    double leastCoverage = 0;
+    std::string body;
+    /** Set by the connection when the caller goes away. */
+    std::function<bool()> callerGone;
+};
+
+struct ActionRequest
+{
+    Environment environment = Environment::Production;
+    ServiceName service;
+    CallerName caller;
+    uint32_t shard = 0;
+    Duration deadline = Duration::zero();
+    /** Empty where the caller gave none: sent once, never again, and never remembered. */
+    std::string key;
+    int64_t keySeconds = 0;
+    std::string body;
+};
+
+struct ServiceAnswer
+{
+    ResultCode code = ResultCode::Ok;
+    /** The whole JSON answer. */
+    std::string json;
+};
+
+class QueryService
+{
+public:
+    using Claim = std::function<void(Command, Duration patience, std::function<void(ApplyOutcome)> done)>;
+
+    struct Hooks
+    {
+        std::function<bool(TimePoint)> mayServe;
+        std::function<bool(const NodeId &)> isAlive;
+        /** Has a command committed; done runs on this traffic thread. */
+        Claim commit;
+    };
+
+    QueryService(NodeId self, uint64_t incarnation, SubRequestRouter &router, Hooks hooks, uint64_t seed);
+
+    void setView(ViewPointer view) { m_view = std::move(view); }
+    const ViewPointer &view() const { return m_view; }
+    void tick(TimePoint now);
+    /** Must be called on a fiber. */
+    ServiceAnswer query(const QueryRequest &request);
+    /** Must be called on a fiber. */
+    ServiceAnswer act(const ActionRequest &request);
+    void setShuttingDown() { m_shuttingDown = true; }
+    size_t running() const { return m_runningCount; }
+
+private:
+    /** What the fiber of one query waits for. */
+    struct Mailbox
+    {
+        boost::fibers::mutex mutex;
+        boost::fibers::condition_variable changed;
+        std::vector<SubReply> replies;
+        std::optional<ResultCode> admission;
+    };
+    struct Statistics
+    {
+        std::vector<LatencyQuantile> shards;
+    };
+
+    std::optional<Failure> refusal(Environment environment, const ServiceName &service, const CallerName &caller) const;
+    ResultCode admit(const CallerName &caller, uint32_t weight, TimePoint deadline, QueryNumber number);
+    void carryOut(const AdmissionActions &actions);
+    FanOutAnswer fanOut(const QueryRequest &request, const ServiceConfig &config, TimePoint deadline);
+    FanOutHooks hooksFor(const std::shared_ptr<ViewPointer> &view, const QueryRequest &request,
+                         const ServiceConfig &config);
+    PlanOptions planOptions(const ServiceConfig &config) const;
+    void send(const View &view, const ServiceView &service, const FanOutSend &send, const QueryRequest &request,
+              const std::shared_ptr<Mailbox> &mailbox);
+    Statistics &statistics(Environment environment, const ServiceName &service, uint32_t shards);
+    double cost(const UpstreamView &upstream) const;
+    ApplyOutcome commitAndWait(Command command, Duration patience);
+    ServiceAnswer runAction(const ActionRequest &request, const UpstreamView &upstream, MapGeneration generation,
+                            SnapshotId snapshot, TimePoint deadline);
+
+    NodeId m_self;
+    uint64_t m_incarnation;
+    SubRequestRouter &m_router;
+    Hooks m_hooks;
+    std::mt19937_64 m_random;
+    ViewPointer m_view;
+    Admission m_admission;
+    ExtraBudget m_budget;
+    /** Restarts of whole queries, counted in queries. */
+    ExtraBudget m_restartBudget;
+    UpstreamScores m_scores;
+    std::map<std::pair<Environment, ServiceName>, Statistics> m_statistics;
+    std::map<QueryNumber, std::shared_ptr<Mailbox>> m_waiting;
+    QueryNumber m_nextQuery = 1;
+    size_t m_runningCount = 0;
+    bool m_shuttingDown = false;
+};
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/version/LeaseTable.cpp
@@ -0,0 +1,129 @@
+#include "hickoryspur/version/LeaseTable.h"
+
+#include <algorithm>
+
+namespace hickoryspur {
+
+LeaseTable::LeaseTable(std::vector<NodeId> entries, LeaseTiming timing)
+    : m_entries(std::move(entries))
+    , m_timing(timing)
+{
+    for (const NodeId &entry : m_entries)
+        m_holders[entry] = Holder();
+}
+
+Duration LeaseTable::leaseAtMost() const
+{
+    const auto lease = static_cast<double>(m_timing.lease.count());
+    return Duration(static_cast<int64_t>(lease * (1.0 + m_timing.allowedDrift)));
+}
+
+void LeaseTable::becameLeader(TimePoint now, LogIndex inForce)
+{
+    m_pending.clear();
+    m_inForce = std::max(m_inForce, inForce);
+    for (auto &[entry, holder] : m_holders) {
+        holder = Holder();
+        holder.leaseEnds = now + leaseAtMost();
+    }
+}
+
+void LeaseTable::request(TimePoint now, const LeaseRequest &request)
+{
+    const auto found = m_holders.find(request.from);
+    if (found == m_holders.end())
+        return;
+    Holder &holder = found->second;
+    if (holder.heard && request.incarnation == holder.incarnation && request.applied < holder.applied)
+        return; // An older request that was overtaken.
+    holder.heard = true;
+    holder.incarnation = request.incarnation;
+    holder.applied = request.applied;
+    holder.leaving = request.leaving;
+    holder.leaseEnds = std::max(holder.leaseEnds, now + leaseAtMost());
+}
+
+void LeaseTable::committed(LogIndex index)
+{
+    if (index > m_inForce && (m_pending.empty() || index > m_pending.back().index))
+        m_pending.push_back({index, std::nullopt});
+}
+
+size_t LeaseTable::appliedCount(LogIndex index) const
+{
+    return static_cast<size_t>(std::count_if(m_holders.begin(), m_holders.end(),
+                                             [index](const auto &item) { return item.second.applied >= index; }));
+}
+
+bool LeaseTable::isInForce(Pending &pending, TimePoint now) const
+{
+    const size_t applied = appliedCount(pending.index);
+    if (applied < majority())
+        return false;
+    if (!pending.majoritySince)
+        pending.majoritySince = now;
+    if (applied == m_entries.size())
+        return true;
+    // Until now an entry may have served an older state on the word of entries that had not applied this one.
+    const auto orphan = static_cast<double>(m_timing.orphanTerm.count()) * (1.0 + m_timing.allowedDrift);
+    if (now < *pending.majoritySince + Duration(static_cast<int64_t>(orphan)))
+        return false;
+    return std::all_of(m_holders.begin(), m_holders.end(), [&](const auto &item) {
+        return item.second.applied >= pending.index || item.second.leaseEnds <= now;
+    });
+}
+
+bool LeaseTable::update(TimePoint now)
+{
+    bool moved = false;
+    // A later index is never in force before an earlier one, since whoever applied it applied both.
+    while (!m_pending.empty() && isInForce(m_pending.front(), now)) {
+        m_inForce = m_pending.front().index;
+        m_pending.pop_front();
+        moved = true;
+    }
+    return moved;
+}
+
+std::map<NodeId, std::string> LeaseTable::blocking(LogIndex index, TimePoint now) const
+{
+    std::map<NodeId, std::string> result;
+    for (const auto &[entry, holder] : m_holders) {
+        if (holder.applied >= index)
+            continue;
+        if (holder.leaseEnds > now)
+            result[entry] = "has not applied it; its lease ends in "
+                + std::to_string(static_cast<int64_t>(toMilliseconds(holder.leaseEnds - now))) + " ms";
+        else if (appliedCount(index) < majority())
+            result[entry] = "cannot be reached, and fewer than half of all entries have applied it";
+    }
+    return result;
+}
+
+bool LeaseTable::holdsLease(const NodeId &entry, TimePoint now) const
+{
+    const auto found = m_holders.find(entry);
+    return found != m_holders.end() && found->second.leaseEnds > now;
+}
+
+std::optional<uint64_t> LeaseTable::incarnation(const NodeId &entry) const
+{
+    const auto found = m_holders.find(entry);
+    if (found == m_holders.end() || !found->second.heard)
+        return std::nullopt;
+    return found->second.incarnation;
+}
+
+LogIndex LeaseTable::applied(const NodeId &entry) const
+{
+    const auto found = m_holders.find(entry);
+    return found == m_holders.end() ? LogIndex() : found->second.applied;
+}
+
+bool LeaseTable::isLeaving(const NodeId &entry) const
+{
+    const auto found = m_holders.find(entry);
+    return found != m_holders.end() && found->second.leaving;
+}
+
+} // namespace hickoryspur
