Prove control state under failure with fakes and seeded runs

Cause of what the first runs found: - a checkpoint from the leader kept the follower's old tail on disk, so a restart could put entries at the wrong index; the log file is now named after the checkpoint it follows and both change in one step; - a host that lost its disk never asked to join, because the leader's heartbeats to its old membership kept resetting the one timer; - a voter refused a candidate that its own, older membership did not list, and with one host repaired and another lost nobody could be elected; - the question 'does nobody hold a lease' left a gap when leases ended at different times; the answer never mattered for safety, so it is gone.

--- a/include/hickoryspur/process/ControlNode.h
+++ b/include/hickoryspur/process/ControlNode.h
@@ -76,6 +76,8 @@
     const ReplicatedLog *log() const { return m_log ? &*m_log : nullptr; }
     const LeaseTable &leases() const { return m_leases; }
     LogIndex inForce() const { return m_inForce; }
+    /** How far this entry has applied the log. */
+    LogIndex appliedIndex() const { return m_holder.applied(); }
     std::optional<NodeId> leader() const { return m_leader; }
 
 private:
@@ -114,8 +116,8 @@
     void handleCommand(TimePoint now, const NodeId &from, const CommandRequest &request, NodeActions &result);
     void handleLeaseRequest(TimePoint now, const LeaseRequest &request, NodeActions &result);
     void handleLeaseGrant(TimePoint now, const NodeId &from, const LeaseGrant &grant, NodeActions &result);
-    void handleOrphanQuery(TimePoint now, const OrphanQuery &query, NodeActions &result);
-    void handleOrphanReply(TimePoint now, const OrphanReply &reply);
+    void handleOrphanQuery(const OrphanQuery &query, NodeActions &result);
+    void handleOrphanReply(const OrphanReply &reply);
     void handleDirectory(TimePoint now, const NodeId &from, const DirectoryUpdate &update, NodeActions &result);
     void sendTickets(TimePoint now, NodeActions &result);
     void spreadDirectory(TimePoint now, NodeActions &result);
--- a/include/hickoryspur/process/LogStorage.h
+++ b/include/hickoryspur/process/LogStorage.h
@@ -18,6 +18,8 @@
     uint64_t cutBytes = 0;
 };
 
+enum class CheckpointOrigin { MadeHere, FromLeader };
+
 class LogStorage
 {
 public:
@@ -26,13 +28,15 @@
     LogStorage &operator=(const LogStorage &) = delete;
     virtual ~LogStorage() = default;
 
-    virtual Result<void> saveCheckpoint(const Checkpoint &checkpoint) = 0;
+    /**
+     * Replaces the checkpoint and the log behind it in one step. The entries after it stay where they
+     * follow on from it (one made here) and go where it came from the leader.
+     */
+    virtual Result<void> saveCheckpoint(const Checkpoint &checkpoint, CheckpointOrigin origin) = 0;
     virtual Result<void> truncateFrom(LogIndex index) = 0;
     virtual Result<void> append(const std::vector<LogEntry> &entries) = 0;
     virtual Result<void> saveHardState(const HardState &state) = 0;
     virtual Result<void> sync() = 0;
-    /** Drops records that the last checkpoint covers. */
-    virtual Result<void> compact(LogIndex upTo) = 0;
 };
 
 /** Carries out the disk part of LogActions and makes it durable. */
@@ -54,20 +58,22 @@
                                                         uint64_t newDiskIncarnation, RecoveredStorage &recovered);
     ~FileLogStorage() override;
 
-    Result<void> saveCheckpoint(const Checkpoint &checkpoint) override;
+    Result<void> saveCheckpoint(const Checkpoint &checkpoint, CheckpointOrigin origin) override;
     Result<void> truncateFrom(LogIndex index) override;
     Result<void> append(const std::vector<LogEntry> &entries) override;
     Result<void> saveHardState(const HardState &state) override;
     Result<void> sync() override;
-    Result<void> compact(LogIndex upTo) override;
 
 private:
     explicit FileLogStorage(std::string folder);
     Result<void> recoverEntries(RecoveredStorage &recovered);
     Result<void> rewriteEntries();
     Result<void> openLog();
+    std::string logName() const;
 
     std::string m_folder;
+    /** The log file is named after the checkpoint that it follows. */
+    LogIndex m_follows;
     int m_log = -1;
     bool m_dirty = false;
     /** Offset of each entry in the file, so that a truncation cuts at a record's start. */
--- a/include/hickoryspur/process/ReplicatedLog.h
+++ b/include/hickoryspur/process/ReplicatedLog.h
@@ -197,6 +197,7 @@
     std::vector<MemberId> others() const;
 
     void becomeFollower(Term term, TimePoint now, LogActions &actions);
+    void askToJoin(TimePoint now, LogActions &actions);
     void startPreVote(TimePoint now, LogActions &actions);
     void startElection(TimePoint now, LogActions &actions);
     void becomeLeader(TimePoint now, LogActions &actions);
@@ -234,6 +235,7 @@
     TimePoint m_electionDeadline;
     TimePoint m_lastHeard;
     TimePoint m_nextHeartbeat;
+    TimePoint m_nextJoin;
     TimePoint m_ledSince;
     std::map<MemberId, Progress> m_progress;
     std::map<MemberId, bool> m_votes;
--- a/include/hickoryspur/version/LeaseHolder.h
+++ b/include/hickoryspur/version/LeaseHolder.h
@@ -1,8 +1,9 @@
 // The entry's side of "in force everywhere": it renews its lease on the control state, and says
-// whether this entry may take new work. An entry whose lease has ended asks the other entries. Where
-// a majority of all entries, itself included, holds no lease either, the control quorum is gone, no
-// newer state can be in force, and it goes on with the newest state that majority knows. Otherwise
-// it is the one that is cut off, and takes no new work.
+// whether this entry may take new work. An entry whose lease runs out asks the other entries how far
+// they have applied the state. Nothing is in force before a majority of entries has applied it, so an
+// entry that a majority, itself included, has just confirmed to be no older than they are may go on:
+// either the control quorum is gone or only this entry's way to it. An entry that cannot reach a
+// majority is the one that is cut off, and takes no new work.
 #pragma once
 
 #include "hickoryspur/process/ReplicatedLog.h"
@@ -27,7 +28,7 @@
     MSGPACK_DEFINE(sentAt, durationMicros, term, commit, inForce, entries, state)
 };
 
-/** Asks another entry whether it, too, is without a lease. */
+/** Asks another entry how far it has applied the state. */
 struct OrphanQuery
 {
     NodeId from;
@@ -40,13 +41,12 @@
 {
     NodeId from;
     int64_t sentAt = 0;
-    bool hasLease = false;
     /** False on a process that has not held a lease since it started. */
     bool everLeased = false;
     LogIndex applied;
     /** The newer state, where the asker's is older. */
     std::string state;
-    MSGPACK_DEFINE(from, sentAt, hasLease, everLeased, applied, state)
+    MSGPACK_DEFINE(from, sentAt, everLeased, applied, state)
 };
 
 struct LeaseActions
@@ -66,8 +66,8 @@
     LeaseActions tick(TimePoint now);
     /** Notes a grant whose entries the caller has applied; applied is the index reached. */
     void granted(TimePoint now, const LeaseGrant &grant, const NodeId &leader, LogIndex applied);
-    OrphanReply answer(TimePoint now, const OrphanQuery &query) const;
-    void orphanReply(TimePoint now, const OrphanReply &reply);
+    OrphanReply answer(const OrphanQuery &query) const;
+    void orphanReply(const OrphanReply &reply);
     void setApplied(LogIndex applied) { m_applied = applied; }
     void setLeaving() { m_leaving = true; }
     /** Renews at the next tick, for example once a new state has been applied. */
@@ -95,8 +95,8 @@
     TimePoint m_nextQuery;
     bool m_everLeased = false;
     bool m_leaving = false;
-    /** When this entry asked each other one that then said it had no lease either. */
-    std::map<NodeId, TimePoint> m_orphans;
+    /** When this entry last asked each other one that then turned out to be no further than it. */
+    std::map<NodeId, TimePoint> m_confirmed;
 };
 
 } // namespace hickoryspur
--- a/src/process/ControlNode.cpp
+++ b/src/process/ControlNode.cpp
@@ -290,11 +290,11 @@
         break;
     case PeerMessageType::OrphanQuery:
         if (const auto query = unpack<OrphanQuery>(payload))
-            handleOrphanQuery(now, *query, result);
+            handleOrphanQuery(*query, result);
         break;
     case PeerMessageType::OrphanReply:
         if (const auto reply = unpack<OrphanReply>(payload))
-            handleOrphanReply(now, *reply);
+            handleOrphanReply(*reply);
         break;
     case PeerMessageType::Directory:
         if (const auto update = unpack<DirectoryUpdate>(payload))
@@ -386,15 +386,15 @@
     publishIfChanged(now, result);
 }
 
-void ControlNode::handleOrphanQuery(TimePoint now, const OrphanQuery &query, NodeActions &result)
+void ControlNode::handleOrphanQuery(const OrphanQuery &query, NodeActions &result)
 {
-    OrphanReply reply = m_holder.answer(now, query);
+    OrphanReply reply = m_holder.answer(query);
     if (reply.applied > query.applied)
         reply.state = m_entryState.serialize();
     send(query.from, PeerMessageType::OrphanReply, reply, result);
 }
 
-void ControlNode::handleOrphanReply(TimePoint now, const OrphanReply &reply)
+void ControlNode::handleOrphanReply(const OrphanReply &reply)
 {
     if (reply.applied > m_holder.applied() && !reply.state.empty()) {
         std::optional<ControlState> state = ControlState::deserialize(reply.state);
@@ -403,7 +403,7 @@
             m_holder.setApplied(reply.applied);
         }
     }
-    m_holder.orphanReply(now, reply);
+    m_holder.orphanReply(reply);
 }
 
 NodeActions ControlNode::announce(TimePoint now, const Announcement &announcement)
--- a/src/process/ControlThread.cpp
+++ b/src/process/ControlThread.cpp
@@ -66,7 +66,7 @@
             wrote = true;
         }
         if (actions.checkpoint) {
-            const Result<void> result = storage->saveCheckpoint(*actions.checkpoint);
+            const Result<void> result = storage->saveCheckpoint(*actions.checkpoint, CheckpointOrigin::MadeHere);
             LOG_IF(FATAL, !result) << "cannot write the checkpoint: " << result.error().message;
             HS_LOG(INFO, LogEvent::CheckpointWritten) << "up to entry " << actions.checkpoint->index;
         }
--- a/src/process/LogStorage.cpp
+++ b/src/process/LogStorage.cpp
@@ -20,7 +20,7 @@
 
 namespace fs = std::filesystem;
 
-constexpr const char *kLogFile = "log";
+constexpr const char *kLogPrefix = "log-after-";
 constexpr const char *kStateFile = "hard-state";
 constexpr const char *kCheckpointFile = "checkpoint";
 constexpr const char *kIdentityFile = "identity";
@@ -142,7 +142,7 @@
         return {};
     Result<void> result;
     if (actions.installCheckpoint)
-        result = storage.saveCheckpoint(*actions.installCheckpoint);
+        result = storage.saveCheckpoint(*actions.installCheckpoint, CheckpointOrigin::FromLeader);
     if (result && actions.truncateFrom)
         result = storage.truncateFrom(*actions.truncateFrom);
     if (result && !actions.append.empty())
@@ -199,6 +199,7 @@
     if (!checkpoint)
         return tl::unexpected(checkpoint.error());
     recovered.log.checkpoint = checkpoint->value_or(Checkpoint());
+    storage->m_follows = recovered.log.checkpoint.index;
     const auto hardState = readRecordFile<HardState>(folder, kStateFile);
     if (!hardState)
         return tl::unexpected(hardState.error());
@@ -211,14 +212,14 @@
 
 Result<void> FileLogStorage::openLog()
 {
-    const std::string path = m_folder + '/' + kLogFile;
+    const std::string path = logName();
     m_log = ::open(path.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     return m_log < 0 ? diskFailure(path) : syncFolder(m_folder);
 }
 
 Result<void> FileLogStorage::recoverEntries(RecoveredStorage &recovered)
 {
-    const std::string path = m_folder + '/' + kLogFile;
+    const std::string path = logName();
     const std::string bytes = readWhole(path).value_or("");
     LogIndex expected(recovered.log.checkpoint.index.value() + 1);
     size_t offset = 0;
@@ -232,16 +233,13 @@
             recovered.cutBytes = bytes.size() - offset;
             break;
         }
-        // Records that the checkpoint already covers were not yet compacted away; a later one must follow on.
-        if (entry->index > expected)
+        if (entry->index != expected)
             return failure(ResultCode::LogCorrupt,
                            path + ": offset " + std::to_string(offset) + " holds entry "
                                + std::to_string(entry->index.value()) + ", expected "
                                + std::to_string(expected.value()));
         m_offsets.emplace_back(entry->index, static_cast<int64_t>(offset));
         offset += kHeaderBytes + payload->size();
-        if (entry->index < expected)
-            continue;
         expected = LogIndex(expected.value() + 1);
         m_kept.push_back(*entry);
     }
@@ -262,7 +260,7 @@
     }
     m_end += static_cast<int64_t>(bytes.size());
     m_dirty = true;
-    return writeAll(m_log, bytes, m_folder + '/' + kLogFile);
+    return writeAll(m_log, bytes, logName());
 }
 
 Result<void> FileLogStorage::truncateFrom(LogIndex index)
@@ -275,7 +273,7 @@
     m_end = first->second;
     m_offsets.erase(first, m_offsets.end());
     m_dirty = true;
-    return ::ftruncate(m_log, m_end) == 0 ? Result<void>() : diskFailure(m_folder + '/' + kLogFile);
+    return ::ftruncate(m_log, m_end) == 0 ? Result<void>() : diskFailure(logName());
 }
 
 Result<void> FileLogStorage::saveHardState(const HardState &state)
@@ -283,23 +281,20 @@
     return replaceFile(m_folder, kStateFile, encodeRecord(pack(state)));
 }
 
-Result<void> FileLogStorage::saveCheckpoint(const Checkpoint &checkpoint)
+Result<void> FileLogStorage::saveCheckpoint(const Checkpoint &checkpoint, CheckpointOrigin origin)
 {
-    Result<void> result = replaceFile(m_folder, kCheckpointFile, encodeRecord(pack(checkpoint)));
-    if (!result)
-        return result;
-    // Entries that do not follow on from the checkpoint are void once it stands.
-    const LogIndex next(checkpoint.index.value() + 1);
-    if (!m_kept.empty() && m_kept.back().index < next)
+    const std::string oldLog = logName();
+    if (origin == CheckpointOrigin::FromLeader)
         m_kept.clear();
-    std::erase_if(m_kept, [next](const LogEntry &entry) { return entry.index < next; });
-    return rewriteEntries();
-}
-
-Result<void> FileLogStorage::compact(LogIndex upTo)
-{
-    std::erase_if(m_kept, [upTo](const LogEntry &entry) { return entry.index <= upTo; });
-    return rewriteEntries();
+    std::erase_if(m_kept, [&](const LogEntry &entry) { return entry.index <= checkpoint.index; });
+    m_follows = checkpoint.index;
+    // The new log is in place before the checkpoint names it, so a crash finds one pair or the other.
+    return rewriteEntries()
+        .and_then([&] { return replaceFile(m_folder, kCheckpointFile, encodeRecord(pack(checkpoint))); })
+        .map([&] {
+            if (oldLog != logName())
+                ::unlink(oldLog.c_str());
+        });
 }
 
 Result<void> FileLogStorage::rewriteEntries()
@@ -311,18 +306,24 @@
         bytes += encodeRecord(pack(entry));
     }
     m_end = static_cast<int64_t>(bytes.size());
-    return replaceFile(m_folder, kLogFile, bytes).and_then([&] {
+    const std::string name = kLogPrefix + std::to_string(m_follows.value());
+    return replaceFile(m_folder, name, bytes).and_then([&] {
         ::close(m_log);
         return openLog();
     });
 }
 
+std::string FileLogStorage::logName() const
+{
+    return m_folder + '/' + kLogPrefix + std::to_string(m_follows.value());
+}
+
 Result<void> FileLogStorage::sync()
 {
     if (!m_dirty)
         return {};
     m_dirty = false;
-    return ::fdatasync(m_log) == 0 ? Result<void>() : diskFailure(m_folder + '/' + kLogFile);
+    return ::fdatasync(m_log) == 0 ? Result<void>() : diskFailure(logName());
 }
 
 } // namespace hickoryspur
--- a/src/process/ReplicatedLog.cpp
+++ b/src/process/ReplicatedLog.cpp
@@ -148,21 +148,28 @@
             broadcast(now, actions);
         return actions;
     }
-    if (now < m_electionDeadline)
+    if (!isVoter()) {
+        askToJoin(now, actions);
         return actions;
-    resetElectionTimer(now);
-    if (isVoter()) {
+    }
+    if (now >= m_electionDeadline) {
+        resetElectionTimer(now);
         startPreVote(now, actions);
-        return actions;
     }
-    // A member outside the voters cannot elect anybody; it asks whoever leads to take it in.
-    if (!membership().isLearner(m_self))
-        for (const NodeId &node : m_controlNodes)
-            if (node != m_self.node)
-                actions.messages.push_back({node, makeMessage(LogMessageType::JoinRequest, m_hard.term)});
     return actions;
 }
 
+void ReplicatedLog::askToJoin(TimePoint now, LogActions &actions)
+{
+    // A timer of its own: the leader's heartbeats to this host's lost disk still arrive here.
+    if (membership().isLearner(m_self) || now < m_nextJoin)
+        return;
+    m_nextJoin = now + m_timing.electionTimeout;
+    for (const NodeId &node : m_controlNodes)
+        if (node != m_self.node)
+            actions.messages.push_back({node, makeMessage(LogMessageType::JoinRequest, m_hard.term)});
+}
+
 void ReplicatedLog::becomeFollower(Term term, TimePoint now, LogActions &actions)
 {
     if (m_role == Role::Leader)
@@ -289,15 +296,15 @@
     const bool preVote = message.kind() == LogMessageType::PreVoteRequest;
     // The leader's lease rests on this: whoever heard from a leader lately helps nobody else to lead.
     const bool bound = isLeader() ? holdsLease(now) : heardLeaderLately(now);
-    const bool known = membership().isVoter(message.from);
-    if (bound || !known || message.term < m_hard.term) {
+    if (bound || message.term < m_hard.term) {
         LogMessage reply = makeMessage(preVote ? LogMessageType::PreVoteReply : LogMessageType::VoteReply, m_hard.term);
         actions.messages.push_back({message.from.node, std::move(reply)});
         return;
     }
     if (!preVote && message.term > m_hard.term)
         becomeFollower(message.term, now, actions);
-    bool granted = logIsAtLeast(message.index, message.indexTerm) && isVoter();
+    // Who may vote is judged by the candidate's membership alone: this member's own may be an entry behind.
+    bool granted = logIsAtLeast(message.index, message.indexTerm);
     if (preVote) {
         granted = granted && message.term > m_hard.term;
     } else {
--- a/src/version/LeaseHolder.cpp
+++ b/src/version/LeaseHolder.cpp
@@ -59,30 +59,29 @@
     m_everLeased = true;
 }
 
-OrphanReply LeaseHolder::answer(TimePoint now, const OrphanQuery &query) const
+OrphanReply LeaseHolder::answer(const OrphanQuery &query) const
 {
     OrphanReply reply;
     reply.from = m_self;
     reply.sentAt = query.sentAt;
-    reply.hasLease = now < m_leaseEnds;
     reply.everLeased = m_everLeased;
     reply.applied = m_applied;
     return reply;
 }
 
-void LeaseHolder::orphanReply(TimePoint, const OrphanReply &reply)
+void LeaseHolder::orphanReply(const OrphanReply &reply)
 {
     // A newer state on the other side must be applied here first; the next question then counts.
-    if (reply.hasLease || !reply.everLeased || reply.applied > m_applied)
+    if (!reply.everLeased || reply.applied > m_applied)
         return;
-    TimePoint &asked = m_orphans[reply.from];
+    TimePoint &asked = m_confirmed[reply.from];
     asked = std::max(asked, TimePoint(Duration(reply.sentAt)));
 }
 
 std::optional<TimePoint> LeaseHolder::orphanEnds() const
 {
     std::vector<TimePoint> asked = {TimePoint::max()};
-    for (const auto &[entry, when] : m_orphans)
+    for (const auto &[entry, when] : m_confirmed)
         asked.push_back(when);
     const size_t majority = m_entries.size() / 2 + 1;
     if (asked.size() < majority)
--- /dev/null
+++ b/test/failure/ControlStateFailureTest.cpp
@@ -0,0 +1,174 @@
+#include "fakes/Commands.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace hickoryspur;
+
+class ControlStateFailureTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ControlStateFailureTest);
+    CPPUNIT_TEST(leader_isolatedSilently_stopsLeadingAndDisturbsNobodyOnReturn);
+    CPPUNIT_TEST(leader_isolatedSilently_answersNothingAsLeader);
+    CPPUNIT_TEST(disk_lostThenSecondHostLostAfterRepair_losesNothing);
+    CPPUNIT_TEST(restart_afterAThousandChanges_loadsCheckpointAndShortTail);
+    CPPUNIT_TEST(submit_acceptedThenLeaderDies_isStillAccepted);
+    CPPUNIT_TEST(submit_answerLostThenResentToAnotherHost_getsTheFirstOutcome);
+    CPPUNIT_TEST(submit_twoOperatorsUnderEqualNumbers_oneWins);
+    CPPUNIT_TEST(submit_resentAfterCheckpoint_getsTheFirstOutcome);
+    CPPUNIT_TEST_SUITE_END();
+
+    using Group = ControlGroup;
+
+    static size_t settle(Group &group)
+    {
+        CPPUNIT_ASSERT(group.runUntil(10s, [&] { return group.leader().has_value(); }));
+        group.run(1s);
+        return *group.leader();
+    }
+
+    static ApplyOutcome submitAndWait(Group &group, size_t index, const Command &command)
+    {
+        const uint64_t ticket = group.submit(index, command, CommandWait::Committed);
+        CPPUNIT_ASSERT(group.runUntil(10s, [&] { return group.outcome(ticket).has_value(); }));
+        return *group.outcome(ticket);
+    }
+
+public:
+    void leader_isolatedSilently_stopsLeadingAndDisturbsNobodyOnReturn()
+    {
+        Group group(3, 3, {}, 1);
+        const size_t old = settle(group);
+        group.links().isolate(group.name(old), group.names());
+        CPPUNIT_ASSERT(group.runUntil(10s, [&] { return group.leader() && *group.leader() != old; }));
+        group.run(600s);
+        const size_t leader = *group.leader();
+        const Term term = group.node(leader).log()->term();
+        group.links().heal();
+        group.run(5s);
+        CPPUNIT_ASSERT_EQUAL(leader, *group.leader());
+        CPPUNIT_ASSERT(term == group.node(leader).log()->term());
+        CPPUNIT_ASSERT(!group.node(old).log()->isLeader());
+    }
+
+    void leader_isolatedSilently_answersNothingAsLeader()
+    {
+        Group group(3, 3, {}, 2);
+        const size_t old = settle(group);
+        group.links().isolate(group.name(old), group.names());
+        const uint64_t ticket = group.submit(old, submitTrial("a: 1", "r1"), CommandWait::Committed);
+        group.run(20s);
+        CPPUNIT_ASSERT_EQUAL(ResultCode::NoLeader, group.outcome(ticket)->resultCode());
+        group.links().heal();
+        group.run(5s);
+        for (size_t i = 0; i < 3; ++i)
+            CPPUNIT_ASSERT(group.node(i).state().current(Environment::Trial) == nullptr);
+    }
+
+    void disk_lostThenSecondHostLostAfterRepair_losesNothing()
+    {
+        Group group(3, 3, {}, 3);
+        const size_t leader = settle(group);
+        const size_t first = (leader + 1) % 3;
+        const size_t second = (leader + 2) % 3;
+        const ApplyOutcome accepted = submitAndWait(group, leader, submitTrial("a: 1", "r1"));
+        CPPUNIT_ASSERT(accepted.ok());
+        group.loseDisk(first);
+        group.run(2s);
+        group.restart(first);
+        const auto repaired = [&] {
+            const auto now = group.leader();
+            return now && group.node(*now).log()->membership().isVoter(group.node(first).log()->self());
+        };
+        CPPUNIT_ASSERT(group.runUntil(20s, repaired));
+        group.run(1s);
+        group.loseDisk(second);
+        group.run(1s);
+        group.crash(leader);
+        group.restart(leader);
+        group.restart(second);
+        CPPUNIT_ASSERT(group.runUntil(20s, [&] { return group.leader().has_value(); }));
+        group.run(5s);
+        for (size_t i = 0; i < 3; ++i)
+            CPPUNIT_ASSERT_EQUAL(accepted.digest, group.node(i).state().current(Environment::Trial)->digest);
+    }
+
+    void restart_afterAThousandChanges_loadsCheckpointAndShortTail()
+    {
+        Group group(3, 3, {}, 4);
+        const size_t leader = settle(group);
+        uint64_t last = 0;
+        for (uint64_t i = 0; i < 1000; ++i)
+            last = group.submit(leader, claimKey("k" + std::to_string(i), "d", "n0", i), CommandWait::Committed);
+        CPPUNIT_ASSERT(group.runUntil(20s, [&] { return group.outcome(last).has_value(); }));
+        group.run(1s);
+        const size_t other = (leader + 1) % 3;
+        group.crash(other);
+        group.restart(other);
+        const ReplicatedLog *log = group.node(other).log();
+        CPPUNIT_ASSERT(log->lastIndex().value() > 1000);
+        CPPUNIT_ASSERT(log->lastIndex().value() + 1 - log->firstIndex().value() < 120);
+        group.run(3s);
+        CPPUNIT_ASSERT(group.node(other).state().claim("production/notices", "k999") != nullptr);
+    }
+
+    void submit_acceptedThenLeaderDies_isStillAccepted()
+    {
+        Group group(3, 3, {}, 5);
+        const size_t leader = settle(group);
+        const ApplyOutcome accepted = submitAndWait(group, leader, submitTrial("a: 1", "r1"));
+        group.crash(leader);
+        CPPUNIT_ASSERT(group.runUntil(10s, [&] { return group.leader().has_value(); }));
+        group.run(3s);
+        CPPUNIT_ASSERT_EQUAL(accepted.digest, group.node(*group.leader()).state().current(Environment::Trial)->digest);
+    }
+
+    void submit_answerLostThenResentToAnotherHost_getsTheFirstOutcome()
+    {
+        Group group(3, 5, {}, 6);
+        const size_t leader = settle(group);
+        const ApplyOutcome first = submitAndWait(group, 4, submitTrial("a: 1", "r1"));
+        group.crash(leader);
+        CPPUNIT_ASSERT(group.runUntil(10s, [&] { return group.leader().has_value(); }));
+        const ApplyOutcome again = submitAndWait(group, 3, submitTrial("a: 1", "r1"));
+        CPPUNIT_ASSERT(first.ok() && again.ok());
+        CPPUNIT_ASSERT_EQUAL(first.number, again.number);
+        const ApplyOutcome other = submitAndWait(group, 3, submitTrial("a: 2", "r1"));
+        CPPUNIT_ASSERT_EQUAL(ResultCode::KeyReused, other.resultCode());
+    }
+
+    void submit_twoOperatorsUnderEqualNumbers_oneWins()
+    {
+        Group group(3, 3, {}, 7);
+        settle(group);
+        const uint64_t one = group.submit(0, submitTrial("a: 1", "r1"), CommandWait::Committed);
+        const uint64_t two = group.submit(1, submitTrial("a: 2", "r2"), CommandWait::Committed);
+        group.run(5s);
+        CPPUNIT_ASSERT(group.outcome(one)->ok() != group.outcome(two)->ok());
+        const std::string winner = group.outcome(group.outcome(one)->ok() ? one : two)->digest;
+        // The loser knows the right number but not the winner's digest: a resend must not overwrite it.
+        const ApplyOutcome retry =
+            submitAndWait(group, 2, submitTrial("a: 3", "r3", 1, std::string(winner.size(), '0')));
+        CPPUNIT_ASSERT_EQUAL(ResultCode::PredecessorMismatch, retry.resultCode());
+        CPPUNIT_ASSERT_EQUAL(winner, group.node(0).state().current(Environment::Trial)->digest);
+    }
+
+    void submit_resentAfterCheckpoint_getsTheFirstOutcome()
+    {
+        Group group(3, 3, {}, 8);
+        const size_t leader = settle(group);
+        const ApplyOutcome first = submitAndWait(group, leader, submitTrial("a: 1", "r1"));
+        for (uint64_t i = 0; i < 200; ++i)
+            group.submit(leader, claimKey("k" + std::to_string(i), "d", "n0", i), CommandWait::Committed);
+        group.run(3s);
+        for (size_t i = 0; i < 3; ++i) {
+            group.crash(i);
+            group.restart(i);
+        }
+        settle(group);
+        const ApplyOutcome again = submitAndWait(group, 0, submitTrial("a: 1", "r1"));
+        CPPUNIT_ASSERT(again.ok());
+        CPPUNIT_ASSERT_EQUAL(first.number, again.number);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ControlStateFailureTest);
--- /dev/null
+++ b/test/failure/InForceFailureTest.cpp
@@ -0,0 +1,136 @@
+#include "fakes/Commands.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace hickoryspur;
+
+class InForceFailureTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(InForceFailureTest);
+    CPPUNIT_TEST(entry_cutOffAlone_stopsTakingWorkBeforeTheChangeIsInForce);
+    CPPUNIT_TEST(entries_controlQuorumGone_goOnServing);
+    CPPUNIT_TEST(entries_controlQuorumGoneAndBack_acceptChangesAgain);
+    CPPUNIT_TEST(entry_restartedWithoutControlQuorum_takesNoWork);
+    CPPUNIT_TEST(change_allEntriesUp_isInForceWithinTheBound);
+    CPPUNIT_TEST(change_oneEntrySilentlyGone_isInForceWithinTheBound);
+    CPPUNIT_TEST(change_leaderDiesBeforeItIsInForce_comesInForceUnderTheNext);
+    CPPUNIT_TEST(change_tooFewEntriesReachable_namesThem);
+    CPPUNIT_TEST_SUITE_END();
+
+    /** The users' bound of today for a change to be in force everywhere. */
+    static constexpr Duration kBound = 5s;
+
+    static size_t settle(ControlGroup &group)
+    {
+        CPPUNIT_ASSERT(group.runUntil(10s, [&] { return group.leader().has_value(); }));
+        group.run(3s);
+        return *group.leader();
+    }
+
+    static bool serves(ControlGroup &group, size_t index) { return group.node(index).servesUntil() > group.now(); }
+
+public:
+    void entry_cutOffAlone_stopsTakingWorkBeforeTheChangeIsInForce()
+    {
+        ControlGroup group(3, 7, {}, 11);
+        const size_t leader = settle(group);
+        group.links().isolate(group.name(6), group.names());
+        const uint64_t ticket = group.submit(leader, submitTrial("a: 1", "r1"), CommandWait::InForce, 10s);
+        CPPUNIT_ASSERT(group.runUntil(10s, [&] { return group.outcome(ticket).has_value(); }));
+        CPPUNIT_ASSERT(group.outcome(ticket)->ok());
+        CPPUNIT_ASSERT(!serves(group, 6));
+        CPPUNIT_ASSERT(serves(group, 5));
+    }
+
+    void entries_controlQuorumGone_goOnServing()
+    {
+        ControlGroup group(3, 7, {}, 12);
+        settle(group);
+        group.crash(0);
+        group.crash(1);
+        for (int i = 0; i < 120; ++i) {
+            group.run(500ms);
+            for (size_t entry = 2; entry < 7; ++entry)
+                CPPUNIT_ASSERT(serves(group, entry));
+        }
+    }
+
+    void entries_controlQuorumGoneAndBack_acceptChangesAgain()
+    {
+        ControlGroup group(3, 7, {}, 13);
+        settle(group);
+        group.crash(0);
+        group.crash(1);
+        group.run(30s);
+        group.restart(0);
+        group.restart(1);
+        settle(group);
+        const uint64_t ticket = group.submit(5, submitTrial("a: 1", "r1"), CommandWait::InForce, 10s);
+        CPPUNIT_ASSERT(group.runUntil(kBound, [&] { return group.outcome(ticket).has_value(); }));
+        CPPUNIT_ASSERT(group.outcome(ticket)->ok());
+    }
+
+    void entry_restartedWithoutControlQuorum_takesNoWork()
+    {
+        ControlGroup group(3, 7, {}, 14);
+        settle(group);
+        group.crash(0);
+        group.crash(1);
+        group.run(5s);
+        group.crash(6);
+        group.restart(6);
+        group.run(20s);
+        CPPUNIT_ASSERT(!serves(group, 6));
+    }
+
+    void change_allEntriesUp_isInForceWithinTheBound()
+    {
+        ControlGroup group(3, 7, {}, 15);
+        settle(group);
+        const uint64_t ticket = group.submit(4, submitTrial("a: 1", "r1"), CommandWait::InForce, 10s);
+        CPPUNIT_ASSERT(group.runUntil(kBound, [&] { return group.outcome(ticket).has_value(); }));
+        CPPUNIT_ASSERT(group.outcome(ticket)->ok());
+        for (size_t i = 0; i < 7; ++i)
+            CPPUNIT_ASSERT(group.node(i).state().current(Environment::Trial) != nullptr);
+    }
+
+    void change_oneEntrySilentlyGone_isInForceWithinTheBound()
+    {
+        ControlGroup group(3, 7, {}, 16);
+        const size_t leader = settle(group);
+        const size_t gone = leader == 6 ? 5 : 6;
+        group.links().isolate(group.name(gone), group.names());
+        const uint64_t ticket = group.submit(leader, submitTrial("a: 1", "r1"), CommandWait::InForce, 10s);
+        CPPUNIT_ASSERT(group.runUntil(kBound, [&] { return group.outcome(ticket).has_value(); }));
+        CPPUNIT_ASSERT(group.outcome(ticket)->ok());
+    }
+
+    void change_leaderDiesBeforeItIsInForce_comesInForceUnderTheNext()
+    {
+        ControlGroup group(3, 7, {}, 17);
+        const size_t leader = settle(group);
+        const uint64_t ticket = group.submit(leader, submitTrial("a: 1", "r1"), CommandWait::Committed);
+        CPPUNIT_ASSERT(group.runUntil(5s, [&] { return group.outcome(ticket).has_value(); }));
+        group.crash(leader);
+        const auto everywhere = [&] {
+            const auto now = group.leader();
+            const DocumentVersion *version = now ? group.node(*now).state().current(Environment::Trial) : nullptr;
+            return version && group.node(*now).leases().inForce().value() >= version->index;
+        };
+        CPPUNIT_ASSERT(group.runUntil(15s, everywhere));
+    }
+
+    void change_tooFewEntriesReachable_namesThem()
+    {
+        ControlGroup group(3, 7, {}, 18);
+        const size_t leader = settle(group);
+        for (size_t i = 3; i < 7; ++i)
+            group.links().isolate(group.name(i), group.names());
+        const uint64_t ticket = group.submit(leader, submitTrial("a: 1", "r1"), CommandWait::InForce, 5s);
+        CPPUNIT_ASSERT(group.runUntil(10s, [&] { return group.outcome(ticket).has_value(); }));
+        CPPUNIT_ASSERT_EQUAL(ResultCode::NotInForce, group.outcome(ticket)->resultCode());
+        CPPUNIT_ASSERT(group.outcome(ticket)->message.find("n5") != std::string::npos);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(InForceFailureTest);
--- /dev/null
+++ b/test/fakes/Commands.h
@@ -0,0 +1,39 @@
+// Commands as operators and entries make them, for the tests of control state.
+#pragma once
+
+#include "fakes/ControlGroup.h"
+#include "hickoryspur/process/Digest.h"
+
+namespace hickoryspur {
+
+inline Command submitTrial(const std::string &text, const std::string &requestId, uint64_t after = 0,
+                           const std::string &afterDigest = "")
+{
+    Command command;
+    command.type = static_cast<uint8_t>(CommandType::SubmitDocument);
+    command.environment = static_cast<uint8_t>(Environment::Trial);
+    command.text = text;
+    command.digest = sha256Hex(text);
+    command.requestId = requestId;
+    command.operatorName = "anu";
+    command.expectedNumber = after;
+    command.expectedDigest = afterDigest;
+    return command;
+}
+
+inline Command claimKey(const std::string &key, const std::string &digest, const std::string &entry, uint64_t ticket,
+                        int64_t expires = 1LL << 40)
+{
+    Command command;
+    command.type = static_cast<uint8_t>(CommandType::Claim);
+    command.subject = "production/notices";
+    command.key = key;
+    command.digest = digest;
+    command.operatorName = entry;
+    command.number = 7;
+    command.count = ticket;
+    command.expiresAtSeconds = expires;
+    return command;
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/test/fakes/MemoryDisk.cpp
@@ -0,0 +1,80 @@
+#include "fakes/MemoryDisk.h"
+
+#include <algorithm>
+
+namespace hickoryspur {
+
+MemoryDisk::MemoryDisk(MemberId self, Membership initial)
+    : m_self(std::move(self))
+{
+    m_written.checkpoint.membership = std::move(initial);
+    m_durable = m_written;
+}
+
+Result<void> MemoryDisk::saveCheckpoint(const Checkpoint &checkpoint, CheckpointOrigin origin)
+{
+    m_written.checkpoint = checkpoint;
+    if (origin == CheckpointOrigin::FromLeader)
+        m_written.entries.clear();
+    std::erase_if(m_written.entries, [&](const LogEntry &entry) { return entry.index <= checkpoint.index; });
+    // A checkpoint replaces whole files, which are synced before they take the old ones' place.
+    m_durable.checkpoint = m_written.checkpoint;
+    m_durable.entries = m_written.entries;
+    return {};
+}
+
+Result<void> MemoryDisk::truncateFrom(LogIndex index)
+{
+    std::erase_if(m_written.entries, [index](const LogEntry &entry) { return entry.index >= index; });
+    return {};
+}
+
+Result<void> MemoryDisk::append(const std::vector<LogEntry> &entries)
+{
+    m_written.entries.insert(m_written.entries.end(), entries.begin(), entries.end());
+    return {};
+}
+
+Result<void> MemoryDisk::saveHardState(const HardState &state)
+{
+    m_written.hardState = state;
+    m_durable.hardState = state;
+    return {};
+}
+
+Result<void> MemoryDisk::sync()
+{
+    m_durable = m_written;
+    return {};
+}
+
+void MemoryDisk::crash(std::mt19937_64 &random)
+{
+    // Of the appended but unsynced entries a prefix may have reached the disk; a torn one is cut off on recovery.
+    const size_t common = std::min(m_durable.entries.size(), m_written.entries.size());
+    const bool grown = m_written.entries.size() > m_durable.entries.size()
+        && std::equal(m_durable.entries.begin(), m_durable.entries.end(), m_written.entries.begin());
+    if (grown) {
+        std::uniform_int_distribution<size_t> survives(common, m_written.entries.size());
+        m_durable.entries.assign(m_written.entries.begin(),
+                                 m_written.entries.begin() + static_cast<int64_t>(survives(random)));
+    }
+    m_written = m_durable;
+}
+
+void MemoryDisk::lose(DiskIncarnation next)
+{
+    m_self.disk = next;
+    m_written = Contents();
+    m_durable = Contents();
+}
+
+RecoveredStorage MemoryDisk::recover() const
+{
+    RecoveredStorage recovered;
+    recovered.self = m_self;
+    recovered.log = {m_durable.hardState, m_durable.checkpoint, m_durable.entries};
+    return recovered;
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/test/fakes/RandomRuns.cpp
@@ -0,0 +1,173 @@
+#include "fakes/RandomRuns.h"
+
+#include "fakes/Commands.h"
+
+#include <set>
+#include <stdexcept>
+
+namespace hickoryspur {
+
+namespace {
+
+constexpr LinkFaults kRoughLinks{200us, 60ms, 0.05, 0.05};
+constexpr Duration kBetweenFaults = 700ms;
+constexpr Duration kRecovery = 60s;
+
+void require(bool condition, uint64_t seed, const std::string &what)
+{
+    if (!condition)
+        throw std::logic_error("seed " + std::to_string(seed) + ": " + what);
+}
+
+std::optional<size_t> anyUp(ControlGroup &group)
+{
+    std::vector<size_t> up;
+    for (size_t i = 0; i < group.size(); ++i)
+        if (group.isUp(i))
+            up.push_back(i);
+    if (up.empty())
+        return std::nullopt;
+    return up[group.random()() % up.size()];
+}
+
+/** Every node has applied all that is committed, and all have the same state. */
+void requireConverged(ControlGroup &group, uint64_t seed)
+{
+    group.calm();
+    const auto converged = [&] {
+        const auto leader = group.leader();
+        if (!leader)
+            return false;
+        const std::string state = group.node(*leader).state().serialize();
+        for (size_t i = 0; i < group.size(); ++i)
+            if (group.node(i).state().serialize() != state
+                || group.node(i).appliedIndex() != group.node(*leader).log()->commitIndex())
+                return false;
+        return true;
+    };
+    require(group.runUntil(kRecovery, converged), seed, "the nodes' states differ after the faults have ended");
+}
+
+/** With the faults over, a new document is accepted and comes in force everywhere. */
+void requireProgress(ControlGroup &group, uint64_t seed)
+{
+    const DocumentVersion *seen = group.node(0).state().current(Environment::Trial);
+    const Command command = submitTrial("# last", "last", seen ? seen->number : 0, seen ? seen->digest : std::string());
+    const uint64_t ticket = group.submit(0, command, CommandWait::InForce, kRecovery);
+    group.runUntil(kRecovery, [&] { return group.outcome(ticket).has_value(); });
+    const auto outcome = group.outcome(ticket);
+    require(outcome && outcome->ok(), seed, "no document comes in force after the faults have ended");
+}
+
+struct SentDocument
+{
+    uint64_t ticket = 0;
+    std::string digest;
+};
+
+} // namespace
+
+void runDocuments(uint64_t seed, uint64_t steps, Mutations mutations)
+{
+    ControlGroup group(3 + 2 * (seed % 2), 7, kRoughLinks, seed, mutations);
+    std::vector<SentDocument> sent;
+    for (uint64_t step = 0; step < steps; ++step) {
+        group.disturb();
+        for (int operatorNumber = 0; operatorNumber < 2; ++operatorNumber) {
+            const auto index = anyUp(group);
+            if (!index)
+                continue;
+            const DocumentVersion *seen = group.node(*index).state().current(Environment::Trial);
+            const std::string text = "# " + std::to_string(step) + '.' + std::to_string(operatorNumber);
+            const Command command =
+                submitTrial(text, text, seen ? seen->number : 0, seen ? seen->digest : std::string());
+            sent.push_back({group.submit(*index, command, CommandWait::InForce, 4s), sha256Hex(text)});
+        }
+        group.run(kBetweenFaults);
+    }
+    requireConverged(group, seed);
+    std::map<uint64_t, std::string> history;
+    for (const DocumentVersion &version : group.node(0).state().history(Environment::Trial))
+        history[version.number] = version.digest;
+    for (const SentDocument &document : sent) {
+        const auto outcome = group.outcome(document.ticket);
+        // One that is not in force in time is accepted all the same.
+        const bool acknowledged =
+            outcome && (outcome->ok() || (outcome->resultCode() == ResultCode::NotInForce && outcome->number > 0));
+        if (!acknowledged)
+            continue;
+        require(history[outcome->number] == document.digest, seed,
+                "document " + std::to_string(outcome->number) + " was acknowledged and is not in the history");
+    }
+    requireProgress(group, seed);
+}
+
+void runClaims(uint64_t seed, uint64_t steps, Mutations mutations)
+{
+    ControlGroup group(3 + 2 * (seed % 2), 7, kRoughLinks, seed, mutations);
+    std::map<std::string, std::vector<uint64_t>> tickets;
+    uint64_t number = 0;
+    for (uint64_t step = 0; step < steps; ++step) {
+        group.disturb();
+        for (int resend = 0; resend < 3; ++resend) {
+            const auto index = anyUp(group);
+            if (!index)
+                continue;
+            const std::string key = "key-" + std::to_string((step + group.random()() % 3) / 3);
+            const Command command = claimKey(key, "digest", group.name(*index).value(), ++number);
+            tickets[key].push_back(group.submit(*index, command, CommandWait::Committed, 3s));
+        }
+        group.run(kBetweenFaults);
+    }
+    requireConverged(group, seed);
+    size_t dispatched = 0;
+    for (const auto &[key, sent] : tickets) {
+        size_t granted = 0;
+        for (const uint64_t ticket : sent)
+            if (const auto outcome = group.outcome(ticket); outcome && outcome->ok() && outcome->number == 0)
+                ++granted;
+        require(granted <= 1, seed, key + " was granted " + std::to_string(granted) + " times");
+        dispatched += granted;
+    }
+    require(dispatched > 0, seed, "no claim was granted at all");
+}
+
+void runRepairs(uint64_t seed, uint64_t steps, Mutations mutations)
+{
+    ControlGroup group(3, 5, kRoughLinks, seed, mutations);
+    std::map<uint64_t, std::string> acknowledged;
+    for (uint64_t round = 0; round < steps / 10; ++round) {
+        require(group.runUntil(kRecovery, [&] { return group.leader().has_value(); }), seed, "no leader");
+        const DocumentVersion *seen = group.node(*group.leader()).state().current(Environment::Trial);
+        const std::string text = "# round " + std::to_string(round);
+        const uint64_t ticket = group.submit(
+            *group.leader(), submitTrial(text, text, seen ? seen->number : 0, seen ? seen->digest : std::string()),
+            CommandWait::Committed, 5s);
+        group.runUntil(6s, [&] { return group.outcome(ticket).has_value(); });
+        if (const auto outcome = group.outcome(ticket); outcome && outcome->ok())
+            acknowledged[outcome->number] = outcome->digest;
+        const size_t victim = group.random()() % 3;
+        group.loseDisk(victim);
+        group.run(Duration(static_cast<int64_t>(group.random()() % 2'000'000)));
+        group.restart(victim);
+        // The next disk goes right after this one's host votes again, while a healthy host restarts.
+        const auto repaired = [&] {
+            const auto leader = group.leader();
+            return leader && group.node(*leader).log()->membership().isVoter(group.node(victim).log()->self())
+                && !group.node(*leader).log()->membershipChangePending();
+        };
+        require(group.runUntil(kRecovery, repaired), seed, "a lost disk was not repaired");
+        const size_t other = (victim + 1 + group.random()() % 2) % 3;
+        group.crash(other);
+        group.restart(other);
+    }
+    requireConverged(group, seed);
+    std::map<uint64_t, std::string> history;
+    for (const DocumentVersion &version : group.node(0).state().history(Environment::Trial))
+        history[version.number] = version.digest;
+    for (const auto &[number, digest] : acknowledged)
+        require(history[number] == digest, seed, "document " + std::to_string(number) + " was lost in a repair");
+    require(!acknowledged.empty(), seed, "no document was accepted at all");
+}
+
+} // namespace hickoryspur
