--- a/test/fakes/RandomRuns.cpp
+++ b/test/fakes/RandomRuns.cpp
@@ -12,6 +12,7 @@
 constexpr LinkFaults kRoughLinks{200us, 60ms, 0.05, 0.05};
 constexpr Duration kBetweenFaults = 700ms;
 constexpr Duration kRecovery = 60s;
+constexpr Duration kPatience = 4s;
 
 void require(bool condition, uint64_t seed, const std::string &what)
 {
@@ -51,12 +52,15 @@
 /** With the faults over, a new document is accepted and comes in force everywhere. */
 void requireProgress(ControlGroup &group, uint64_t seed)
 {
+    // Documents that operators still wait for may be accepted until their patience ends.
+    group.run(kPatience + 1s);
     const DocumentVersion *seen = group.node(0).state().current(Environment::Trial);
     const Command command = submitTrial("# last", "last", seen ? seen->number : 0, seen ? seen->digest : std::string());
     const uint64_t ticket = group.submit(0, command, CommandWait::InForce, kRecovery);
     group.runUntil(kRecovery, [&] { return group.outcome(ticket).has_value(); });
     const auto outcome = group.outcome(ticket);
-    require(outcome && outcome->ok(), seed, "no document comes in force after the faults have ended");
+    require(outcome && outcome->ok(), seed,
+            "no document comes in force after the faults have ended: " + (outcome ? outcome->message : "no answer"));
 }
 
 struct SentDocument
@@ -81,10 +85,12 @@
             const std::string text = "# " + std::to_string(step) + '.' + std::to_string(operatorNumber);
             const Command command =
                 submitTrial(text, text, seen ? seen->number : 0, seen ? seen->digest : std::string());
-            sent.push_back({group.submit(*index, command, CommandWait::InForce, 4s), sha256Hex(text)});
+            sent.push_back({group.submit(*index, command, CommandWait::InForce, kPatience), sha256Hex(text)});
         }
         group.run(kBetweenFaults);
     }
+    group.calm();
+    requireProgress(group, seed);
     requireConverged(group, seed);
     std::map<uint64_t, std::string> history;
     for (const DocumentVersion &version : group.node(0).state().history(Environment::Trial))
@@ -99,7 +105,6 @@
         require(history[outcome->number] == document.digest, seed,
                 "document " + std::to_string(outcome->number) + " was acknowledged and is not in the history");
     }
-    requireProgress(group, seed);
 }
 
 void runClaims(uint64_t seed, uint64_t steps, Mutations mutations)
