Hedge again when a hedge meets a straggler too, and hedge from the first queries on

Cause: with 1% stragglers and 470 shards, 4.7% of queries draw two in a row for some shard, and a shard was hedged once only; and a shard was not hedged at all until eight samples of its own had been seen. Ruled out: the budget (the same queries missed with no budget at all).

--- a/include/hickoryspur/request/FanOut.h
+++ b/include/hickoryspur/request/FanOut.h
@@ -107,7 +107,6 @@
         std::optional<std::string> body;
         std::vector<uint32_t> tried;
         uint32_t running = 0;
-        bool hedged = false;
         bool wantsRetry = false;
         bool lost = false;
         TimePoint retryAt;
--- a/src/request/FanOut.cpp
+++ b/src/request/FanOut.cpp
@@ -159,16 +159,16 @@
 void FanOut::hedge(TimePoint now, uint32_t shard, FanOutActions &actions)
 {
     Shard &state = m_shards[shard];
+    // A hedge may meet a straggler too, and then the next replica is asked while there is one.
     const bool hasOther = state.tried.size() < m_config.plan.candidates[shard].size();
     if (!hasOther) {
-        state.hedged = true;
+        state.hedgeAt = TimePoint::max();
         return;
     }
     if (!m_hooks.takeExtra(now)) {
         state.hedgeAt = now + kRetryCheck;
         return;
     }
-    state.hedged = true;
     if (sendTo(now, shard, true, actions))
         ++m_hedges;
 }
@@ -228,7 +228,7 @@
             continue;
         if (state.wantsRetry && now >= state.retryAt)
             retry(now, shard, actions);
-        else if (!state.wantsRetry && !state.hedged && now >= state.hedgeAt)
+        else if (!state.wantsRetry && now >= state.hedgeAt)
             hedge(now, shard, actions);
     }
     scheduleWake(actions);
@@ -290,7 +290,7 @@
             continue;
         if (state.wantsRetry)
             wake = std::min(wake, state.retryAt);
-        else if (!state.hedged)
+        else
             wake = std::min(wake, state.hedgeAt);
     }
     actions.wakeAt = wake;
--- a/src/request/QueryService.cpp
+++ b/src/request/QueryService.cpp
@@ -132,12 +132,9 @@
     return options;
 }
 
-QueryService::Statistics &QueryService::statistics(Environment environment, const ServiceName &service, uint32_t shards)
+HedgeDelays &QueryService::delays(Environment environment, const ServiceName &service)
 {
-    Statistics &result = m_statistics[{environment, service}];
-    if (result.shards.size() < shards)
-        result.shards.resize(shards);
-    return result;
+    return m_delays[{environment, service}];
 }
 
 double QueryService::cost(const UpstreamView &upstream) const
@@ -157,7 +154,7 @@
     FanOutHooks hooks;
     hooks.nextId = [this] { return m_router.nextId(); };
     hooks.hedgeDelay = [this, environment = request.environment, name = request.service](uint32_t shard) {
-        return statistics(environment, name, shard + 1).shards[shard].value();
+        return delays(environment, name).delay(shard);
     };
     hooks.takeExtra = [this](TimePoint now) { return m_budget.takeExtra(now); };
     hooks.cost = [this, service](uint32_t upstream) { return cost(service().upstreams[upstream]); };
@@ -199,7 +196,7 @@
                       const TimePoint end = monotonicNow();
                       m_scores.ended(end, id, reply.kind(), end - now);
                       if (reply.kind() == SubOutcome::Ok)
-                          statistics(environment, name, shard + 1).shards[shard].add(end - now);
+                          delays(environment, name).add(shard, end - now);
                       mailbox->replies.push_back(reply);
                       mailbox->changed.notify_all();
                   });
--- a/src/request/QueryService.h
+++ b/src/request/QueryService.h
@@ -7,7 +7,7 @@
 #include "hickoryspur/request/Admission.h"
 #include "hickoryspur/request/ExtraBudget.h"
 #include "hickoryspur/request/FanOut.h"
-#include "hickoryspur/request/LatencyQuantile.h"
+#include "hickoryspur/request/HedgeDelays.h"
 #include "hickoryspur/request/UpstreamScores.h"
 #include "request/SubRequestRouter.h"
 
@@ -88,11 +88,6 @@
         std::vector<SubReply> replies;
         std::optional<ResultCode> admission;
     };
-    struct Statistics
-    {
-        std::vector<LatencyQuantile> shards;
-    };
-
     std::optional<Failure> refusal(Environment environment, const ServiceName &service, const CallerName &caller) const;
     ResultCode admit(const CallerName &caller, uint32_t weight, TimePoint deadline, QueryNumber number);
     void carryOut(const AdmissionActions &actions);
@@ -102,7 +97,7 @@
     PlanOptions planOptions(const ServiceConfig &config) const;
     void send(const View &view, const ServiceView &service, const FanOutSend &send, const QueryRequest &request,
               const std::shared_ptr<Mailbox> &mailbox);
-    Statistics &statistics(Environment environment, const ServiceName &service, uint32_t shards);
+    HedgeDelays &delays(Environment environment, const ServiceName &service);
     double cost(const UpstreamView &upstream) const;
     ApplyOutcome commitAndWait(Command command, Duration patience);
     ServiceAnswer runAction(const ActionRequest &request, const UpstreamView &upstream, MapGeneration generation,
@@ -119,7 +114,7 @@
     /** Restarts of whole queries, counted in queries. */
     ExtraBudget m_restartBudget;
     UpstreamScores m_scores;
-    std::map<std::pair<Environment, ServiceName>, Statistics> m_statistics;
+    std::map<std::pair<Environment, ServiceName>, HedgeDelays> m_delays;
     std::map<QueryNumber, std::shared_ptr<Mailbox>> m_waiting;
     QueryNumber m_nextQuery = 1;
     size_t m_runningCount = 0;
--- /dev/null
+++ b/test/fakes/VirtualTime.h
@@ -0,0 +1,45 @@
+// An event loop in virtual time: what is due first runs first, and nothing waits for a clock.
+#pragma once
+
+#include "hickoryspur/process/Time.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace hickoryspur {
+
+class VirtualTime
+{
+public:
+    TimePoint now() const { return m_now; }
+    void after(Duration delay, std::function<void()> event) { m_events.emplace(m_now + delay, std::move(event)); }
+    void at(TimePoint time, std::function<void()> event) { m_events.emplace(std::max(time, m_now), std::move(event)); }
+
+    void runUntil(TimePoint end)
+    {
+        while (!m_events.empty() && m_events.begin()->first <= end) {
+            auto first = m_events.extract(m_events.begin());
+            m_now = first.key();
+            first.mapped()();
+        }
+        m_now = std::max(m_now, end);
+    }
+
+private:
+    TimePoint m_now{Duration(1'000'000'000)};
+    std::multimap<TimePoint, std::function<void()>> m_events;
+};
+
+/** The value below which a share of the samples lies, in milliseconds; the samples are sorted. */
+inline double percentileMs(std::vector<Duration> &samples, double share)
+{
+    if (samples.empty())
+        return 0;
+    std::sort(samples.begin(), samples.end());
+    const auto position = static_cast<size_t>(share * static_cast<double>(samples.size() - 1));
+    return toMilliseconds(samples[position]);
+}
+
+} // namespace hickoryspur
