--- a/test/TestMain.cpp
+++ b/test/TestMain.cpp
@@ -8,10 +8,13 @@
 
 #include <glog/logging.h>
 
+#include <cstdlib>
 #include <iostream>
 
 int main(int argc, char **argv)
 {
+    // Property tests draw the same cases in every run; RC_PARAMS from outside goes first.
+    ::setenv("RC_PARAMS", "seed=20261204", 0);
     FLAGS_logtostderr = true;
     FLAGS_minloglevel = google::GLOG_ERROR;
     google::InitGoogleLogging(argv[0]);
--- /dev/null
+++ b/test/failure/ConnectionPolicyFailureTest.cpp
@@ -0,0 +1,75 @@
+#include "hickoryspur/connection/ConnectionPolicy.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace hickoryspur;
+
+class ConnectionPolicyFailureTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ConnectionPolicyFailureTest);
+    CPPUNIT_TEST(connection_silentInFlight_isAbandoned);
+    CPPUNIT_TEST(connection_silentWhileIdle_isProbedThenAbandoned);
+    CPPUNIT_TEST(connection_anotherWentSilent_isProbedBeforeItIsUsed);
+    CPPUNIT_TEST(connection_slowButAlive_isKept);
+    CPPUNIT_TEST(connections_atTheLimit_noneIsAdded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override { m_policy = ConnectionPolicy(3); }
+
+    void connection_silentInFlight_isAbandoned()
+    {
+        const ConnectionId id = *m_policy.add(m_now);
+        m_policy.noteLatency(5ms);
+        CPPUNIT_ASSERT(m_policy.tick(m_now + ConnectionPolicy::kLeastSilence).abandon.empty());
+        const ConnectionActions actions = m_policy.tick(m_now + ConnectionPolicy::kLeastSilence + 1ms);
+        CPPUNIT_ASSERT(actions.abandon == std::vector<ConnectionId>{id});
+        CPPUNIT_ASSERT(m_policy.add(m_now).has_value());
+    }
+
+    void connection_silentWhileIdle_isProbedThenAbandoned()
+    {
+        const ConnectionId id = *m_policy.add(m_now);
+        m_policy.becameIdle(m_now, id);
+        const TimePoint later = m_now + ConnectionPolicy::kProbeAfter + 1ms;
+        CPPUNIT_ASSERT(m_policy.tick(later).probe == std::vector<ConnectionId>{id});
+        CPPUNIT_ASSERT(!m_policy.takeIdle(later));
+        const ConnectionActions actions = m_policy.tick(later + ConnectionPolicy::kProbePatience + 1ms);
+        CPPUNIT_ASSERT(actions.abandon == std::vector<ConnectionId>{id});
+    }
+
+    void connection_anotherWentSilent_isProbedBeforeItIsUsed()
+    {
+        const ConnectionId idle = *m_policy.add(m_now);
+        const ConnectionId busy = *m_policy.add(m_now);
+        m_policy.becameIdle(m_now, idle);
+        const ConnectionActions actions = m_policy.tick(m_now + 200ms);
+        CPPUNIT_ASSERT(actions.abandon == std::vector<ConnectionId>{busy});
+        m_policy.becameIdle(m_now - 1ms, idle);
+        CPPUNIT_ASSERT(!m_policy.takeIdle(m_now + 201ms));
+        CPPUNIT_ASSERT(m_policy.tick(m_now + 202ms).probe == std::vector<ConnectionId>{idle});
+        m_policy.becameIdle(m_now + 203ms, idle);
+        CPPUNIT_ASSERT(m_policy.takeIdle(m_now + 204ms) == idle);
+    }
+
+    void connection_slowButAlive_isKept()
+    {
+        const ConnectionId id = *m_policy.add(m_now);
+        m_policy.noteLatency(100ms);
+        m_policy.bytesSeen(m_now + 600ms, id);
+        CPPUNIT_ASSERT(m_policy.tick(m_now + 1200ms).abandon.empty());
+    }
+
+    void connections_atTheLimit_noneIsAdded()
+    {
+        for (int i = 0; i < 3; ++i)
+            CPPUNIT_ASSERT(m_policy.add(m_now));
+        CPPUNIT_ASSERT(!m_policy.add(m_now));
+    }
+
+private:
+    TimePoint m_now{Duration(10'000'000)};
+    ConnectionPolicy m_policy{3};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionPolicyFailureTest);
--- /dev/null
+++ b/test/failure/LogStorageFailureTest.cpp
@@ -0,0 +1,144 @@
+#include "hickoryspur/process/LogStorage.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <filesystem>
+#include <fstream>
+
+using namespace hickoryspur;
+
+class LogStorageFailureTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LogStorageFailureTest);
+    CPPUNIT_TEST(log_reopened_holdsWhatWasSynced);
+    CPPUNIT_TEST(log_tornTail_isCutOff);
+    CPPUNIT_TEST(log_damagedInTheMiddle_refusesAndNamesFileAndOffset);
+    CPPUNIT_TEST(log_checkpointFromLeader_dropsTheOldTail);
+    CPPUNIT_TEST(log_checkpointMadeHere_keepsTheTail);
+    CPPUNIT_TEST(folder_formattedTwice_isRefused);
+    CPPUNIT_TEST(folder_ofAnotherNode_isRefused);
+    CPPUNIT_TEST(folder_empty_isANewDiskOutsideAnyMembership);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::unique_ptr<FileLogStorage> open()
+    {
+        m_recovered = RecoveredStorage();
+        auto storage = FileLogStorage::open(m_folder, NodeId("a"), 77, m_recovered);
+        if (!storage) {
+            m_failure = storage.error();
+            return nullptr;
+        }
+        return std::move(*storage);
+    }
+
+    static std::vector<LogEntry> entries(uint64_t first, uint64_t last)
+    {
+        std::vector<LogEntry> result;
+        for (uint64_t i = first; i <= last; ++i)
+            result.push_back({LogIndex(i), Term(1), 0, "entry " + std::to_string(i)});
+        return result;
+    }
+
+    std::string logFile(uint64_t after) const { return m_folder + "/log-after-" + std::to_string(after); }
+
+    void write(uint64_t first, uint64_t last)
+    {
+        const auto storage = open();
+        CPPUNIT_ASSERT(storage->append(entries(first, last)) && storage->sync());
+    }
+
+public:
+    void setUp() override
+    {
+        m_folder =
+            (std::filesystem::temp_directory_path() / ("hickoryspur-test-" + std::to_string(::getpid()))).string();
+        std::filesystem::remove_all(m_folder);
+        CPPUNIT_ASSERT(FileLogStorage::format(m_folder, NodeId("a"), {NodeId("a"), NodeId("b"), NodeId("c")}));
+    }
+
+    void tearDown() override { std::filesystem::remove_all(m_folder); }
+
+    void log_reopened_holdsWhatWasSynced()
+    {
+        write(1, 5);
+        CPPUNIT_ASSERT(open());
+        CPPUNIT_ASSERT(m_recovered.log.entries == entries(1, 5));
+        CPPUNIT_ASSERT_EQUAL(size_t(3), m_recovered.log.checkpoint.membership.voters.size());
+    }
+
+    void log_tornTail_isCutOff()
+    {
+        write(1, 5);
+        std::filesystem::resize_file(logFile(0), std::filesystem::file_size(logFile(0)) - 3);
+        CPPUNIT_ASSERT(open());
+        CPPUNIT_ASSERT(m_recovered.log.entries == entries(1, 4));
+        CPPUNIT_ASSERT(m_recovered.cutBytes > 0);
+        write(5, 6);
+        CPPUNIT_ASSERT(open());
+        CPPUNIT_ASSERT(m_recovered.log.entries == entries(1, 6));
+    }
+
+    void log_damagedInTheMiddle_refusesAndNamesFileAndOffset()
+    {
+        write(1, 5);
+        std::fstream file(logFile(0), std::ios::in | std::ios::out | std::ios::binary);
+        file.seekp(20);
+        file.put('\x7f');
+        file.close();
+        CPPUNIT_ASSERT(!open());
+        CPPUNIT_ASSERT_EQUAL(ResultCode::LogCorrupt, m_failure.code);
+        CPPUNIT_ASSERT(m_failure.message.find("log-after-0: the record at offset 0") != std::string::npos);
+    }
+
+    void log_checkpointFromLeader_dropsTheOldTail()
+    {
+        write(1, 9);
+        Checkpoint checkpoint;
+        checkpoint.index = LogIndex(5);
+        checkpoint.term = Term(2);
+        CPPUNIT_ASSERT(open()->saveCheckpoint(checkpoint, CheckpointOrigin::FromLeader));
+        CPPUNIT_ASSERT(open());
+        CPPUNIT_ASSERT(m_recovered.log.entries.empty());
+        CPPUNIT_ASSERT_EQUAL(uint64_t(5), m_recovered.log.checkpoint.index.value());
+    }
+
+    void log_checkpointMadeHere_keepsTheTail()
+    {
+        write(1, 9);
+        Checkpoint checkpoint;
+        checkpoint.index = LogIndex(5);
+        checkpoint.term = Term(1);
+        CPPUNIT_ASSERT(open()->saveCheckpoint(checkpoint, CheckpointOrigin::MadeHere));
+        CPPUNIT_ASSERT(open());
+        CPPUNIT_ASSERT(m_recovered.log.entries == entries(6, 9));
+        CPPUNIT_ASSERT(!std::filesystem::exists(logFile(0)));
+    }
+
+    void folder_formattedTwice_isRefused()
+    {
+        CPPUNIT_ASSERT_EQUAL(ResultCode::DiskFailed,
+                             FileLogStorage::format(m_folder, NodeId("a"), {NodeId("a")}).error().code);
+    }
+
+    void folder_ofAnotherNode_isRefused()
+    {
+        RecoveredStorage recovered;
+        const auto storage = FileLogStorage::open(m_folder, NodeId("b"), 78, recovered);
+        CPPUNIT_ASSERT_EQUAL(ResultCode::LogCorrupt, storage.error().code);
+    }
+
+    void folder_empty_isANewDiskOutsideAnyMembership()
+    {
+        std::filesystem::remove_all(m_folder);
+        CPPUNIT_ASSERT(open());
+        CPPUNIT_ASSERT_EQUAL(uint64_t(77), m_recovered.self.disk.value());
+        CPPUNIT_ASSERT(m_recovered.log.checkpoint.membership.voters.empty());
+    }
+
+private:
+    std::string m_folder;
+    RecoveredStorage m_recovered;
+    Failure m_failure;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LogStorageFailureTest);
