Move traffic onto new versions in stages, and keep the burn book

The judge adds up log-likelihood evidence window by window for each route and for all together, and wants it to remain without the worst upstream and the worst shard.

--- a/include/hickoryspur/process/ControlNode.h
+++ b/include/hickoryspur/process/ControlNode.h
@@ -9,8 +9,10 @@
 #include "hickoryspur/process/PeerMessage.h"
 #include "hickoryspur/process/Settings.h"
 #include "hickoryspur/process/View.h"
+#include "hickoryspur/version/BurnBook.h"
 #include "hickoryspur/version/LeaseHolder.h"
 #include "hickoryspur/version/LeaseTable.h"
+#include "hickoryspur/version/MoveKeeper.h"
 
 #include <functional>
 #include <map>
@@ -67,6 +69,12 @@
     NodeActions announce(TimePoint now, const Announcement &announcement);
     /** Has a command committed, or brought in force, and answers the ticket; resends until it is answered. */
     NodeActions submit(TimePoint now, uint64_t ticket, Command command, CommandWait wait, Duration patience);
+    /** What this entry's traffic threads have seen; goes to every control host. */
+    NodeActions observe(const ObservationBatch &batch);
+    /** A control host's book of answers, as saved before its restart. */
+    void restoreBurn(BurnBook book) { m_burn = std::move(book); }
+    const BurnBook &burn() const { return m_burn; }
+    const MoveKeeper &moves() const { return m_moves; }
     void setLeaving() { m_holder.setLeaving(); }
 
     TimePoint servesUntil() const { return m_holder.servesUntil(); }
@@ -107,7 +115,8 @@
     void leaderDuties(TimePoint now, NodeActions &result);
     void proposeHousekeeping(TimePoint now, NodeActions &result);
     void repairMembership(TimePoint now, NodeActions &result);
-    std::optional<Command> nextHousekeeping(TimePoint now) const;
+    std::optional<Command> nextHousekeeping(TimePoint now);
+    std::optional<Command> nextMove(TimePoint now);
     std::optional<Command> nextShardMap() const;
     std::optional<Command> nextEntryChange(TimePoint now) const;
     void checkpointIfDue(NodeActions &result);
@@ -136,6 +145,9 @@
     LeaseHolder m_holder;
     UpstreamDirectory m_directory;
     ViewBuilder m_views;
+    DocumentCache m_documents;
+    MoveKeeper m_moves;
+    BurnBook m_burn;
     LogIndex m_inForce;
     std::optional<NodeId> m_leader;
     std::map<uint64_t, Ticket> m_tickets;
--- a/include/hickoryspur/process/ControlState.h
+++ b/include/hickoryspur/process/ControlState.h
@@ -167,6 +167,7 @@
     ApplyOutcome setShardMap(const Command &command);
     ApplyOutcome claimKey(const Command &command);
     ApplyOutcome finishClaim(const Command &command);
+    ApplyOutcome revive(const Command &command);
     ApplyOutcome setEntry(const Command &command, bool up);
     ApplyOutcome markTried(const Command &command);
     void startHomeEpoch();
--- a/include/hickoryspur/process/View.h
+++ b/include/hickoryspur/process/View.h
@@ -5,7 +5,7 @@
 
 #include "hickoryspur/process/Settings.h"
 #include "hickoryspur/request/QueryPlan.h"
-#include "hickoryspur/version/Document.h"
+#include "hickoryspur/version/DocumentCache.h"
 
 #include <map>
 #include <memory>
@@ -78,11 +78,12 @@
     NodeId home(const Announcement &upstream, const EntrySet &entries, const std::set<std::string> &out) const;
     void addUpstream(View &view, const ControlState &state, const Announcement &announcement, bool settling);
     void addDocument(View &view, const ControlState &state, Environment environment);
+    void addShares(View &view, const ControlState &state) const;
     void addShardMaps(View &view, const ControlState &state) const;
     void addEntries(View &view, const ControlState &state) const;
 
     const Settings &m_settings;
-    std::map<std::string, Document> m_parsed;
+    DocumentCache m_documents;
     std::map<std::string, uint64_t> m_newestSnapshots;
 };
 
--- /dev/null
+++ b/include/hickoryspur/version/Observation.h
@@ -0,0 +1,72 @@
+// What entries report about the traffic they carried, batched, to the control hosts: sub-requests by
+// service, version, route, upstream and shard for the judging of versions, and answers by service and
+// caller for the burn report.
+#pragma once
+
+#include "hickoryspur/process/Ids.h"
+#include "hickoryspur/version/LatencyHistogram.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hickoryspur {
+
+struct Tally
+{
+    uint64_t requests = 0;
+    uint64_t failures = 0;
+    /** Refused for load by the upstream or its gate; no evidence against a version. */
+    uint64_t refused = 0;
+    LatencyHistogram latency;
+    MSGPACK_DEFINE(requests, failures, refused, latency)
+
+    void merge(const Tally &other);
+};
+
+/** Sub-requests of one version on one route, by the upstream and the shard that they went to. */
+struct RouteObservation
+{
+    std::map<std::string, Tally> byUpstream;
+    std::map<uint32_t, Tally> byShard;
+    MSGPACK_DEFINE(byUpstream, byShard)
+
+    void merge(const RouteObservation &other);
+    Tally total() const;
+};
+
+/** By route, which is the caller's name. */
+using VersionObservation = std::map<std::string, RouteObservation>;
+
+struct AnswerTally
+{
+    uint64_t answers = 0;
+    uint64_t late = 0;
+    uint64_t partial = 0;
+    uint64_t refused = 0;
+    LatencyHistogram latency;
+    MSGPACK_DEFINE(answers, late, partial, refused, latency)
+
+    void merge(const AnswerTally &other);
+};
+
+struct ServiceObservation
+{
+    std::map<std::string, VersionObservation> versions;
+    std::map<std::string, AnswerTally> answers;
+    MSGPACK_DEFINE(versions, answers)
+
+    void merge(const ServiceObservation &other);
+};
+
+/** By service, of the production environment. */
+struct ObservationBatch
+{
+    std::map<std::string, ServiceObservation> services;
+    MSGPACK_DEFINE(services)
+
+    void merge(const ObservationBatch &other);
+    bool empty() const { return services.empty(); }
+};
+
+} // namespace hickoryspur
--- a/src/app/EntryProcess.cpp
+++ b/src/app/EntryProcess.cpp
@@ -140,6 +140,7 @@
                               m_traffic.at(index)->post([done, outcome] { done(outcome); });
                           });
     };
+    hooks.observe = [this](ObservationBatch batch) { m_control->observe(std::move(batch)); };
     hooks.channels = httpChannelFactory;
     hooks.listen = [this](boost::asio::io_context &context, QueryService &service) -> Result<void> {
         auto server = HttpCallerServer::listen(
--- a/src/process/ControlNode.cpp
+++ b/src/process/ControlNode.cpp
@@ -182,7 +182,7 @@
     take(now, std::move(actions), result);
 }
 
-std::optional<Command> ControlNode::nextHousekeeping(TimePoint now) const
+std::optional<Command> ControlNode::nextHousekeeping(TimePoint now)
 {
     std::optional<Command> command = nextEntryChange(now);
     if (!command)
@@ -193,9 +193,36 @@
         command->type = static_cast<uint8_t>(CommandType::MarkTried);
         command->digest = trial->digest;
     }
+    return command ? command : nextMove(now);
+}
+
+std::optional<Command> ControlNode::nextMove(TimePoint now)
+{
+    m_moves.follow(now, m_logState.moves());
+    const DocumentVersion *production = m_logState.current(Environment::Production);
+    if (!production)
+        return std::nullopt;
+    const auto next = m_moves.next(now, m_wallSeconds, m_documents.get(*production), production->number);
+    if (!next)
+        return std::nullopt;
+    const auto &[service, state] = *next;
+    HS_LOG(INFO, LogEvent::MoveStarted) << service << ": " << moveStatusName(state.kind()) << " to " << state.to
+                                        << ", share " << state.share() << ' ' << state.reason;
+    Command command;
+    command.type = static_cast<uint8_t>(CommandType::SetMove);
+    command.subject = service;
+    command.text = pack(state);
     return command;
 }
 
+NodeActions ControlNode::observe(const ObservationBatch &batch)
+{
+    NodeActions result;
+    for (const NodeId &node : m_config.settings.controlNodes())
+        send(node, PeerMessageType::Observations, batch, result);
+    return result;
+}
+
 std::optional<Command> ControlNode::nextEntryChange(TimePoint now) const
 {
     for (const NodeId &entry : m_leases.entries()) {
@@ -300,6 +327,12 @@
         if (const auto update = unpack<DirectoryUpdate>(payload))
             handleDirectory(now, message.from, *update, result);
         break;
+    case PeerMessageType::Observations:
+        if (const auto batch = unpack<ObservationBatch>(payload); batch && m_log) {
+            m_burn.add(m_wallSeconds, *batch);
+            m_moves.observe(*batch);
+        }
+        break;
     case PeerMessageType::CommandRequest:
         if (const auto request = unpack<CommandRequest>(payload))
             handleCommand(now, message.from, *request, result);
--- a/src/process/ControlState.cpp
+++ b/src/process/ControlState.cpp
@@ -111,8 +111,7 @@
         m_moves[command.subject] = command.text;
         return {};
     case CommandType::ReviveVersion:
-        m_moves.erase(command.subject);
-        return {};
+        return revive(command);
     case CommandType::EntryUp:
         return setEntry(command, true);
     case CommandType::EntryDown:
@@ -248,6 +247,16 @@
     return {};
 }
 
+ApplyOutcome ControlState::revive(const Command &command)
+{
+    const auto move = m_moves.find(command.subject);
+    // The new state was made from the one that the operator saw; another one meanwhile goes first.
+    if (move == m_moves.end() || sha256Hex(move->second) != command.expectedDigest)
+        return refuse(ResultCode::PredecessorMismatch, "the move has changed meanwhile; look at it again");
+    move->second = command.text;
+    return {0, "accepted", m_index, ""};
+}
+
 ApplyOutcome ControlState::setEntry(const Command &command, bool up)
 {
     const auto found = m_entries.find(command.subject);
--- a/src/process/ControlThread.cpp
+++ b/src/process/ControlThread.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdio>
+#include <fstream>
 #include <thread>
 #include <unordered_map>
 
@@ -17,6 +19,8 @@
 namespace asio = boost::asio;
 
 constexpr Duration kTick = 10ms;
+constexpr Duration kBurnSaveInterval = 20s;
+constexpr const char *kBurnFile = "/burn";
 
 } // namespace
 
@@ -34,6 +38,8 @@
     bool flushPosted = false;
     std::atomic<int64_t> servesUntilMicros{0};
     ServingRight lastRight = ServingRight::None;
+    std::string burnFile;
+    TimePoint nextBurnSave;
     std::thread thread;
 
     void take(NodeActions actions);
@@ -41,6 +47,8 @@
     bool writeLog(const std::vector<NodeActions> &batch);
     void finishBatch(std::vector<NodeActions> &batch);
     void noteRight();
+    void loadBurn(const std::string &folder);
+    void saveBurnIfDue(TimePoint now);
     void startTimer();
     void onTimer();
 };
@@ -134,9 +142,30 @@
     const TimePoint now = monotonicNow();
     hooks.tick(now);
     take(node->tick(now, wallClockSeconds()));
+    saveBurnIfDue(now);
     startTimer();
 }
 
+void ControlThread::State::loadBurn(const std::string &folder)
+{
+    burnFile = folder + kBurnFile;
+    nextBurnSave = monotonicNow() + kBurnSaveInterval;
+    if (const Result<std::string> bytes = readFile(burnFile))
+        if (std::optional<BurnBook> book = BurnBook::deserialize(*bytes))
+            node->restoreBurn(std::move(*book));
+}
+
+void ControlThread::State::saveBurnIfDue(TimePoint now)
+{
+    if (burnFile.empty() || now < nextBurnSave)
+        return;
+    nextBurnSave = now + kBurnSaveInterval;
+    // A report may lose its last seconds in a crash, so nothing waits for this write.
+    const std::string temporary = burnFile + ".new";
+    std::ofstream(temporary, std::ios::binary) << node->burn().serialize();
+    std::rename(temporary.c_str(), burnFile.c_str());
+}
+
 ControlThread::ControlThread(std::unique_ptr<State> state)
     : m_state(std::move(state))
 {
@@ -171,6 +200,8 @@
     config.incarnation = incarnation;
     config.seed = incarnation;
     state->node = std::make_unique<ControlNode>(std::move(config), std::move(recovered), monotonicNow());
+    if (settings.self().control)
+        state->loadBurn(settings.dataFolder);
     state->startTimer();
     state->thread = std::thread([raw] { raw->context.run(); });
     return std::unique_ptr<ControlThread>(new ControlThread(std::move(state)));
@@ -208,6 +239,12 @@
                [state = m_state.get(), reader = std::move(reader)] { reader(*state->node, monotonicNow()); });
 }
 
+void ControlThread::observe(ObservationBatch batch)
+{
+    asio::post(m_state->context,
+               [state = m_state.get(), batch = std::move(batch)] { state->take(state->node->observe(batch)); });
+}
+
 void ControlThread::setLeaving()
 {
     asio::post(m_state->context, [state = m_state.get()] { state->node->setLeaving(); });
--- a/src/process/ControlThread.h
+++ b/src/process/ControlThread.h
@@ -39,6 +39,7 @@
     void submit(Command command, CommandWait wait, Duration patience, Done done);
     /** Reads the node on the control thread. */
     void inspect(std::function<void(const ControlNode &, TimePoint)> reader);
+    void observe(ObservationBatch batch);
     void setLeaving();
     /** New work may be taken while this is true. */
     bool mayServe(TimePoint now) const;
--- a/src/process/View.cpp
+++ b/src/process/View.cpp
@@ -1,6 +1,7 @@
 #include "hickoryspur/process/View.h"
 
 #include "hickoryspur/connection/UpstreamDirectory.h"
+#include "hickoryspur/version/MoveKeeper.h"
 
 #include <algorithm>
 
@@ -67,12 +68,7 @@
     EnvironmentView &target = view.environments[environment];
     target.number = version->number;
     target.digest = version->digest;
-    auto parsed = m_parsed.find(version->digest);
-    if (parsed == m_parsed.end()) {
-        Result<Document> document = parseDocument(version->text, "document");
-        parsed = m_parsed.emplace(version->digest, document.value_or(Document())).first;
-    }
-    target.document = parsed->second;
+    target.document = m_documents.get(*version);
 }
 
 void ViewBuilder::addEntries(View &view, const ControlState &state) const
@@ -85,6 +81,21 @@
     }
 }
 
+void ViewBuilder::addShares(View &view, const ControlState &state) const
+{
+    for (const auto &[service, packed] : state.moves()) {
+        const std::optional<MoveState> move = unpackMove(packed);
+        if (!move)
+            continue;
+        VersionShare share;
+        share.from = VersionName(move->from);
+        share.to = VersionName(move->to);
+        share.share = move->share();
+        share.bad = move->bad;
+        view.environments[Environment::Production].shares[ServiceName(service)] = std::move(share);
+    }
+}
+
 void ViewBuilder::addShardMaps(View &view, const ControlState &state) const
 {
     // A service whose upstreams are all lost keeps its map, so that its coverage is told as nothing of all.
@@ -117,6 +128,7 @@
     for (const Announcement &announcement : directory.records())
         addUpstream(*view, state, announcement, settling);
     addShardMaps(*view, state);
+    addShares(*view, state);
     return view;
 }
 
--- a/src/request/QueryService.cpp
+++ b/src/request/QueryService.cpp
@@ -120,16 +120,77 @@
     --m_runningCount;
     const TimePoint now = monotonicNow();
     const bool whole = answer.code == ResultCode::Ok && answer.missing.empty();
+    noteAnswer(request, answer, now - arrived, now > deadline);
     carryOut(m_admission.finished(now, number, whole && now <= deadline));
     queriesTotal(answer.code).add();
     return {answer.code, answerJson(answer)};
 }
 
-PlanOptions QueryService::planOptions(const ServiceConfig &config) const
+std::optional<QueryPlan> QueryService::plan(Environment environment, const ServiceName &service,
+                                            const ServiceConfig &config, std::optional<SnapshotId> avoid)
 {
+    const EnvironmentView &content = *m_view->find(environment);
+    const ServiceView &upstreams = content.services.at(service);
     PlanOptions options;
     options.snapshotsBehind = config.snapshotsBehind;
-    return options;
+    options.avoid = avoid;
+    const auto share = content.shares.find(service);
+    if (share == content.shares.end())
+        return makePlan(upstreams, options);
+    const VersionShare &versions = share->second;
+    const VersionName picked = m_pickers[service].pick(versions);
+    const auto only = [](const VersionName &version) {
+        return [version](const UpstreamView &upstream) { return upstream.announcement.version == version; };
+    };
+    options.mayUse = only(picked);
+    std::optional<QueryPlan> plan = makePlan(upstreams, options);
+    const bool whole = plan && plan->coveredShards() == plan->shardCount;
+    if (whole || picked == versions.from)
+        return plan;
+    // The old version may stand in for the new one, but never the other way: a canary's few
+    // upstreams must not get the load of lost old ones.
+    options.mayUse = only(versions.from);
+    std::optional<QueryPlan> other = makePlan(upstreams, options);
+    const uint32_t covered = plan ? plan->coveredShards() : 0;
+    return other && other->coveredShards() > covered ? other : plan;
+}
+
+void QueryService::noteSubRequest(const QueryRequest &request, const Outgoing &outgoing, SubOutcome outcome,
+                                  Duration latency)
+{
+    if (request.environment != Environment::Production || outcome == SubOutcome::SnapshotGone)
+        return;
+    RouteObservation &route =
+        m_observations.services[request.service.value()].versions[outgoing.version.value()][request.caller.value()];
+    Tally &byUpstream = route.byUpstream[outgoing.upstream.value()];
+    if (provesNotRun(outcome)) {
+        ++byUpstream.refused;
+        return;
+    }
+    for (Tally *tally : {&byUpstream, &route.byShard[outgoing.shard]}) {
+        ++tally->requests;
+        tally->failures += outcome == SubOutcome::Failed || outcome == SubOutcome::Unknown ? 1 : 0;
+        tally->latency.add(latency);
+    }
+}
+
+void QueryService::noteAnswer(const QueryRequest &request, const FanOutAnswer &answer, Duration took, bool late)
+{
+    if (request.environment != Environment::Production || answer.code == ResultCode::CallerGone)
+        return;
+    AnswerTally &tally = m_observations.services[request.service.value()].answers[request.caller.value()];
+    ++tally.answers;
+    tally.late += late ? 1 : 0;
+    tally.partial += answer.missing.empty() ? 0 : 1;
+    tally.refused += answer.code == ResultCode::Ok ? 0 : 1;
+    tally.latency.add(took);
+}
+
+ObservationBatch QueryService::takeObservations()
+{
+    ObservationBatch batch = std::move(m_observations);
+    m_observations = ObservationBatch();
+    return batch;
 }
 
 HedgeDelays &QueryService::delays(Environment environment, const ServiceName &service)
@@ -159,47 +220,55 @@
     hooks.takeExtra = [this](TimePoint now) { return m_budget.takeExtra(now); };
     hooks.cost = [this, service](uint32_t upstream) { return cost(service().upstreams[upstream]); };
     hooks.replan = [this, view, environment = request.environment, name = request.service,
-                    options = planOptions(config)](TimePoint now, SnapshotId gone) -> std::optional<QueryPlan> {
+                    config](TimePoint now, SnapshotId gone) -> std::optional<QueryPlan> {
         const EnvironmentView *content = m_view->find(environment);
         const auto found = content ? content->services.find(name) : decltype(content->services.end())();
         if (!content || found == content->services.end() || !m_restartBudget.takeExtra(now))
             return std::nullopt;
-        PlanOptions other = options;
-        other.avoid = gone;
-        std::optional<QueryPlan> plan = makePlan(found->second, other);
-        if (plan)
+        std::optional<QueryPlan> other = plan(environment, name, config, gone);
+        if (other)
             *view = m_view;
-        return plan;
+        return other;
     };
     return hooks;
 }
 
-void QueryService::send(const View &, const ServiceView &service, const FanOutSend &send, const QueryRequest &request,
+void QueryService::send(const Outgoing &outgoing, const FanOutSend &send, const QueryRequest &request,
                         const std::shared_ptr<Mailbox> &mailbox)
 {
-    const UpstreamView &upstream = service.upstreams[send.upstream];
-    const TimePoint now = monotonicNow();
     SubRequest sub;
     sub.id = send.id;
-    sub.upstream = upstream.announcement.id;
+    sub.upstream = outgoing.upstream;
     sub.shard = send.shard;
     sub.generation = send.generation;
     sub.snapshot = send.snapshot;
-    sub.timeLeftMicros = (send.deadline - now).count();
+    sub.timeLeftMicros = (send.deadline - outgoing.sent).count();
     sub.body = request.body;
     m_scores.sent(sub.upstream);
     if (!send.extra)
-        m_budget.noteFirst(now, 1);
-    m_router.send(upstream.home, std::move(sub),
-                  [this, mailbox, now, shard = send.shard, id = upstream.announcement.id,
-                   environment = request.environment, name = request.service](const SubReply &reply) {
-                      const TimePoint end = monotonicNow();
-                      m_scores.ended(end, id, reply.kind(), end - now);
-                      if (reply.kind() == SubOutcome::Ok)
-                          delays(environment, name).add(shard, end - now);
-                      mailbox->replies.push_back(reply);
-                      mailbox->changed.notify_all();
-                  });
+        m_budget.noteFirst(outgoing.sent, 1);
+    // The request outlives its sub-requests: each is answered or cancelled before the query ends.
+    m_router.send(outgoing.home, std::move(sub), [this, mailbox, outgoing, &request](const SubReply &reply) {
+        const TimePoint end = monotonicNow();
+        m_scores.ended(end, outgoing.upstream, reply.kind(), end - outgoing.sent);
+        noteSubRequest(request, outgoing, reply.kind(), end - outgoing.sent);
+        if (reply.kind() == SubOutcome::Ok)
+            delays(request.environment, request.service).add(outgoing.shard, end - outgoing.sent);
+        mailbox->replies.push_back(reply);
+        mailbox->changed.notify_all();
+    });
+}
+
+void QueryService::cancel(const Outgoing &outgoing, SubRequestId id, const QueryRequest &request)
+{
+    const TimePoint now = monotonicNow();
+    m_scores.ended(now, outgoing.upstream, SubOutcome::Cancelled, Duration::zero());
+    // A first sub-request that its hedge has overtaken was at least this slow; a young hedge tells nothing.
+    if (!outgoing.extra) {
+        noteSubRequest(request, outgoing, SubOutcome::Cancelled, now - outgoing.sent);
+        delays(request.environment, request.service).add(outgoing.shard, now - outgoing.sent);
+    }
+    m_router.cancel(outgoing.home, id);
 }
 
 FanOutAnswer QueryService::fanOut(const QueryRequest &request, const ServiceConfig &config, TimePoint deadline)
@@ -208,8 +277,8 @@
     const auto serviceOf = [&]() -> const ServiceView & {
         return (*view)->find(request.environment)->services.at(request.service);
     };
-    std::optional<QueryPlan> plan = makePlan(serviceOf(), planOptions(config));
-    if (!plan) {
+    std::optional<QueryPlan> first = plan(request.environment, request.service, config, std::nullopt);
+    if (!first) {
         FanOutAnswer none;
         none.code = ResultCode::NoUpstream;
         none.message = "no upstream holds a snapshot that may be served";
@@ -222,27 +291,23 @@
     m_restartBudget.noteFirst(monotonicNow(), 1);
     const auto mailbox = std::make_shared<Mailbox>();
     FanOutConfig fanOutConfig;
-    fanOutConfig.plan = std::move(*plan);
+    fanOutConfig.plan = std::move(*first);
     fanOutConfig.deadline = deadline;
     fanOutConfig.leastCoverage = std::max(request.leastCoverage, config.leastCoverage);
     fanOutConfig.seed = m_random();
     FanOut query(std::move(fanOutConfig), hooksFor(view, request, config));
-    // Where each live sub-request went, so that a cancellation finds it.
-    std::unordered_map<SubRequestId, std::pair<NodeId, UpstreamId>> homes;
+    std::unordered_map<SubRequestId, Outgoing> outgoing;
     std::optional<FanOutAnswer> answer;
     std::optional<TimePoint> wakeAt;
     const auto carryOutQuery = [&](FanOutActions actions) {
-        for (const SubRequestId id : actions.cancels) {
-            const auto found = homes.find(id);
-            if (found == homes.end())
-                continue;
-            m_scores.ended(monotonicNow(), found->second.second, SubOutcome::Cancelled, Duration::zero());
-            m_router.cancel(found->second.first, id);
-        }
+        for (const SubRequestId id : actions.cancels)
+            cancel(outgoing.at(id), id, request);
         for (const FanOutSend &item : actions.sends) {
             const UpstreamView &upstream = serviceOf().upstreams[item.upstream];
-            homes[item.id] = {upstream.home, upstream.announcement.id};
-            send(**view, serviceOf(), item, request, mailbox);
+            Outgoing &out = outgoing[item.id];
+            out = {upstream.home, upstream.announcement.id, upstream.announcement.version,
+                   item.shard,    monotonicNow(),           item.extra};
+            send(out, item, request, mailbox);
         }
         if (actions.answer)
             answer = std::move(actions.answer);
@@ -289,11 +354,11 @@
     const ViewPointer view = m_view;
     const EnvironmentView &content = *view->find(request.environment);
     const ServiceConfig &config = *content.document.find(request.service);
-    const std::optional<QueryPlan> plan = makePlan(content.services.at(request.service), planOptions(config));
-    if (!plan || request.shard >= plan->shardCount || plan->candidates[request.shard].empty())
+    const std::optional<QueryPlan> chosenPlan = plan(request.environment, request.service, config, std::nullopt);
+    if (!chosenPlan || request.shard >= chosenPlan->shardCount || chosenPlan->candidates[request.shard].empty())
         return refused({ResultCode::NoUpstream, "no upstream serves this shard", true}, view.get());
     const ServiceView &service = content.services.at(request.service);
-    const std::vector<uint32_t> &candidates = plan->candidates[request.shard];
+    const std::vector<uint32_t> &candidates = chosenPlan->candidates[request.shard];
     const uint32_t chosen = *std::min_element(candidates.begin(), candidates.end(), [&](uint32_t left, uint32_t right) {
         return cost(service.upstreams[left]) < cost(service.upstreams[right]);
     });
@@ -301,7 +366,7 @@
         request.deadline > Duration::zero() ? std::min(request.deadline, config.deadline) : config.deadline;
     const TimePoint deadline = arrived + patience;
     if (request.key.empty())
-        return runAction(request, service.upstreams[chosen], plan->generation, plan->snapshot, deadline);
+        return runAction(request, service.upstreams[chosen], chosenPlan->generation, chosenPlan->snapshot, deadline);
 
     Command claim;
     claim.type = static_cast<uint8_t>(CommandType::Claim);
@@ -321,7 +386,7 @@
         return refused({claimed.resultCode(), claimed.message, notRun}, view.get());
     }
     const ServiceAnswer answer =
-        runAction(request, service.upstreams[chosen], plan->generation, plan->snapshot, deadline);
+        runAction(request, service.upstreams[chosen], chosenPlan->generation, chosenPlan->snapshot, deadline);
     Command outcome;
     outcome.type = static_cast<uint8_t>(CommandType::ClaimOutcome);
     outcome.subject = claim.subject;
--- a/src/request/QueryService.h
+++ b/src/request/QueryService.h
@@ -9,6 +9,8 @@
 #include "hickoryspur/request/FanOut.h"
 #include "hickoryspur/request/HedgeDelays.h"
 #include "hickoryspur/request/UpstreamScores.h"
+#include "hickoryspur/request/VersionPicker.h"
+#include "hickoryspur/version/Observation.h"
 #include "request/SubRequestRouter.h"
 
 #include <boost/fiber/condition_variable.hpp>
@@ -76,6 +78,8 @@
     ServiceAnswer query(const QueryRequest &request);
     /** Must be called on a fiber. */
     ServiceAnswer act(const ActionRequest &request);
+    /** What was seen since the last call. */
+    ObservationBatch takeObservations();
     void setShuttingDown() { m_shuttingDown = true; }
     size_t running() const { return m_runningCount; }
 
@@ -88,15 +92,31 @@
         std::vector<SubReply> replies;
         std::optional<ResultCode> admission;
     };
+    /** A sub-request on its way. */
+    struct Outgoing
+    {
+        NodeId home;
+        UpstreamId upstream;
+        VersionName version;
+        uint32_t shard = 0;
+        TimePoint sent;
+        bool extra = false;
+    };
+
     std::optional<Failure> refusal(Environment environment, const ServiceName &service, const CallerName &caller) const;
     ResultCode admit(const CallerName &caller, uint32_t weight, TimePoint deadline, QueryNumber number);
     void carryOut(const AdmissionActions &actions);
     FanOutAnswer fanOut(const QueryRequest &request, const ServiceConfig &config, TimePoint deadline);
     FanOutHooks hooksFor(const std::shared_ptr<ViewPointer> &view, const QueryRequest &request,
                          const ServiceConfig &config);
-    PlanOptions planOptions(const ServiceConfig &config) const;
-    void send(const View &view, const ServiceView &service, const FanOutSend &send, const QueryRequest &request,
+    /** The plan of the version that this query is given, or of the old one where that covers more. */
+    std::optional<QueryPlan> plan(Environment environment, const ServiceName &service, const ServiceConfig &config,
+                                  std::optional<SnapshotId> avoid);
+    void noteSubRequest(const QueryRequest &request, const Outgoing &outgoing, SubOutcome outcome, Duration latency);
+    void noteAnswer(const QueryRequest &request, const FanOutAnswer &answer, Duration took, bool late);
+    void send(const Outgoing &outgoing, const FanOutSend &send, const QueryRequest &request,
               const std::shared_ptr<Mailbox> &mailbox);
+    void cancel(const Outgoing &outgoing, SubRequestId id, const QueryRequest &request);
     HedgeDelays &delays(Environment environment, const ServiceName &service);
     double cost(const UpstreamView &upstream) const;
     ApplyOutcome commitAndWait(Command command, Duration patience);
@@ -114,6 +134,8 @@
     /** Restarts of whole queries, counted in queries. */
     ExtraBudget m_restartBudget;
     UpstreamScores m_scores;
+    std::map<ServiceName, VersionPicker> m_pickers;
+    ObservationBatch m_observations;
     std::map<std::pair<Environment, ServiceName>, HedgeDelays> m_delays;
     std::map<QueryNumber, std::shared_ptr<Mailbox>> m_waiting;
     QueryNumber m_nextQuery = 1;
--- a/src/request/TrafficThread.cpp
+++ b/src/request/TrafficThread.cpp
@@ -11,6 +11,7 @@
 namespace asio = boost::asio;
 
 constexpr Duration kTick = 2ms;
+constexpr Duration kReportInterval = 500ms;
 
 } // namespace
 
@@ -60,6 +61,11 @@
     const TimePoint now = monotonicNow();
     m_desk->tick(now);
     m_service->tick(now);
+    if (now >= m_nextReport) {
+        m_nextReport = now + kReportInterval;
+        if (ObservationBatch batch = m_service->takeObservations(); !batch.empty())
+            m_hooks.observe(std::move(batch));
+    }
     m_open.store(m_desk->open() + m_service->running());
 }
 
--- a/src/request/TrafficThread.h
+++ b/src/request/TrafficThread.h
@@ -20,6 +20,7 @@
     std::function<void(const NodeId &home, ForwardBatch)> forward;
     std::function<void(const ReplyAddress &to, ReplyBatch)> reply;
     QueryService::Hooks query;
+    std::function<void(ObservationBatch)> observe;
     /** Opens this thread's listening socket; called on the thread before its loop starts. */
     std::function<Result<void>(boost::asio::io_context &, QueryService &)> listen;
     ChannelFactory (*channels)(boost::asio::io_context &) = nullptr;
@@ -61,6 +62,7 @@
     std::unique_ptr<QueryService> m_service;
     std::map<ReplyAddress, ReplyBatch> m_replies;
     bool m_replyFlushPosted = false;
+    TimePoint m_nextReport;
     std::atomic<bool> m_stopping{false};
     std::atomic<size_t> m_open{0};
     std::thread m_thread;
--- /dev/null
+++ b/src/version/MoveKeeper.cpp
@@ -0,0 +1,73 @@
+#include "hickoryspur/version/MoveKeeper.h"
+
+#include "hickoryspur/process/Packing.h"
+
+namespace hickoryspur {
+
+std::optional<MoveState> unpackMove(const std::string &packed)
+{
+    return unpack<MoveState>(packed);
+}
+
+void MoveKeeper::follow(TimePoint now, const std::map<std::string, std::string> &packed)
+{
+    if (packed == m_packed)
+        return;
+    m_packed = packed;
+    for (const auto &[service, bytes] : packed) {
+        const std::optional<MoveState> state = unpackMove(bytes);
+        if (!state)
+            continue;
+        m_states[service] = *state;
+        if (const auto move = m_moves.find(service); move != m_moves.end())
+            move->second.applied(*state, now);
+    }
+}
+
+void MoveKeeper::closeWindow(TimePoint now)
+{
+    for (auto &[service, move] : m_moves) {
+        const auto found = m_window.services.find(service);
+        if (found == m_window.services.end())
+            continue;
+        auto &versions = found->second.versions;
+        move.observe(now, versions[move.state().from], versions[move.state().to]);
+    }
+    m_window = ObservationBatch();
+}
+
+std::optional<std::pair<std::string, MoveState>> MoveKeeper::next(TimePoint now, int64_t wallSeconds,
+                                                                  const Document &document, uint64_t documentNumber)
+{
+    for (const auto &[name, config] : document.services) {
+        if (!config.version)
+            continue;
+        const auto known = m_states.find(name.value());
+        const std::optional<MoveState> current = known == m_states.end() ? std::nullopt : std::optional(known->second);
+        if (const auto started = startMove(current, *config.version, documentNumber, wallSeconds))
+            return std::make_pair(name.value(), *started);
+        m_moves.try_emplace(name.value(), *current, config.version->firstShare, m_timing, JudgeSettings(), now);
+    }
+    if (now < m_windowEnds)
+        return std::nullopt;
+    m_windowEnds = now + kWindow;
+    closeWindow(now);
+    for (auto &[service, move] : m_moves)
+        if (const auto changed = move.tick(now, wallSeconds))
+            return std::make_pair(service, *changed);
+    return std::nullopt;
+}
+
+double MoveKeeper::suspicion(const std::string &service) const
+{
+    const auto found = m_moves.find(service);
+    return found == m_moves.end() ? 0 : found->second.suspicion();
+}
+
+uint64_t MoveKeeper::stageRequests(const std::string &service) const
+{
+    const auto found = m_moves.find(service);
+    return found == m_moves.end() ? 0 : found->second.stageRequests();
+}
+
+} // namespace hickoryspur
