--- a/src/app/AdminApi.cpp
+++ b/src/app/AdminApi.cpp
@@ -1,6 +1,7 @@
 #include "app/AdminApi.h"
 
 #include "hickoryspur/process/Digest.h"
+#include "hickoryspur/process/Packing.h"
 #include "request/AnswerJson.h"
 
 #include <boost/fiber/future.hpp>
@@ -98,6 +99,37 @@
     return result;
 }
 
+nlohmann::json moveJson(const std::string &service, const MoveState &state, const MoveKeeper &keeper)
+{
+    return {{"service", service},
+            {"state", moveStatusName(state.kind())},
+            {"from", state.from},
+            {"to", state.to},
+            {"share", state.share()},
+            {"stage", state.stage},
+            {"late", state.late},
+            {"too_little_traffic", state.tooLittleTraffic},
+            {"seconds_left", std::max<int64_t>(0, state.dueSeconds - wallClockSeconds())},
+            {"document", state.documentNumber},
+            {"reason", state.reason},
+            {"bad", state.bad},
+            {"suspicion", keeper.suspicion(service)},
+            {"stage_requests", keeper.stageRequests(service)}};
+}
+
+nlohmann::json burnJson(const BurnLine &line)
+{
+    nlohmann::json result = {{"service", line.service}, {"caller", line.caller},   {"objective", line.objective},
+                             {"target", line.target},   {"alert", line.alert},     {"budget_used", line.budgetUsed},
+                             {"late", line.late},       {"partial", line.partial}, {"refused", line.refused},
+                             {"p50_ms", line.p50Ms},    {"p99_ms", line.p99Ms}};
+    for (size_t i = 0; i < kBurnWindows.size(); ++i) {
+        result["burn"][kBurnWindows[i].name] = line.rates[i];
+        result["answers"][kBurnWindows[i].name] = line.answers[i];
+    }
+    return result;
+}
+
 } // namespace
 
 struct AdminApi::Route
@@ -115,6 +147,9 @@
         {"GET", "/v1/admin/document", "read", &AdminApi::document},
         {"GET", "/v1/admin/history", "read", &AdminApi::history},
         {"GET", "/v1/admin/audit", "read", &AdminApi::audit},
+        {"GET", "/v1/admin/moves", "read", &AdminApi::moves},
+        {"GET", "/v1/report", "read", &AdminApi::report},
+        {"POST", "/v1/admin/revive", "promote", &AdminApi::revive},
         {"POST", "/v1/admin/document", "trial", &AdminApi::submit},
         {"POST", "/v1/admin/promote", "promote", &AdminApi::promote},
         {"POST", "/v1/admin/data-centre", "data-centre", &AdminApi::dataCentre},
@@ -131,7 +166,7 @@
 
 bool AdminApi::owns(const std::string &path) const
 {
-    return path.rfind("/v1/admin/", 0) == 0;
+    return path.rfind("/v1/admin/", 0) == 0 || path == "/v1/report";
 }
 
 CallerResponse AdminApi::handle(const CallerRequest &request)
@@ -206,6 +241,74 @@
                         }));
 }
 
+CallerResponse AdminApi::moves(const CallerRequest &request, const TokenHolder &)
+{
+    const std::string only = request.parameter("service");
+    return jsonResponse(200, read([only](const ControlNode &node, TimePoint) {
+                            nlohmann::json list = nlohmann::json::array();
+                            for (const auto &[service, packed] : node.state().moves()) {
+                                const std::optional<MoveState> state = unpackMove(packed);
+                                if (state && (only.empty() || only == service))
+                                    list.push_back(moveJson(service, *state, node.moves()));
+                            }
+                            return list;
+                        }));
+}
+
+CallerResponse AdminApi::revive(const CallerRequest &request, const TokenHolder &holder)
+{
+    const std::string service = request.parameter("service");
+    const std::string version = request.parameter("version");
+    const nlohmann::json packed = read([service](const ControlNode &node, TimePoint) {
+        const auto found = node.state().moves().find(service);
+        return found == node.state().moves().end()
+            ? nlohmann::json()
+            : nlohmann::json::binary({found->second.begin(), found->second.end()});
+    });
+    if (packed.is_null())
+        return refusal(ResultCode::UnknownService, "no move of the service " + service + " is known");
+    const std::vector<uint8_t> &bytes = packed.get_binary();
+    const std::string before(bytes.begin(), bytes.end());
+    std::optional<MoveState> state = unpackMove(before);
+    if (!state || state->bad.erase(version) == 0)
+        return refusal(ResultCode::MalformedRequest, version + " has not been found bad");
+    // The next tick of the leader sees a document that it has not started a move for, and starts again.
+    state->documentNumber = 0;
+    state->to = state->from;
+    state->status = static_cast<uint8_t>(MoveStatus::Settled);
+    state->sharePpm = 1'000'000;
+    Command command;
+    command.type = static_cast<uint8_t>(CommandType::ReviveVersion);
+    command.subject = service;
+    command.text = pack(*state);
+    const std::string digest = sha256Hex(before);
+    CallerRequest withDigest = request;
+    withDigest.parameters["expected-digest"] = digest;
+    return execute(withDigest, holder, std::move(command));
+}
+
+CallerResponse AdminApi::report(const CallerRequest &request, const TokenHolder &)
+{
+    if (!m_settings.self().control)
+        return refusal(ResultCode::NoLeader, "the report is kept by the control hosts; ask one of them");
+    auto lines = std::make_shared<std::vector<BurnLine>>();
+    read([lines](const ControlNode &node, TimePoint) {
+        DocumentCache documents;
+        if (const DocumentVersion *version = node.state().current(Environment::Production))
+            *lines = node.burn().report(wallClockSeconds(), documents.get(*version));
+        return nlohmann::json();
+    });
+    const std::string format = request.parameter("format");
+    if (format == "html" || format.empty())
+        return {200, burnHtml(*lines), "text/html; charset=utf-8", {}};
+    if (format == "text")
+        return {200, burnText(*lines), "text/plain; charset=utf-8", {}};
+    nlohmann::json list = nlohmann::json::array();
+    for (const BurnLine &line : *lines)
+        list.push_back(burnJson(line));
+    return jsonResponse(200, list);
+}
+
 CallerResponse AdminApi::submit(const CallerRequest &request, const TokenHolder &holder)
 {
     if (request.parameter("environment") != "trial")
--- a/src/app/AdminApi.h
+++ b/src/app/AdminApi.h
@@ -29,6 +29,9 @@
     CallerResponse submit(const CallerRequest &request, const TokenHolder &holder);
     CallerResponse promote(const CallerRequest &request, const TokenHolder &holder);
     CallerResponse dataCentre(const CallerRequest &request, const TokenHolder &holder);
+    CallerResponse moves(const CallerRequest &request, const TokenHolder &holder);
+    CallerResponse revive(const CallerRequest &request, const TokenHolder &holder);
+    CallerResponse report(const CallerRequest &request, const TokenHolder &holder);
     CallerResponse audit(const CallerRequest &request, const TokenHolder &holder);
     CallerResponse execute(const CallerRequest &request, const TokenHolder &holder, Command command);
     nlohmann::json read(const std::function<nlohmann::json(const ControlNode &, TimePoint)> &reader);
--- a/src/app/OperatorCommands.cpp
+++ b/src/app/OperatorCommands.cpp
@@ -275,6 +275,109 @@
         .map([&](const nlohmann::json &answer) { return outcomeText(values, answer); });
 }
 
+void describeMoves(options::options_description &description)
+{
+    describeRemote(description);
+    description.add_options()("service", options::value<std::string>()->default_value(""), "only this service")(
+        "watch", "wait until the service's move is done, taken back, late or has too little traffic")(
+        "patience", options::value<int64_t>()->default_value(3600), "seconds to watch at most");
+}
+
+std::string moveLine(const nlohmann::json &move)
+{
+    const double percent = 100 * move.value("share", 0.0);
+    std::string line = move.value("service", "") + ": " + move.value("state", "") + ' ' + move.value("from", "")
+        + " -> " + move.value("to", "") + ", share " + std::to_string(percent).substr(0, 5) + "%, "
+        + std::to_string(move.value("seconds_left", 0LL)) + " s left";
+    if (move.value("late", false))
+        line += ", late";
+    if (move.value("too_little_traffic", false))
+        line += ", too little traffic to tell";
+    if (const std::string reason = move.value("reason", ""); !reason.empty())
+        line += ": " + reason;
+    return line;
+}
+
+/** The end of a move as a result, or nothing while it goes on. */
+std::optional<Result<std::string>> moveEnd(const nlohmann::json &move)
+{
+    const std::string state = move.value("state", "");
+    const std::string line = moveLine(move);
+    if (state == "done" || state == "settled")
+        return Result<std::string>(line);
+    if (state == "taken back")
+        return Result<std::string>(failure(ResultCode::MoveTakenBack, line));
+    if (move.value("seconds_left", 0LL) > 0)
+        return std::nullopt;
+    const bool thin = move.value("too_little_traffic", false);
+    return Result<std::string>(failure(thin ? ResultCode::MoveTooLittleTraffic : ResultCode::MoveLate, line));
+}
+
+Result<std::string> runMoves(const options::variables_map &values)
+{
+    const std::string service = text(values, "service");
+    const auto giveUp = std::chrono::steady_clock::now() + std::chrono::seconds(values["patience"].as<int64_t>());
+    while (true) {
+        const Result<nlohmann::json> moves =
+            exchange(values, "GET", "/v1/admin/moves?service=" + urlEncoded(service), "");
+        if (!moves)
+            return tl::unexpected(moves.error());
+        if (values.count("watch") == 0) {
+            if (values.count("json") > 0)
+                return moves->dump();
+            std::string lines;
+            for (const nlohmann::json &move : *moves)
+                lines += moveLine(move) + '\n';
+            return lines;
+        }
+        if (service.empty() || moves->empty())
+            return failure(ResultCode::UnknownService, "--watch needs --service with a service that has a version");
+        if (const auto end = moveEnd(moves->front()))
+            return *end;
+        std::cout << moveLine(moves->front()) << std::endl;
+        if (std::chrono::steady_clock::now() > giveUp)
+            return failure(ResultCode::MoveLate, "still " + moveLine(moves->front()));
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+    }
+}
+
+void describeRevive(options::options_description &description)
+{
+    describeChange(description);
+    description.add_options()("service", options::value<std::string>()->required(), "the service")(
+        "version", options::value<std::string>()->required(), "the version that was found bad");
+}
+
+Result<std::string> runRevive(const options::variables_map &values)
+{
+    return exchange(values, "POST",
+                    "/v1/admin/revive?service=" + urlEncoded(text(values, "service"))
+                        + "&version=" + urlEncoded(text(values, "version")) + '&' + changeParameters(values),
+                    "")
+        .map([&](const nlohmann::json &answer) { return outcomeText(values, answer); });
+}
+
+Result<std::string> runReport(const options::variables_map &values)
+{
+    const Result<nlohmann::json> lines = exchange(values, "GET", "/v1/report?format=json", "");
+    if (!lines)
+        return tl::unexpected(lines.error());
+    if (values.count("json") > 0)
+        return lines->dump();
+    std::string result = "service / caller / objective: burn over 5min 1h 6h 3d; late partial refused\n";
+    for (const nlohmann::json &line : *lines) {
+        result +=
+            line.value("service", "") + " / " + line.value("caller", "") + " / " + line.value("objective", "") + ':';
+        for (const char *window : {"5min", "1h", "6h", "3d"})
+            result += ' ' + std::to_string(line.at("burn").value(window, 0.0)).substr(0, 6);
+        result += "; " + line.at("late").dump() + ' ' + line.at("partial").dump() + ' ' + line.at("refused").dump();
+        if (const std::string alert = line.value("alert", ""); !alert.empty())
+            result += "  ALERT: " + alert;
+        result += '\n';
+    }
+    return result;
+}
+
 const std::vector<OperatorCommand> &commands()
 {
     static const std::vector<OperatorCommand> all = {
@@ -285,6 +388,9 @@
         {"status", "show what an entry knows", describeRemote, runStatus},
         {"history", "list an environment's documents", describeHistory, runHistory},
         {"audit", "list what operators did", describeRemote, runAudit},
+        {"moves", "show how traffic moves to new versions, or wait for the end", describeMoves, runMoves},
+        {"revive", "let a version that was found bad be tried again", describeRevive, runRevive},
+        {"report", "show how fast the services' budgets burn", describeRemote, runReport},
         {"data-centre", "take a data centre out or back in", describeDataCentre, runDataCentre},
     };
     return all;
