--- a/include/hickoryspur/connection/ColdLimit.h
+++ b/include/hickoryspur/connection/ColdLimit.h
@@ -1,6 +1,7 @@
 // How many sub-requests an upstream may be given at a time, as our own traffic shows it. An upstream
 // that is unknown counts as cold and gets one; each full round of quick answers adds one, up to its
-// slots; a shed, a refused connection, a jump in latency or a new incarnation takes it back to one.
+// slots; a shed, a refused connection, two jumps in latency in a row or a new incarnation takes it back
+// to one. A single slow answer is a straggler, not a cold upstream.
 // What the upstream says of its own health only ever lowers the limit.
 #pragma once
 
@@ -14,6 +15,8 @@
 class ColdLimit
 {
 public:
+    /** Jumps in a row that mean the upstream has turned cold. */
+    static constexpr uint32_t kJumpsToCold = 2;
     /** Latency this many times its floor is a jump. */
     static constexpr double kJumpFactor = 4.0;
     /** Latency below this many times its floor lets the limit grow. */
@@ -44,6 +47,7 @@
     uint32_t m_slots;
     uint32_t m_limit = 1;
     uint32_t m_quickAnswers = 0;
+    uint32_t m_jumps = 0;
     Duration m_floor = Duration::zero();
     Duration m_pause = Duration::zero();
     TimePoint m_pausedUntil;
--- a/include/hickoryspur/process/ControlNode.h
+++ b/include/hickoryspur/process/ControlNode.h
@@ -117,7 +117,7 @@
     void repairMembership(TimePoint now, NodeActions &result);
     std::optional<Command> nextHousekeeping(TimePoint now);
     std::optional<Command> nextMove(TimePoint now);
-    std::optional<Command> nextShardMap() const;
+    std::optional<Command> nextShardMap();
     std::optional<Command> nextEntryChange(TimePoint now) const;
     void checkpointIfDue(NodeActions &result);
     void pushStateToEntries(NodeActions &result);
@@ -158,6 +158,8 @@
     LogIndex m_homesSeen;
     int64_t m_wallSeconds = 0;
 
+    /** Directory revision and applied index at which no shard map was missing from the log. */
+    std::pair<uint64_t, LogIndex> m_mapsChecked;
     uint64_t m_publishedRevision = 0;
     LogIndex m_publishedApplied;
     bool m_publishedSettling = false;
--- a/include/hickoryspur/process/ControlState.h
+++ b/include/hickoryspur/process/ControlState.h
@@ -129,7 +129,7 @@
 {
 public:
     /** How long a claim's key stays known after it was claimed, in seconds. */
-    static constexpr int64_t kClaimLifeSeconds = 24 * 3600;
+    static constexpr int64_t kClaimLifeSeconds = 24LL * 3600;
 
     ApplyOutcome apply(LogIndex index, const Command &command);
 
--- a/include/hickoryspur/process/Packing.h
+++ b/include/hickoryspur/process/Packing.h
@@ -11,7 +11,7 @@
 namespace hickoryspur {
 
 /** The largest message one process accepts from another; a checkpoint must fit. */
-constexpr size_t kMaxMessageBytes = 64 * 1024 * 1024;
+constexpr size_t kMaxMessageBytes = 64ULL * 1024 * 1024;
 
 template <typename Message> std::string pack(const Message &message)
 {
--- a/include/hickoryspur/process/ReplicatedLog.h
+++ b/include/hickoryspur/process/ReplicatedLog.h
@@ -15,6 +15,7 @@
 #include "hickoryspur/process/ResultCode.h"
 #include "hickoryspur/process/Time.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -129,6 +130,7 @@
     /** Clocks of two hosts may run apart by this share while a lease lasts. */
     double allowedDrift = 0.05;
     size_t maxEntriesPerMessage = 64;
+    size_t recentEntriesKept = 2000;
 };
 
 /** What a member finds on its disk when it starts. */
@@ -226,6 +228,8 @@
     HardState m_hard;
     Checkpoint m_checkpoint;
     std::vector<LogEntry> m_entries;
+    /** The last committed entries, also those behind the checkpoint, for entries that lag a little. */
+    std::deque<LogEntry> m_recent;
     std::map<LogIndex, Membership> m_memberships;
     Role m_role = Role::Follower;
     std::optional<NodeId> m_leader;
--- a/include/hickoryspur/request/FanOut.h
+++ b/include/hickoryspur/request/FanOut.h
@@ -76,6 +76,7 @@
     std::vector<FanOutSend> sends;
     std::vector<SubRequestId> cancels;
     std::optional<FanOutAnswer> answer;
+    /** When to call tick(); where it is missing the time given before still stands. */
     std::optional<TimePoint> wakeAt;
 };
 
--- a/include/hickoryspur/version/BurnBook.h
+++ b/include/hickoryspur/version/BurnBook.h
@@ -50,7 +50,7 @@
 {
 public:
     static constexpr int64_t kMinute = 60;
-    static constexpr int64_t kMinutesKept = 3 * 24 * 60;
+    static constexpr int64_t kMinutesKept = 3LL * 24 * 60;
     /** Latencies are kept for the last hour only. */
     static constexpr int64_t kMinutesWithLatency = 60;
 
--- a/src/app/EntryProcess.cpp
+++ b/src/app/EntryProcess.cpp
@@ -136,7 +136,7 @@
     hooks.query.isAlive = [this](const NodeId &node) { return m_links->isAlive(node); };
     hooks.query.commit = [this, index](Command command, Duration patience, std::function<void(ApplyOutcome)> done) {
         m_control->submit(std::move(command), CommandWait::Committed, patience,
-                          [this, index, done = std::move(done)](ApplyOutcome outcome) {
+                          [this, index, done = std::move(done)](const ApplyOutcome &outcome) {
                               m_traffic.at(index)->post([done, outcome] { done(outcome); });
                           });
     };
--- a/src/connection/Announcement.cpp
+++ b/src/connection/Announcement.cpp
@@ -15,7 +15,7 @@
 
 std::string requiredName(const nlohmann::json &body, const char *field)
 {
-    const std::string text = body.at(field).get<std::string>();
+    std::string text = body.at(field).get<std::string>();
     if (text.empty() || text.size() > kMaxNameBytes)
         throw std::invalid_argument(std::string(field) + " must have 1 to 200 bytes");
     return text;
--- a/src/connection/ColdLimit.cpp
+++ b/src/connection/ColdLimit.cpp
@@ -28,10 +28,11 @@
     const bool quick = !known || latency < scaled(m_floor, kQuickFactor) || latency < m_floor + kSmallestJump;
     m_floor = known ? std::min(scaled(m_floor, kFloorRise), latency) : latency;
     m_floor = std::max(m_floor, Duration(1));
-    if (jumped) {
+    m_jumps = jumped ? m_jumps + 1 : 0;
+    if (m_jumps >= kJumpsToCold)
         turnedCold();
+    if (jumped)
         return;
-    }
     if (!quick) {
         m_quickAnswers = 0;
         return;
--- a/src/connection/HttpUpstreamChannel.cpp
+++ b/src/connection/HttpUpstreamChannel.cpp
@@ -24,7 +24,7 @@
 namespace http = beast::http;
 using boost::system::error_code;
 
-constexpr size_t kMaxAnswerBytes = 8U * 1024 * 1024;
+constexpr size_t kMaxAnswerBytes = 8ULL * 1024 * 1024;
 constexpr unsigned kMaxHeaderBytes = 16U * 1024;
 
 uint64_t numberOr(beast::string_view text, uint64_t fallback)
--- a/src/process/ControlNode.cpp
+++ b/src/process/ControlNode.cpp
@@ -245,8 +245,11 @@
     return std::nullopt;
 }
 
-std::optional<Command> ControlNode::nextShardMap() const
+std::optional<Command> ControlNode::nextShardMap()
 {
+    const std::pair<uint64_t, LogIndex> current(m_directory.revision(), m_logState.appliedIndex());
+    if (current == m_mapsChecked)
+        return std::nullopt;
     for (const Announcement &announcement : m_directory.records()) {
         const std::string subject = shardMapSubject(announcement);
         const auto maps = m_logState.shardMaps().find(subject);
@@ -260,6 +263,7 @@
         command.count = announcement.shardCount;
         return command;
     }
+    m_mapsChecked = current;
     return std::nullopt;
 }
 
--- a/src/process/ControlState.cpp
+++ b/src/process/ControlState.cpp
@@ -82,7 +82,7 @@
             return refuse(ResultCode::KeyReused, "the request id " + command.requestId + " named another request");
         return found->second.outcome;
     }
-    const ApplyOutcome outcome = applyOnce(command);
+    ApplyOutcome outcome = applyOnce(command);
     remember(command, outcome);
     writeAudit(command, outcome);
     return outcome;
--- a/src/process/Digest.cpp
+++ b/src/process/Digest.cpp
@@ -15,7 +15,7 @@
     EVP_Digest(text.data(), text.size(), digest.data(), &size, EVP_sha256(), nullptr);
     static constexpr std::string_view digits = "0123456789abcdef";
     std::string hex;
-    hex.reserve(2 * size);
+    hex.reserve(2 * static_cast<size_t>(size));
     for (unsigned int i = 0; i < size; ++i) {
         hex.push_back(digits[digest[i] >> 4]);
         hex.push_back(digits[digest[i] & 15]);
--- a/src/process/ReplicatedLog.cpp
+++ b/src/process/ReplicatedLog.cpp
@@ -403,6 +403,7 @@
     if (message.checkpoint.index > m_commit) {
         m_checkpoint = message.checkpoint;
         m_entries.clear();
+        m_recent.clear();
         m_memberships = {{m_checkpoint.index, m_checkpoint.membership}};
         m_commit = m_checkpoint.index;
         m_persisted = m_checkpoint.index;
@@ -518,6 +519,9 @@
 {
     for (LogIndex next = after(m_commit); next <= std::min(index, lastIndex()); next = after(next)) {
         actions.committed.push_back(entryAt(next));
+        m_recent.push_back(entryAt(next));
+        if (m_recent.size() > m_timing.recentEntriesKept)
+            m_recent.pop_front();
         m_commit = next;
     }
 }
@@ -560,11 +564,14 @@
 
 std::optional<std::vector<LogEntry>> ReplicatedLog::committedAfter(LogIndex index, size_t most) const
 {
-    if (index < m_checkpoint.index)
-        return std::nullopt;
     std::vector<LogEntry> result;
-    for (LogIndex next = after(index); next <= m_commit && result.size() < most; next = after(next))
-        result.push_back(entryAt(next));
+    if (index >= m_commit)
+        return result;
+    if (m_recent.empty() || m_recent.front().index > after(index))
+        return std::nullopt;
+    for (size_t i = index.value() + 1 - m_recent.front().index.value(); i < m_recent.size() && result.size() < most;
+         ++i)
+        result.push_back(m_recent[i]);
     return result;
 }
 
--- a/src/request/FanOut.cpp
+++ b/src/request/FanOut.cpp
@@ -106,7 +106,10 @@
         shardFailed(now, shard, outcome == SubOutcome::Ok ? SubOutcome::Failed : outcome, actions);
     }
     finishIfComplete(now, actions);
-    scheduleWake(actions);
+    // A plain answer only ever puts the next wake-up off, and looking at every shard after each reply
+    // would make a query's cost grow with the square of its shards.
+    if (!actions.sends.empty() || m_shards[std::min<size_t>(shard, m_shards.size() - 1)].wantsRetry)
+        scheduleWake(actions);
     return actions;
 }
 
--- /dev/null
+++ b/src/request/HttpCallerClient.h
@@ -0,0 +1,25 @@
+// A caller's side of HTTP for our own tools: one connection that is kept between requests, used from
+// a fiber. It shares its translation unit with the server, so that Beast is compiled once for both.
+#pragma once
+
+#include "request/HttpCallerServer.h"
+
+namespace hickoryspur {
+
+class HttpCallerClient
+{
+public:
+    HttpCallerClient(boost::asio::io_context &context, const HostAddress &address);
+    ~HttpCallerClient();
+    HttpCallerClient(const HttpCallerClient &) = delete;
+    HttpCallerClient &operator=(const HttpCallerClient &) = delete;
+
+    /** Must be called on a fiber. After a failure the next call opens a new connection. */
+    Result<CallerResponse> exchange(const CallerRequest &request, std::chrono::milliseconds patience);
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace hickoryspur
--- a/src/request/HttpCallerServer.cpp
+++ b/src/request/HttpCallerServer.cpp
@@ -2,6 +2,7 @@
 
 #include "hickoryspur/process/Metrics.h"
 #include "request/AnswerJson.h"
+#include "request/HttpCallerClient.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -243,18 +244,75 @@
     return std::unique_ptr<HttpCallerServer>(new HttpCallerServer(std::move(state)));
 }
 
-Result<CallerResponse> httpExchange(const HostAddress &address, const CallerRequest &request,
-                                    std::chrono::milliseconds patience)
+namespace {
+
+http::request<http::string_body> toRequestMessage(const HostAddress &address, const CallerRequest &request)
 {
-    asio::io_context context(1);
-    beast::tcp_stream stream(context);
-    stream.expires_after(patience);
     http::request<http::string_body> message{http::string_to_verb(request.method), request.path, 11};
     message.set(http::field::host, address.text());
     for (const auto &[name, value] : request.headers)
         message.set(name, value);
     message.body() = request.body;
     message.prepare_payload();
+    return message;
+}
+
+} // namespace
+
+struct HttpCallerClient::State
+{
+    asio::io_context &context;
+    HostAddress address;
+    beast::flat_buffer buffer;
+    std::unique_ptr<beast::tcp_stream> stream;
+
+    error_code connect(std::chrono::milliseconds patience);
+};
+
+HttpCallerClient::HttpCallerClient(asio::io_context &context, const HostAddress &address)
+    : m_state(new State{context, address, {}, nullptr})
+{
+}
+
+HttpCallerClient::~HttpCallerClient() = default;
+
+error_code HttpCallerClient::State::connect(std::chrono::milliseconds patience)
+{
+    buffer.clear();
+    stream = std::make_unique<beast::tcp_stream>(context);
+    stream->expires_after(patience);
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.address), address.port);
+    const error_code error = await([&](auto done) { stream->async_connect(endpoint, std::move(done)); });
+    if (!error)
+        stream->socket().set_option(asio::ip::tcp::no_delay(true));
+    return error;
+}
+
+Result<CallerResponse> HttpCallerClient::exchange(const CallerRequest &request, std::chrono::milliseconds patience)
+{
+    error_code error = m_state->stream ? error_code() : m_state->connect(patience);
+    const http::request<http::string_body> message = toRequestMessage(m_state->address, request);
+    http::response<http::string_body> answer;
+    if (!error) {
+        m_state->stream->expires_after(patience);
+        error = await([&](auto done) { http::async_write(*m_state->stream, message, std::move(done)); });
+    }
+    if (!error)
+        error = await([&](auto done) { http::async_read(*m_state->stream, m_state->buffer, answer, std::move(done)); });
+    if (error || !answer.keep_alive())
+        m_state->stream.reset();
+    if (error)
+        return failure(ResultCode::ConnectionFailed, m_state->address.text() + ": " + error.message());
+    return CallerResponse{answer.result_int(), std::move(answer.body()), "application/json", {}};
+}
+
+Result<CallerResponse> httpExchange(const HostAddress &address, const CallerRequest &request,
+                                    std::chrono::milliseconds patience)
+{
+    asio::io_context context(1);
+    beast::tcp_stream stream(context);
+    stream.expires_after(patience);
+    const http::request<http::string_body> message = toRequestMessage(address, request);
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(boost::none);
--- a/src/request/HttpCallerServer.h
+++ b/src/request/HttpCallerServer.h
@@ -42,7 +42,7 @@
 
 struct ServerLimits
 {
-    uint64_t bodyBytes = 4U * 1024 * 1024;
+    uint64_t bodyBytes = 4ULL * 1024 * 1024;
     uint32_t headerBytes = 16U * 1024;
     /** A connection that is silent this long between or within requests is closed. */
     std::chrono::milliseconds silence{30000};
--- a/test/fakes/ControlGroup.cpp
+++ b/test/fakes/ControlGroup.cpp
@@ -1,6 +1,7 @@
 #include "fakes/ControlGroup.h"
 
 #include "hickoryspur/process/Check.h"
+#include "hickoryspur/process/Packing.h"
 
 namespace hickoryspur {
 
@@ -99,6 +100,8 @@
         envelope.type = static_cast<uint8_t>(message.type);
         envelope.from = name(index);
         envelope.payload = message.payload;
+        if (message.to != name(index))
+            m_sentBytes[message.type] += pack(envelope).size();
         m_links.send(m_now, name(index), message.to, envelope);
     }
     for (const TicketReply &reply : actions.replies)
@@ -107,6 +110,11 @@
         carryOut(index, host.node->persisted(m_now));
 }
 
+void ControlGroup::announce(size_t index, const Announcement &announcement)
+{
+    carryOut(index, m_hosts[index].node->announce(m_now, announcement));
+}
+
 void ControlGroup::noteLeaders()
 {
     for (const Host &host : m_hosts) {
--- /dev/null
+++ b/tools/hickoryspur-load.cpp
@@ -0,0 +1,230 @@
+// A load tool: asks queries or actions of one service at a steady rate, or as fast as its connections
+// go, over the entries it is told of, and prints latency, coverage and refusals as one line of JSON,
+// and with --seconds also a line for each second.
+#include "connection/AsioScheduler.h"
+#include "hickoryspur/version/LatencyHistogram.h"
+#include "request/HttpCallerClient.h"
+
+#include <boost/program_options.hpp>
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+using namespace hickoryspur;
+namespace options = boost::program_options;
+
+constexpr std::chrono::milliseconds kPatience{5000};
+
+struct LoadPlan
+{
+    std::vector<HostAddress> entries;
+    std::string token;
+    std::string service;
+    std::string deadlineMs;
+    bool actions = false;
+    uint32_t shards = 1;
+    double rate = 0;
+    uint32_t connections = 16;
+    int64_t durationSeconds = 10;
+    std::string keyPrefix;
+};
+
+struct Tallies
+{
+    uint64_t asked = 0;
+    uint64_t whole = 0;
+    uint64_t partial = 0;
+    uint64_t refused = 0;
+    uint64_t broken = 0;
+    double coverage = 0;
+    LatencyHistogram latency;
+    std::map<int, uint64_t> codes;
+
+    nlohmann::json json() const
+    {
+        nlohmann::json byCode = nlohmann::json::object();
+        for (const auto &[code, count] : codes)
+            byCode[std::to_string(code)] = count;
+        const double answered = static_cast<double>(std::max<uint64_t>(1, whole + partial));
+        return {{"asked", asked},
+                {"whole", whole},
+                {"partial", partial},
+                {"refused", refused},
+                {"broken", broken},
+                {"coverage", coverage / answered},
+                {"p50_ms", toMilliseconds(latency.quantile(0.5))},
+                {"p99_ms", toMilliseconds(latency.quantile(0.99))},
+                {"p999_ms", toMilliseconds(latency.quantile(0.999))},
+                {"codes", byCode}};
+    }
+};
+
+class Load
+{
+public:
+    Load(boost::asio::io_context &context, LoadPlan plan)
+        : m_context(context)
+        , m_plan(std::move(plan))
+        , m_start(monotonicNow())
+        , m_end(m_start + std::chrono::seconds(m_plan.durationSeconds))
+    {
+    }
+
+    void run()
+    {
+        std::vector<boost::fibers::fiber> fibers;
+        for (uint32_t i = 0; i < m_plan.connections; ++i)
+            fibers.emplace_back([this, i] { connection(i); });
+        for (boost::fibers::fiber &fiber : fibers)
+            fiber.join();
+    }
+
+    const Tallies &total() const { return m_total; }
+    const std::map<int64_t, Tallies> &seconds() const { return m_seconds; }
+
+private:
+    void connection(uint32_t index)
+    {
+        HttpCallerClient client(m_context, m_plan.entries[index % m_plan.entries.size()]);
+        while (true) {
+            // With a rate, requests fall due one after the other whether or not earlier ones are answered.
+            TimePoint due = monotonicNow();
+            if (m_plan.rate > 0) {
+                due = m_start + Duration(static_cast<int64_t>(1e6 * static_cast<double>(m_next++) / m_plan.rate));
+                if (due < m_end)
+                    boost::this_fiber::sleep_until(due);
+            }
+            if (due >= m_end)
+                return;
+            ask(client, due);
+        }
+    }
+
+    CallerRequest makeRequest()
+    {
+        const uint64_t number = m_number++;
+        CallerRequest request;
+        request.method = "POST";
+        request.headers["Authorization"] = "Bearer " + m_plan.token;
+        if (!m_plan.deadlineMs.empty())
+            request.headers["Hickoryspur-Deadline-Ms"] = m_plan.deadlineMs;
+        request.path = "/v1/query?service=" + m_plan.service;
+        request.body = R"({"since":"dusk"})";
+        if (m_plan.actions) {
+            const std::string key = m_plan.keyPrefix + std::to_string(number);
+            request.path = "/v1/action?service=" + m_plan.service + "&shard=" + std::to_string(number % m_plan.shards);
+            request.body = R"({"notice":")" + key + "\"}";
+            request.headers["Hickoryspur-Key"] = key;
+            request.headers["Hickoryspur-Key-Time"] = std::to_string(wallClockSeconds());
+        }
+        return request;
+    }
+
+    void ask(HttpCallerClient &client, TimePoint due)
+    {
+        const Result<CallerResponse> response = client.exchange(makeRequest(), kPatience);
+        const TimePoint now = monotonicNow();
+        for (Tallies *tallies : {&m_total, &m_seconds[(due - m_start) / 1s]}) {
+            ++tallies->asked;
+            if (!response) {
+                ++tallies->broken;
+                continue;
+            }
+            note(*tallies, *response, now - due);
+        }
+        if (!response)
+            boost::this_fiber::sleep_for(std::chrono::milliseconds(50));
+    }
+
+    static void note(Tallies &tallies, const CallerResponse &response, Duration took)
+    {
+        // Only the head of the answer is looked at; its shards may be many.
+        const std::string head = response.body.substr(0, response.body.find(",\"shards\":{")) + "}";
+        const nlohmann::json body = nlohmann::json::parse(head, nullptr, false);
+        const int code = body.is_object() ? body.value("code", -1) : -1;
+        ++tallies.codes[code];
+        if (code != 0) {
+            ++tallies.refused;
+            return;
+        }
+        const double answered = body["coverage"].value("answered", 0.0);
+        const double shards = body["coverage"].value("shards", 1.0);
+        tallies.coverage += answered / shards;
+        (answered >= shards ? tallies.whole : tallies.partial) += 1;
+        tallies.latency.add(took);
+    }
+
+    boost::asio::io_context &m_context;
+    LoadPlan m_plan;
+    TimePoint m_start;
+    TimePoint m_end;
+    uint64_t m_next = 0;
+    uint64_t m_number = 0;
+    Tallies m_total;
+    std::map<int64_t, Tallies> m_seconds;
+};
+
+LoadPlan readPlan(const options::variables_map &values)
+{
+    LoadPlan plan;
+    for (const std::string &text : values["entry"].as<std::vector<std::string>>()) {
+        const size_t colon = text.rfind(':');
+        plan.entries.push_back({text.substr(0, colon), static_cast<uint16_t>(std::atoi(text.c_str() + colon + 1))});
+    }
+    plan.token = values["token"].as<std::string>();
+    plan.service = values["service"].as<std::string>();
+    plan.deadlineMs = values["deadline-ms"].as<std::string>();
+    plan.actions = values.count("actions") > 0;
+    plan.shards = values["shards"].as<uint32_t>();
+    plan.rate = values["rate"].as<double>();
+    plan.connections = values["connections"].as<uint32_t>();
+    plan.durationSeconds = values["duration"].as<int64_t>();
+    plan.keyPrefix = values["key-prefix"].as<std::string>();
+    return plan;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    std::signal(SIGPIPE, SIG_IGN);
+    options::options_description description("hickoryspur-load: a load tool");
+    description.add_options()("help", "show this help")("entry", options::value<std::vector<std::string>>()->required(),
+                                                        "IP:PORT of an entry; may be repeated")(
+        "token", options::value<std::string>()->required(),
+        "the caller's token")("service", options::value<std::string>()->required(), "the service to ask")(
+        "deadline-ms", options::value<std::string>()->default_value(""),
+        "deadline of each request")("actions", "non-repeatable requests, each with a key of its own")(
+        "shards", options::value<uint32_t>()->default_value(1), "shards that actions go to in turn")(
+        "key-prefix", options::value<std::string>()->default_value("k-"), "start of the actions' keys")(
+        "rate", options::value<double>()->default_value(0), "requests a second; 0 for as fast as answers come")(
+        "connections", options::value<uint32_t>()->default_value(16), "connections")(
+        "duration", options::value<int64_t>()->default_value(10), "seconds")("seconds", "a line for each second too");
+    options::variables_map values;
+    try {
+        options::store(options::parse_command_line(argc, argv, description), values);
+        if (values.count("help") > 0) {
+            std::cout << description << '\n';
+            return 0;
+        }
+        options::notify(values);
+    } catch (const options::error &error) {
+        std::cerr << error.what() << '\n';
+        return exitCode(ResultCode::UsageError);
+    }
+    const auto context = std::make_shared<boost::asio::io_context>(1);
+    boost::fibers::use_scheduling_algorithm<AsioScheduler>(context);
+    Load load(*context, readPlan(values));
+    load.run();
+    if (values.count("seconds") > 0)
+        for (const auto &[second, tallies] : load.seconds())
+            std::cout << second << ' ' << tallies.json() << '\n';
+    std::cout << load.total().json() << std::endl;
+    std::_Exit(0);
+}
