--- a/include/hickoryspur/version/LatencyHistogram.h
+++ b/include/hickoryspur/version/LatencyHistogram.h
@@ -22,6 +22,9 @@
     Duration quantile(double share) const;
     /** Samples in the buckets above the one that holds the limit. */
     uint64_t countAbove(Duration limit) const;
+    /** Counts by bucket; bucket b holds latencies from kGrowth^b microseconds on. */
+    const std::map<int32_t, uint64_t> &buckets() const { return m_counts; }
+    void addToBucket(int32_t bucket, uint64_t count) { m_counts[bucket] += count; }
     MSGPACK_DEFINE(m_counts)
 
 private:
--- a/src/app/OperatorCommands.cpp
+++ b/src/app/OperatorCommands.cpp
@@ -1,6 +1,7 @@
 #include "app/OperatorCommands.h"
 
 #include "app/EntryProcess.h"
+#include "app/ReplayCommand.h"
 #include "hickoryspur/process/LogStorage.h"
 #include "hickoryspur/process/TokenFile.h"
 #include "hickoryspur/version/Document.h"
@@ -378,6 +379,23 @@
     return result;
 }
 
+void describeReplay(options::options_description &description)
+{
+    description.add_options()("file", options::value<std::string>()->required(), "recorded trace")(
+        "expect", options::value<std::string>()->required(), "YAML file with the outcome that the trace must have");
+}
+
+Result<std::string> runReplay(const options::variables_map &values)
+{
+    const Result<std::string> trace = readFile(text(values, "file"));
+    const Result<std::string> expected = readFile(text(values, "expect"));
+    if (!trace || !expected)
+        return tl::unexpected(trace ? expected.error() : trace.error());
+    return replayMove(*trace, *expected, text(values, "expect")).map([&](const std::string &told) {
+        return text(values, "file") + ": " + told;
+    });
+}
+
 const std::vector<OperatorCommand> &commands()
 {
     static const std::vector<OperatorCommand> all = {
@@ -391,6 +409,7 @@
         {"moves", "show how traffic moves to new versions, or wait for the end", describeMoves, runMoves},
         {"revive", "let a version that was found bad be tried again", describeRevive, runRevive},
         {"report", "show how fast the services' budgets burn", describeRemote, runReport},
+        {"replay", "replay a recorded move against a stated outcome", describeReplay, runReplay},
         {"data-centre", "take a data centre out or back in", describeDataCentre, runDataCentre},
     };
     return all;
--- /dev/null
+++ b/src/app/ReplayCommand.cpp
@@ -0,0 +1,150 @@
+#include "app/ReplayCommand.h"
+
+#include "hickoryspur/process/Check.h"
+#include "hickoryspur/version/TrafficMove.h"
+#include "process/CheckedYaml.h"
+
+#include <nlohmann/json.hpp>
+
+#include <sstream>
+
+namespace hickoryspur {
+
+namespace {
+
+struct Expectation
+{
+    std::string state;
+    double shareAtMost = 1;
+    int64_t bySecond = 0;
+};
+
+struct Replayed
+{
+    MoveState end;
+    double largestShare = 0;
+    int64_t endedAt = 0;
+};
+
+nlohmann::json tallyToJson(const Tally &tally)
+{
+    nlohmann::json latency = nlohmann::json::array();
+    for (const auto &[bucket, count] : tally.latency.buckets())
+        latency.push_back({bucket, count});
+    return {tally.requests, tally.failures, tally.refused, latency};
+}
+
+Tally tallyFromJson(const nlohmann::json &json)
+{
+    Tally tally;
+    tally.requests = json.at(0).get<uint64_t>();
+    tally.failures = json.at(1).get<uint64_t>();
+    tally.refused = json.at(2).get<uint64_t>();
+    for (const nlohmann::json &item : json.at(3))
+        tally.latency.addToBucket(item.at(0).get<int32_t>(), item.at(1).get<uint64_t>());
+    return tally;
+}
+
+Expectation readExpectation(const YAML::Node &root, YamlErrors &errors)
+{
+    YamlSection section(root, "expectation", errors);
+    Expectation result;
+    result.state = section.text("state");
+    result.shareAtMost = section.share("share-at-most", 1);
+    result.bySecond = section.integer("by-second", 0, 1'000'000, 1'000'000);
+    section.finish();
+    return result;
+}
+
+TrafficMove startOf(const nlohmann::json &head)
+{
+    MoveState state;
+    state.from = head.at("from").get<std::string>();
+    state.to = head.at("to").get<std::string>();
+    state.status = static_cast<uint8_t>(MoveStatus::Moving);
+    state.sharePpm = static_cast<uint32_t>(head.at("first_share").get<double>() * 1e6);
+    state.dueSeconds = head.at("due").get<int64_t>();
+    return {state, head.at("first_share").get<double>(), MoveTiming(), JudgeSettings(), TimePoint()};
+}
+
+Replayed replay(std::istream &lines)
+{
+    std::string line;
+    std::getline(lines, line);
+    TrafficMove move = startOf(nlohmann::json::parse(line));
+    Replayed result;
+    while (std::getline(lines, line)) {
+        const nlohmann::json window = nlohmann::json::parse(line);
+        const int64_t second = window.at("at").get<int64_t>();
+        const TimePoint now{std::chrono::seconds(second)};
+        move.observe(now, observationFromJson(window.at("old")), observationFromJson(window.at("new")));
+        const std::optional<MoveState> next = move.tick(now, second);
+        if (!next)
+            continue;
+        if (next->status != move.state().status)
+            result.endedAt = second;
+        move.applied(*next, now);
+        result.largestShare = std::max(result.largestShare, next->share());
+    }
+    result.end = move.state();
+    return result;
+}
+
+} // namespace
+
+nlohmann::json observationToJson(const VersionObservation &observation)
+{
+    nlohmann::json result = nlohmann::json::object();
+    for (const auto &[route, content] : observation) {
+        nlohmann::json &target = result[route];
+        for (const auto &[upstream, tally] : content.byUpstream)
+            target["upstreams"][upstream] = tallyToJson(tally);
+        for (const auto &[shard, tally] : content.byShard)
+            target["shards"][std::to_string(shard)] = tallyToJson(tally);
+    }
+    return result;
+}
+
+VersionObservation observationFromJson(const nlohmann::json &json)
+{
+    VersionObservation result;
+    for (const auto &[route, content] : json.items()) {
+        for (const auto &[upstream, tally] : content.at("upstreams").items())
+            result[route].byUpstream[upstream] = tallyFromJson(tally);
+        if (!content.contains("shards"))
+            continue;
+        for (const auto &[shard, tally] : content.at("shards").items())
+            result[route].byShard[static_cast<uint32_t>(std::stoul(shard))] = tallyFromJson(tally);
+    }
+    return result;
+}
+
+Result<std::string> replayMove(const std::string &trace, const std::string &expectation, const std::string &source)
+{
+    YamlErrors errors(source);
+    const YAML::Node root = parseYaml(expectation, errors);
+    Expectation expected;
+    if (errors.empty())
+        expected = readExpectation(root, errors);
+    if (!errors.empty())
+        return failure(ResultCode::SettingsInvalid, errors.text());
+    Replayed replayed;
+    try {
+        std::istringstream lines(trace);
+        replayed = replay(lines);
+    } catch (const std::exception &error) {
+        return HS_USER_ERROR(ResultCode::MalformedRequest) << "the trace cannot be read: " << error.what();
+    }
+    std::ostringstream told;
+    told << "state " << moveStatusName(replayed.end.kind()) << " since second " << replayed.endedAt
+         << ", largest share " << replayed.largestShare << (replayed.end.reason.empty() ? "" : ": ")
+         << replayed.end.reason;
+    const bool sameState = moveStatusName(replayed.end.kind()) == expected.state;
+    if (!sameState || replayed.largestShare > expected.shareAtMost || replayed.endedAt > expected.bySecond)
+        return HS_USER_ERROR(ResultCode::ReplayMismatch)
+            << told.str() << "; expected state " << expected.state << " by second " << expected.bySecond
+            << " with a share of " << expected.shareAtMost << " at most";
+    return told.str();
+}
+
+} // namespace hickoryspur
--- a/src/request/QueryService.cpp
+++ b/src/request/QueryService.cpp
@@ -17,6 +17,8 @@
 constexpr double kNoHomeCostMicros = 1e9;
 /** Share of queries that may be restarted as a whole on a newer snapshot. */
 constexpr double kRestartShare = 0.05;
+/** As long as callers may use addresses from /v1/entries, and a little more. */
+constexpr Duration kAddressesValid = 2500ms;
 /** Part of an action's time that claiming its key may take. */
 constexpr int kClaimTimeDivisor = 2;
 /** An action's outcome is stored even when its caller has stopped waiting. */
@@ -46,11 +48,25 @@
 {
 }
 
+void QueryService::setView(ViewPointer view)
+{
+    m_view = std::move(view);
+    const auto isSelf = [this](const EntryView &entry) { return entry.settings.name == m_self; };
+    const auto self = std::find_if(m_view->entries.begin(), m_view->entries.end(), isSelf);
+    if (self == m_view->entries.end() || !m_view->isOut(self->settings.dataCentre))
+        m_outSince.reset();
+    else if (!m_outSince)
+        m_outSince = monotonicNow();
+}
+
 std::optional<Failure> QueryService::refusal(Environment environment, const ServiceName &service,
                                              const CallerName &caller) const
 {
     if (m_shuttingDown)
         return Failure{ResultCode::ShuttingDown, "this entry is shutting down", true};
+    // Callers may still use an address that they were given just before.
+    if (m_outSince && monotonicNow() - *m_outSince > kAddressesValid)
+        return Failure{ResultCode::EntryLeaving, "the data centre of this entry is out", true};
     if (!m_view || !m_hooks.mayServe(monotonicNow()))
         return Failure{ResultCode::EntryWithoutLease, "this entry is cut off from the others", true};
     const EnvironmentView *content = m_view->find(environment);
@@ -245,8 +261,11 @@
     sub.timeLeftMicros = (send.deadline - outgoing.sent).count();
     sub.body = request.body;
     m_scores.sent(sub.upstream);
-    if (!send.extra)
+    static Counter &first = Metrics::counter("hickoryspur_first_sub_requests_total");
+    if (!send.extra) {
+        first.add();
         m_budget.noteFirst(outgoing.sent, 1);
+    }
     // The request outlives its sub-requests: each is answered or cancelled before the query ends.
     m_router.send(outgoing.home, std::move(sub), [this, mailbox, outgoing, &request](const SubReply &reply) {
         const TimePoint end = monotonicNow();
@@ -385,7 +404,7 @@
         const bool notRun = claimed.resultCode() != ResultCode::OutcomeUnknown;
         return refused({claimed.resultCode(), claimed.message, notRun}, view.get());
     }
-    const ServiceAnswer answer =
+    ServiceAnswer answer =
         runAction(request, service.upstreams[chosen], chosenPlan->generation, chosenPlan->snapshot, deadline);
     Command outcome;
     outcome.type = static_cast<uint8_t>(CommandType::ClaimOutcome);
--- a/src/request/QueryService.h
+++ b/src/request/QueryService.h
@@ -71,7 +71,7 @@
 
     QueryService(NodeId self, uint64_t incarnation, SubRequestRouter &router, Hooks hooks, uint64_t seed);
 
-    void setView(ViewPointer view) { m_view = std::move(view); }
+    void setView(ViewPointer view);
     const ViewPointer &view() const { return m_view; }
     void tick(TimePoint now);
     /** Must be called on a fiber. */
@@ -140,6 +140,8 @@
     std::map<QueryNumber, std::shared_ptr<Mailbox>> m_waiting;
     QueryNumber m_nextQuery = 1;
     size_t m_runningCount = 0;
+    /** Since when this entry's own data centre has been out. */
+    std::optional<TimePoint> m_outSince;
     bool m_shuttingDown = false;
 };
 
--- a/test/performance/MoveTable.cpp
+++ b/test/performance/MoveTable.cpp
@@ -1,11 +1,15 @@
 // Moves of many kinds of version over many seeds, in virtual time: the product's TrafficMove beside a
 // z-test looked at every second, fixed timed stages with an error threshold, and all at once. Prints
 // the table of docs/MEASUREMENTS.md.
+#include "app/ReplayCommand.h"
 #include "hickoryspur/version/TrafficMove.h"
 
+#include <nlohmann/json.hpp>
+
 #include <array>
 #include <cmath>
 #include <cstdio>
+#include <fstream>
 #include <functional>
 #include <future>
 #include <memory>
@@ -18,9 +22,10 @@
 int seedCount = 100;
 constexpr int64_t kWithinSeconds = 300;
 constexpr int64_t kRunSeconds = 420;
-constexpr uint32_t kUpstreams = 6;
-constexpr uint32_t kShards = 24;
-constexpr uint32_t kRoutes = 3;
+// A recording has fewer of each, which keeps it small.
+uint32_t upstreamCount = 6;
+uint32_t shardCount = 24;
+uint32_t routeCount = 3;
 constexpr double kFirstShare = 0.02;
 /** From a verdict until no entry sends new work, as bounded by the lease; measured elsewhere. */
 constexpr int64_t kInForceSeconds = 4;
@@ -277,6 +282,9 @@
     double doneAt = 0;
 };
 
+/** Where runOnce() records its windows, if anywhere, for hickoryspur replay. */
+std::ostream *recording = nullptr;
+
 void runOnce(const Kind &kind, Policy &policy, uint64_t seed, Totals &totals)
 {
     std::mt19937_64 random(seed);
@@ -298,9 +306,9 @@
         for (uint32_t request = 0; request < kind.perSecond; ++request) {
             Place place;
             place.fresh = unit(random) < appliedShare;
-            place.route = static_cast<uint32_t>(random() % kRoutes);
-            place.upstream = static_cast<uint32_t>(random() % kUpstreams);
-            place.shard = static_cast<uint32_t>(random() % kShards);
+            place.route = static_cast<uint32_t>(random() % routeCount);
+            place.upstream = static_cast<uint32_t>(random() % upstreamCount);
+            place.shard = static_cast<uint32_t>(random() % shardCount);
             place.second = second;
             place.share = appliedShare;
             place.burst = second < burstEnds;
@@ -328,7 +336,14 @@
             if (isBadNow && !firstBad)
                 firstBad = second;
         }
+        if (recording)
+            *recording << nlohmann::json{{"at", second + 1},
+                                         {"old", observationToJson(oldOne)},
+                                         {"new", observationToJson(fresh)}}
+                       << '\n';
         policy.window(second, oldOne, fresh);
+        if (recording && policy.takenBack())
+            return;
         // The entries act on a decision once it is in force.
         shareAt[second + kInForceSeconds] = policy.share();
         if (const auto due = shareAt.find(second); due != shareAt.end())
@@ -359,10 +374,32 @@
     return line.data();
 }
 
+int record(const std::string &kindName, const std::string &path)
+{
+    upstreamCount = 3;
+    shardCount = 4;
+    routeCount = 2;
+    std::ofstream file(path);
+    recording = &file;
+    file << nlohmann::json{{"from", "1"}, {"to", "2"}, {"first_share", kFirstShare}, {"due", kWithinSeconds}} << '\n';
+    for (const Kind &kind : kinds()) {
+        if (kind.name != kindName)
+            continue;
+        ProductPolicy policy;
+        Totals totals;
+        runOnce(kind, policy, 1, totals);
+        return 0;
+    }
+    std::fprintf(stderr, "there is no kind %s\n", kindName.c_str());
+    return 1;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
+    if (argc == 4 && std::string(argv[1]) == "--record")
+        return record(argv[2], argv[3]);
     if (argc > 1)
         seedCount = std::atoi(argv[1]);
 
