--- a/include/hickoryspur/request/Admission.h
+++ b/include/hickoryspur/request/Admission.h
@@ -66,6 +66,8 @@
     double m_virtualTime = 0;
     /** The usual time a query takes once admitted. */
     Duration m_usualTime = Duration::zero();
+    /** The least time that one has lately taken. */
+    Duration m_leastTime = Duration::zero();
     TimePoint m_nextDecrease;
 };
 
--- a/src/request/Admission.cpp
+++ b/src/request/Admission.cpp
@@ -10,6 +10,12 @@
 constexpr Duration kDecreaseInterval = 100ms;
 /** Weight of a new sample in the usual time, as one in this many. */
 constexpr int kTimeWeight = 16;
+/** A query needs this many times the usual time; with less, half of those admitted would come too late. */
+constexpr int kSlackFactor = 2;
+/** The least time drifts back by one in this many, a sample or refusal at a time. */
+constexpr int kLeastTimeWeight = 16;
+/** While less than this part of the limit runs, the usual time is a memory of worse days. */
+constexpr double kIdlePart = 0.25;
 
 } // namespace
 
@@ -44,11 +50,16 @@
 
 void Admission::dropDoomed(TimePoint now, AdmissionActions &actions)
 {
+    const bool idle = static_cast<double>(m_running.size()) < kIdlePart * m_limit;
+    const TimePoint doomed = now + (idle ? m_leastTime : kSlackFactor * m_usualTime);
     for (auto &[name, caller] : m_callers) {
-        while (!caller.queue.empty() && caller.queue.begin()->deadline <= now + m_usualTime) {
+        while (!caller.queue.empty() && caller.queue.begin()->deadline <= doomed) {
             actions.refuse.emplace_back(caller.queue.begin()->query, ResultCode::DeadlineTooShort);
             caller.queue.erase(caller.queue.begin());
             --m_waitingCount;
+            // An idle thread that refuses must come to try again, or it would never learn better.
+            if (idle)
+                m_leastTime -= m_leastTime / kLeastTimeWeight;
         }
     }
 }
@@ -87,6 +98,7 @@
         return actions;
     const Duration took = now - found->second;
     m_running.erase(found);
+    m_leastTime = m_leastTime == Duration::zero() ? took : std::min(m_leastTime + m_leastTime / kLeastTimeWeight, took);
     m_usualTime = m_usualTime == Duration::zero() ? took : m_usualTime + (took - m_usualTime) / kTimeWeight;
     if (!inTime && now >= m_nextDecrease) {
         m_limit = std::max(1.0, m_limit * kDecrease);
--- a/test/performance/WireCost.cpp
+++ b/test/performance/WireCost.cpp
@@ -20,6 +20,7 @@
 constexpr uint16_t kPort = 19800;
 constexpr uint32_t kUpstreams = 16;
 constexpr uint32_t kSlots = 8;
+constexpr size_t kLoopConnections = 32;
 constexpr Duration kRun = 4s;
 
 double threadMicros()
@@ -61,7 +62,8 @@
     uint64_t count = 0;
     const TimePoint end = monotonicNow() + kRun;
     std::vector<boost::fibers::fiber> fibers;
-    for (int i = 0; i < 32; ++i) {
+    fibers.reserve(kLoopConnections);
+    for (size_t i = 0; i < kLoopConnections; ++i) {
         fibers.emplace_back([&] {
             HttpCallerClient client(context, {"127.0.0.1", kPort});
             CallerRequest request;
@@ -137,6 +139,7 @@
         uint64_t answered = 0;
         const TimePoint end = monotonicNow() + kRun;
         std::vector<boost::fibers::fiber> fibers;
+        fibers.reserve(concurrent + 1);
         fibers.emplace_back([&] {
             while (monotonicNow() < end + Duration(500ms)) {
                 m_desk.tick(monotonicNow());
@@ -166,7 +169,7 @@
         QueryService::Hooks result;
         result.mayServe = [](TimePoint) { return true; };
         result.isAlive = [](const NodeId &) { return true; };
-        result.commit = [](Command, Duration, const std::function<void(ApplyOutcome)> &) {};
+        result.commit = [](const Command &, Duration, const std::function<void(ApplyOutcome)> &) {};
         return result;
     }
 
