Ask another replica beside the budget when a home refused without sending

Cause looked for: 22 of 5,100 queries refused, not run, in the seconds in which Ilmutuskoda's demo took a data centre out and back. While entries apply the change milliseconds apart, homes refuse what others still send them, and each such refusal used up the retry budget although it put no load on any upstream. Such a resend now counts neither as first nor as extra, once for each untried replica. Not proved: the refusals' code, which the load tool mislabelled (mended), and the whole demo again.

--- a/include/hickoryspur/request/FanOut.h
+++ b/include/hickoryspur/request/FanOut.h
@@ -52,6 +52,8 @@
     SnapshotId snapshot;
     TimePoint deadline;
     bool extra = false;
+    /** In place of one that was refused before it was sent; counts neither as first nor as extra. */
+    bool resent = false;
 };
 
 struct FanOutAnswer
--- a/src/request/FanOut.cpp
+++ b/src/request/FanOut.cpp
@@ -140,6 +140,11 @@
         giveUpShard(now, shard, actions);
         return;
     }
+    // What never left for its upstream has put no load on it, so asking another replica is no extra.
+    if (outcome == SubOutcome::NotSent && !exhausted && now < lastMoment() && sendTo(now, shard, false, actions)) {
+        actions.sends.back().resent = true;
+        return;
+    }
     retry(now, shard, actions);
 }
 
--- a/src/request/QueryService.cpp
+++ b/src/request/QueryService.cpp
@@ -280,7 +280,7 @@
     sub.body = request.body;
     m_scores.sent(sub.upstream);
     static Counter &first = Metrics::counter("hickoryspur_first_sub_requests_total");
-    if (!send.extra) {
+    if (!send.extra && !send.resent) {
         first.add();
         m_budget.noteFirst(outgoing.sent, 1);
     }
--- a/test/failure/FanOutFailureTest.cpp
+++ b/test/failure/FanOutFailureTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(query_everyReplicaOfAShardLost_tellsItMissing);
     CPPUNIT_TEST(query_wholeAnswerOutOfReach_cancelsSiblingsAtOnce);
     CPPUNIT_TEST(query_everythingFails_staysWithinTheBudget);
+    CPPUNIT_TEST(query_homeRefusedWithoutSending_asksAnotherReplicaBesideTheBudget);
     CPPUNIT_TEST(query_allShed_saysNotRun);
     CPPUNIT_TEST(query_oneUnknown_doesNotSayNotRun);
     CPPUNIT_TEST(query_deadlinePassed_answersWithTrueCoverage);
@@ -207,6 +208,18 @@
         CPPUNIT_ASSERT(extra <= first / 20);
     }
 
+    void query_homeRefusedWithoutSending_asksAnotherReplicaBesideTheBudget()
+    {
+        m_mayAddExtra = false;
+        FanOut query = make(plan(1, 5, 1, 2));
+        const FanOutSend first = query.start(m_now).sends.at(0);
+        const FanOutActions again = query.reply(m_now, replyTo(first, SubOutcome::NotSent));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), again.sends.size());
+        CPPUNIT_ASSERT(!again.sends[0].extra && again.sends[0].upstream != first.upstream);
+        // With every replica tried the budget decides again.
+        CPPUNIT_ASSERT(query.reply(m_now, replyTo(again.sends[0], SubOutcome::NotSent)).sends.empty());
+    }
+
     void query_allShed_saysNotRun()
     {
         m_mayAddExtra = false;
--- a/test/performance/Overload.cpp
+++ b/test/performance/Overload.cpp
@@ -121,8 +121,9 @@
                 m_jobs.erase(job);
         }
         for (const FanOutSend &send : actions.sends) {
-            (send.extra ? m_extra : m_first) += 1;
-            if (!send.extra)
+            m_extra += send.extra ? 1 : 0;
+            m_first += send.extra || send.resent ? 0 : 1;
+            if (!send.extra && !send.resent)
                 m_budget.noteFirst(m_time.now(), 1);
             m_jobs[send.id.value()] = {query, send, {}};
             m_time.after(kHop, [this, send] {
--- a/tools/hickoryspur-load.cpp
+++ b/tools/hickoryspur-load.cpp
@@ -143,7 +143,8 @@
     static void note(Tallies &tallies, const CallerResponse &response, Duration took)
     {
         // Only the head of the answer is looked at; its shards may be many.
-        const std::string head = response.body.substr(0, response.body.find(",\"shards\":{")) + "}";
+        const size_t shardsAt = response.body.find(",\"shards\":{");
+        const std::string head = response.body.substr(0, shardsAt) + (shardsAt == std::string::npos ? "" : "}");
         const nlohmann::json body = nlohmann::json::parse(head, nullptr, false);
         const int code = body.is_object() ? body.value("code", -1) : -1;
         ++tallies.codes[code];
