Do not send and cancel a sub-request in one breath

Cause: when a later shard has no replica and the caller wants a whole answer, FanOut gave up in the middle of its first round, with the shards before it both in sends and in cancels. The query path looks a cancelled one up before it has sent it and would have thrown, and upstreams would have been asked for an answer that was already given. Found by reading the change again. Before: the new fixture fails.

--- a/src/request/FanOut.cpp
+++ b/src/request/FanOut.cpp
@@ -120,10 +120,14 @@
     std::erase_if(m_live, [&](const auto &item) {
         if (item.second.shard != shard)
             return false;
-        actions.cancels.push_back(item.first);
+        // One that has not left with these actions yet is taken out of them instead.
+        const auto sameId = [&item](const FanOutSend &send) { return send.id == item.first; };
+        if (std::erase_if(actions.sends, sameId) == 0) {
+            actions.cancels.push_back(item.first);
+            m_mayHaveRun = true;
+        }
         return true;
     });
-    m_mayHaveRun = true;
     m_shards[shard].running = 0;
 }
 
--- a/test/failure/FanOutFailureTest.cpp
+++ b/test/failure/FanOutFailureTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(query_repartitionedMeanwhile_answersWhollyFromTheNewMap);
     CPPUNIT_TEST(query_everyReplicaOfAShardLost_tellsItMissing);
     CPPUNIT_TEST(query_wholeAnswerOutOfReach_cancelsSiblingsAtOnce);
+    CPPUNIT_TEST(query_laterShardLostAndWholeWanted_sendsNothing);
     CPPUNIT_TEST(query_everythingFails_staysWithinTheBudget);
     CPPUNIT_TEST(query_homeRefusedWithoutSending_asksAnotherReplicaBesideTheBudget);
     CPPUNIT_TEST(query_allShed_saysNotRun);
@@ -183,6 +184,17 @@
         CPPUNIT_ASSERT_EQUAL(size_t(kShards - 1), end.cancels.size());
     }
 
+    void query_laterShardLostAndWholeWanted_sendsNothing()
+    {
+        QueryPlan partial = plan(1, 5, kShards, 2);
+        partial.candidates[2].clear();
+        FanOut query = make(partial, 1.0);
+        const FanOutActions actions = query.start(m_now);
+        CPPUNIT_ASSERT_EQUAL(ResultCode::CoverageTooLow, actions.answer->code);
+        CPPUNIT_ASSERT(actions.sends.empty() && actions.cancels.empty());
+        CPPUNIT_ASSERT(actions.answer->notRun);
+    }
+
     void query_everythingFails_staysWithinTheBudget()
     {
         ExtraBudget budget;
