--- a/include/hickoryspur/request/ExtraBudget.h
+++ b/include/hickoryspur/request/ExtraBudget.h
@@ -23,8 +23,6 @@
     void noteFirst(TimePoint now, uint64_t count);
     /** Takes one extra sub-request from the budget where it allows one. */
     bool takeExtra(TimePoint now);
-    uint64_t firstInWindow() const { return m_first; }
-    uint64_t extraInWindow() const { return m_extra; }
 
 private:
     static constexpr size_t kBuckets = 100;
--- a/include/hickoryspur/request/FanOut.h
+++ b/include/hickoryspur/request/FanOut.h
@@ -95,8 +95,6 @@
 
     bool finished() const { return m_finished; }
     uint64_t droppedReplies() const { return m_droppedReplies; }
-    /** How long a shard's live sub-request has been out, for the latency estimate. */
-    std::optional<Duration> age(SubRequestId id, TimePoint now) const;
 
 private:
     struct Live
--- a/include/hickoryspur/request/UpstreamScores.h
+++ b/include/hickoryspur/request/UpstreamScores.h
@@ -20,7 +20,6 @@
     void ended(TimePoint now, const UpstreamId &upstream, SubOutcome outcome, Duration latency);
     /** Expected microseconds to an answer; lower is better. */
     double cost(TimePoint now, const UpstreamId &upstream) const;
-    bool isEjected(TimePoint now, const UpstreamId &upstream) const;
 
 private:
     struct Score
--- a/include/hickoryspur/version/MoveKeeper.h
+++ b/include/hickoryspur/version/MoveKeeper.h
@@ -41,7 +41,6 @@
     std::map<std::string, std::string> m_packed;
     std::map<std::string, MoveState> m_states;
     std::map<std::string, TrafficMove> m_moves;
-    std::map<std::string, double> m_firstShares;
     ObservationBatch m_window;
     TimePoint m_windowEnds;
 };
--- a/src/request/FanOut.cpp
+++ b/src/request/FanOut.cpp
@@ -73,14 +73,6 @@
     return true;
 }
 
-std::optional<Duration> FanOut::age(SubRequestId id, TimePoint now) const
-{
-    const auto found = m_live.find(id);
-    if (found == m_live.end())
-        return std::nullopt;
-    return now - found->second.sent;
-}
-
 FanOutActions FanOut::reply(TimePoint now, const SubReply &reply)
 {
     FanOutActions actions;
--- a/src/request/UpstreamScores.cpp
+++ b/src/request/UpstreamScores.cpp
@@ -37,12 +37,6 @@
         score.ejectedUntil = now + kEjection;
 }
 
-bool UpstreamScores::isEjected(TimePoint now, const UpstreamId &upstream) const
-{
-    const auto found = m_scores.find(upstream);
-    return found != m_scores.end() && now < found->second.ejectedUntil;
-}
-
 double UpstreamScores::cost(TimePoint now, const UpstreamId &upstream) const
 {
     const auto found = m_scores.find(upstream);
