--- a/src/process/ControlNode.cpp
+++ b/src/process/ControlNode.cpp
@@ -334,7 +334,9 @@
     case PeerMessageType::Observations:
         if (const auto batch = unpack<ObservationBatch>(payload); batch && m_log) {
             m_burn.add(m_wallSeconds, *batch);
-            m_moves.observe(*batch);
+            // Only the leader closes windows; elsewhere they would grow until it comes to lead.
+            if (m_log->isLeader())
+                m_moves.observe(*batch);
         }
         break;
     case PeerMessageType::CommandRequest:
