--- a/include/hickoryspur/connection/Announcement.h
+++ b/include/hickoryspur/connection/Announcement.h
@@ -9,7 +9,8 @@
 
 namespace hickoryspur {
 
-enum class UpstreamState : uint8_t { Cold = 0, Ready = 1, Leaving = 2 };
+/** Leaving: still answers what it has, and gets nothing new. Gone: it has said that it ends. */
+enum class UpstreamState : uint8_t { Cold = 0, Ready = 1, Leaving = 2, Gone = 3 };
 
 struct Announcement
 {
@@ -30,9 +31,12 @@
     uint32_t slots = 1;
     uint32_t connectionLimit = 1;
     uint8_t state = static_cast<uint8_t>(UpstreamState::Ready);
+    /** How much longer it expects to be slow after its start, in milliseconds. */
+    int64_t coldForMillis = 0;
     MSGPACK_DEFINE(id, environment, service, version, incarnation, sequence, generation, shardCount, shards, snapshots,
-                   address, port, dataCentre, slots, connectionLimit, state)
+                   address, port, dataCentre, slots, connectionLimit, state, coldForMillis)
 
+    UpstreamState upstreamState() const { return static_cast<UpstreamState>(state); }
     bool isLeaving() const { return state == static_cast<uint8_t>(UpstreamState::Leaving); }
     bool sameBut(const Announcement &other) const;
 };
--- a/include/hickoryspur/process/ControlState.h
+++ b/include/hickoryspur/process/ControlState.h
@@ -36,6 +36,7 @@
     ReviveVersion,
     EntryUp,
     EntryDown,
+    ReplaceRoutes,
 };
 
 /** One command; which fields count depends on its type. New fields go at the end. */
@@ -87,6 +88,14 @@
     MSGPACK_DEFINE(number, digest, text, operatorName, wallSeconds, tried, index)
 };
 
+/** The accepted configuration of routes, as its operator wrote it. */
+struct AcceptedRoutes
+{
+    uint64_t number = 0;
+    std::string text;
+    MSGPACK_DEFINE(number, text)
+};
+
 struct ShardMap
 {
     MapGeneration generation;
@@ -136,6 +145,8 @@
     LogIndex appliedIndex() const { return LogIndex(m_index); }
     const DocumentVersion *current(Environment environment) const;
     const std::vector<DocumentVersion> &history(Environment environment) const;
+    /** Number 0 where none was accepted yet. */
+    const AcceptedRoutes &routes() const { return m_routes; }
     const std::set<std::string> &dataCentresOut() const { return m_out; }
     /** The maps of a service that may still be served, the newest last. */
     const std::map<std::string, std::vector<ShardMap>> &shardMaps() const { return m_maps; }
@@ -156,7 +167,7 @@
     static std::optional<ControlState> deserialize(const std::string &bytes);
 
     MSGPACK_DEFINE(m_index, m_wallSeconds, m_documents, m_outcomes, m_outcomeOrder, m_out, m_maps, m_claims,
-                   m_claimExpiry, m_moves, m_entries, m_homeEpoch, m_audit, m_previousEntries, m_previousOut)
+                   m_claimExpiry, m_moves, m_entries, m_homeEpoch, m_audit, m_previousEntries, m_previousOut, m_routes)
 
 private:
     ApplyOutcome applyOnce(const Command &command);
@@ -170,6 +181,7 @@
     ApplyOutcome revive(const Command &command);
     ApplyOutcome setEntry(const Command &command, bool up);
     ApplyOutcome markTried(const Command &command);
+    ApplyOutcome replaceRoutes(const Command &command);
     void startHomeEpoch();
     void expireClaims();
     void remember(const Command &command, const ApplyOutcome &outcome);
@@ -190,6 +202,7 @@
     std::deque<AuditRecord> m_audit;
     std::map<std::string, uint64_t> m_previousEntries;
     std::set<std::string> m_previousOut;
+    AcceptedRoutes m_routes;
 };
 
 } // namespace hickoryspur
--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -15,6 +15,7 @@
     LogRecovered = 1100,
     LogTailCut = 1101,
     CheckpointWritten = 1102,
+    LogClosed = 1103,
     LeaderElected = 1200,
     LeaderLost = 1201,
     MemberChanged = 1202,
@@ -41,8 +42,25 @@
     MoveDone = 1701,
     MoveTakenBack = 1702,
     MoveLate = 1703,
+    SettingsReloaded = 1800,
+    SettingsRefused = 1801,
+    SessionOpened = 1802,
+    SessionLost = 1803,
+    RoutesApplied = 1804,
+    RoutesUnreadable = 1805,
+    RequestFailed = 1900,
+    RequestPartial = 1901,
+    RequestRefused = 1902,
 };
 
+/** Lines about single requests are limited to so many a second; the rest is counted. */
+constexpr int kRequestLinesPerSecond = 40;
+/** Takes one line from this second's limit; counts the line as left out where none is left. */
+bool mayLogRequest();
+
 } // namespace hickoryspur
 
 #define HS_LOG(severity, event) LOG(severity) << 'E' << static_cast<int>(event) << ' '
+/** For lines about single requests: of a kind that comes often, at most so many a second are written. */
+#define HS_LOG_REQUEST(event) \
+    LOG_IF(WARNING, ::hickoryspur::mayLogRequest()) << 'E' << static_cast<int>(event) << ' '
--- a/include/hickoryspur/process/PeerMessage.h
+++ b/include/hickoryspur/process/PeerMessage.h
@@ -25,6 +25,8 @@
     Observations = 10,
     Forward = 20,
     Reply = 21,
+    EntryStatus = 30,
+    EntryUpdate = 31,
 };
 
 struct PeerMessage
--- a/include/hickoryspur/process/ReplicatedLog.h
+++ b/include/hickoryspur/process/ReplicatedLog.h
@@ -176,6 +176,10 @@
     bool membershipChangePending() const;
     /** The learner's log holds all that the leader's does. */
     bool isCaughtUp(const MemberId &member) const;
+    /** How long this leader has had no answer from the member; zero on a host that does not lead. */
+    Duration silence(TimePoint now, const MemberId &member) const;
+    /** Whom to ask while this member belongs to no membership; replaces what was given before. */
+    void setControlNodes(std::vector<NodeId> nodes) { m_controlNodes = std::move(nodes); }
     /** Committed entries after an index, or nothing where a checkpoint has replaced them. */
     std::optional<std::vector<LogEntry>> committedAfter(LogIndex index, size_t most) const;
 
--- a/include/hickoryspur/process/Time.h
+++ b/include/hickoryspur/process/Time.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace hickoryspur {
 
@@ -10,9 +11,12 @@
 /** Time since an arbitrary start on this host's monotonic clock; not comparable between hosts. */
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
+/** Counts the time in which the host was suspended, so that a lease runs out while its holder sleeps. */
 inline TimePoint monotonicNow()
 {
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return TimePoint(std::chrono::seconds(now.tv_sec) + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 /** Wall-clock seconds since 1970, for people and audit trails; no decision depends on it. */
--- a/include/hickoryspur/request/ExtraBudget.h
+++ b/include/hickoryspur/request/ExtraBudget.h
@@ -1,5 +1,5 @@
 // The one budget from which hedges and retries are paid: within a sliding window they are at most a
-// fixed share of the first sub-requests sent in it, also when everything fails.
+// fixed share of the first sub-requests sent in it plus a fixed number, also when everything fails.
 #pragma once
 
 #include "hickoryspur/process/Time.h"
@@ -15,11 +15,15 @@
     static constexpr double kDefaultShare = 0.05;
     static constexpr Duration kWindow = 10s;
 
-    explicit ExtraBudget(double share = kDefaultShare)
+    explicit ExtraBudget(double share = kDefaultShare, double slack = 0)
         : m_share(share)
+        , m_slack(slack)
     {
     }
 
+    /** The slack is one entry's part of a number that all share, so it changes with their count. */
+    void setSlack(double slack) { m_slack = slack; }
+
     void noteFirst(TimePoint now, uint64_t count);
     /** Takes one extra sub-request from the budget where it allows one. */
     bool takeExtra(TimePoint now);
@@ -35,6 +39,7 @@
     void advance(TimePoint now);
 
     double m_share;
+    double m_slack;
     std::array<Bucket, kBuckets> m_buckets{};
     int64_t m_position = 0;
     uint64_t m_first = 0;
--- /dev/null
+++ b/include/hickoryspur/request/ScatterRun.h
@@ -0,0 +1,129 @@
+// The decisions of one request: to which replica of each shard it goes, when a slow one is hedged
+// and a failed one retried, and when the answer is good enough to give. A request to one service is
+// a run of one shard. It answers the load pattern of replicas that stand still for a moment: a part
+// that is late is asked for elsewhere at once, and an answer that lacks a part is given at the
+// target latency rather than a whole one long after it.
+//
+// It does no I/O. The caller feeds it time and the ends of attempts, and carries out what it returns.
+#pragma once
+
+#include "hickoryspur/process/Ids.h"
+#include "hickoryspur/request/ReplicaBook.h"
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace hickoryspur {
+
+struct ScatterPlan
+{
+    std::vector<ServiceName> shards;
+    /** Replicas of one shard on which the request may run. */
+    uint32_t attempts = 1;
+    /** Answered shards that make an answer. */
+    size_t leastParts = 1;
+    /** May run more than once; else it is sent again only where it has surely not run. */
+    bool idempotent = false;
+    /** From here on an answer of at least leastParts is given. */
+    TimePoint answerBy;
+    /** The final answer is given by then, whatever it is. */
+    TimePoint deadline;
+    /** An attempt that takes longer is overdue, and hedged where the request is idempotent. */
+    Duration hedgeAfter = 50ms;
+};
+
+struct ScatterHooks
+{
+    /** A replica for the service, none of those tried already; nothing where there is none. */
+    std::function<std::optional<UpstreamId>(const ServiceName &, const std::vector<UpstreamId> &tried)> choose;
+    /** Takes one extra sub-request from the service's budget where it allows one. */
+    std::function<bool(const ServiceName &)> takeExtra;
+    /** An attempt at this replica has become overdue. */
+    std::function<void(const UpstreamId &)> overdue;
+};
+
+struct AttemptKey
+{
+    uint32_t shard = 0;
+    uint32_t attempt = 0;
+    auto operator<=>(const AttemptKey &) const = default;
+};
+
+struct SendAttempt
+{
+    AttemptKey key;
+    UpstreamId upstream;
+};
+
+enum class ScatterEnd {
+    /** Every shard has answered. */
+    Complete,
+    /** Enough have, and the rest is late or lost. */
+    Partial,
+    /** Too few have; something ran or may have run. */
+    Failed,
+    /** Too few can answer, and nothing has run or will run. */
+    NotRun,
+    /** The deadline has passed. */
+    TimedOut,
+};
+
+struct ScatterActions
+{
+    std::vector<SendAttempt> sends;
+    std::optional<ScatterEnd> end;
+};
+
+class ScatterRun
+{
+public:
+    ScatterRun(ScatterPlan plan, ScatterHooks hooks);
+
+    ScatterActions start(TimePoint now);
+    ScatterActions ended(TimePoint now, AttemptKey key, AttemptOutcome outcome);
+    /** Something may be due: an overdue attempt, the target latency or the deadline. */
+    ScatterActions tick(TimePoint now);
+    /** When tick() has something to do next. */
+    TimePoint nextWake(TimePoint now) const;
+
+    size_t partsIn() const { return m_answered; }
+    /** True while no upstream has run the request or may yet run it. */
+    bool surelyNotRun() const { return m_runs == 0; }
+    /** The attempt was slow; its end tells how slow. */
+    bool wasOverdue(AttemptKey key) const { return m_shards[key.shard].attempts[key.attempt].overdue; }
+    bool isFinished() const { return m_finished; }
+
+private:
+    struct Attempt
+    {
+        UpstreamId upstream;
+        TimePoint sentAt;
+        bool running = true;
+        bool overdue = false;
+    };
+    struct Shard
+    {
+        std::vector<Attempt> attempts;
+        /** Attempts that ran or may have run. */
+        uint32_t runs = 0;
+        bool answered = false;
+        bool lost = false;
+    };
+
+    bool trySend(TimePoint now, uint32_t index, bool paid, ScatterActions &actions);
+    void failShard(TimePoint now, uint32_t index, AttemptOutcome outcome, ScatterActions &actions);
+    void hedgeOverdue(TimePoint now, ScatterActions &actions);
+    void endIfDue(TimePoint now, ScatterActions &actions);
+    static bool hasRunning(const Shard &shard);
+
+    ScatterPlan m_plan;
+    ScatterHooks m_hooks;
+    std::vector<Shard> m_shards;
+    size_t m_answered = 0;
+    size_t m_lost = 0;
+    size_t m_runs = 0;
+    bool m_finished = false;
+};
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/app/ControlHost.cpp
@@ -0,0 +1,416 @@
+#include "app/ControlHost.h"
+
+#include "hickoryspur/process/LogEvent.h"
+#include "hickoryspur/process/Metrics.h"
+#include "hickoryspur/process/Packing.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/fiber/future.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace hickoryspur {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kTick = 100ms;
+/** Entries hear from each control host this often, also when nothing has changed. */
+constexpr Duration kRefresh = 200ms;
+/** An entry tells of itself every quarter second; one that misses several is not named to callers. */
+constexpr Duration kEntrySilence = 1200ms;
+/** After a start entries need this long to open their sessions. */
+constexpr Duration kGathering = 700ms;
+/** A confirmation by the control group is good for this long. */
+constexpr Duration kConfirmationLife = 400ms;
+/** Callers keep an answer three times as long at most, and a stopping entry serves for that time. */
+constexpr Duration kDirectoryValidity = 1200ms;
+/** Callers are given no more addresses than this. */
+constexpr size_t kMostPlaces = 64;
+
+ServerLimits controlLimits()
+{
+    ServerLimits limits;
+    limits.bodyBytes = 16ULL * 1024 * 1024;
+    return limits;
+}
+
+Failure asFailure(const ApplyOutcome &outcome)
+{
+    return {outcome.resultCode(), outcome.message, outcome.resultCode() == ResultCode::NoLeader};
+}
+
+} // namespace
+
+ControlHost::ControlHost(asio::io_context &context, HostSettings settings, HostDialect dialect, uint64_t incarnation)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_dialect(std::move(dialect))
+    , m_incarnation(incarnation)
+    , m_started(monotonicNow())
+    , m_timer(context)
+    , m_random(incarnation)
+{
+}
+
+Result<void> ControlHost::start()
+{
+    OutgoingLinks::Hooks links;
+    links.receive = [](const NodeId &, const PeerMessage &) {};
+    m_links = std::make_unique<OutgoingLinks>(m_context, m_settings.id(), std::move(links));
+    m_links->setHosts(m_settings.seedIds());
+    auto listener = FrameListener::listen(m_context, m_settings.internalAddress, [this](asio::ip::tcp::socket socket) {
+        auto link = std::make_shared<FrameLink>(
+            std::move(socket), [this](const auto &from, PeerMessage message) { received(from, std::move(message)); },
+            [this](const auto &from) { closed(from); });
+        m_inbound.push_back(link);
+        link->start();
+    });
+    if (!listener)
+        return tl::unexpected(listener.error());
+    m_listener = std::move(*listener);
+
+    GroupThreadConfig config;
+    config.self = m_settings.id();
+    config.dataFolder = m_settings.dataFolder;
+    config.seeds = m_settings.seedIds();
+    config.formsGroup = m_settings.firstStart;
+    config.incarnation = m_incarnation;
+    GroupThread::Hooks hooks;
+    hooks.send = [this](const LogEnvelope &envelope) {
+        asio::post(m_context, [this, to = envelope.to, payload = pack(envelope.message)]() mutable {
+            m_links->send(to, PeerMessageType::Log, std::move(payload));
+        });
+    };
+    hooks.publish = [this](GroupStatus status) {
+        asio::post(m_context, [this, status = std::move(status)]() mutable { noteStatus(std::move(status)); });
+    };
+    m_group = std::make_unique<GroupThread>(std::move(config), std::move(hooks));
+
+    const ControlApi api = makeApi();
+    auto control = HttpCallerServer::listen(
+        m_context, *m_settings.controlAddress, controlLimits(),
+        [this, api](const CallerRequest &request) { return m_dialect.control(request, api); });
+    if (!control)
+        return tl::unexpected(control.error());
+    m_controlServer = std::move(*control);
+    if (m_settings.directoryAddress) {
+        auto directory = HttpCallerServer::listen(
+            m_context, *m_settings.directoryAddress, ServerLimits(),
+            [this](const CallerRequest &request) { return m_dialect.directory(request, places(monotonicNow())); });
+        if (!directory)
+            return tl::unexpected(directory.error());
+        m_directoryServer = std::move(*directory);
+    }
+    startTimer();
+    return {};
+}
+
+void ControlHost::reload(const HostSettings &settings)
+{
+    m_settings.seeds = settings.seeds;
+    m_settings.mostDirectoryValidity = settings.mostDirectoryValidity;
+    m_group->setSeeds(m_settings.seedIds());
+    m_links->setHosts(allControlHosts());
+}
+
+void ControlHost::setClosing()
+{
+    m_controlServer->setClosing();
+    if (m_directoryServer)
+        m_directoryServer->setClosing();
+}
+
+size_t ControlHost::openRequests() const
+{
+    return m_controlServer->openRequests() + (m_directoryServer ? m_directoryServer->openRequests() : 0);
+}
+
+std::vector<NodeId> ControlHost::allControlHosts() const
+{
+    std::set<NodeId> hosts(m_status.controlHosts.begin(), m_status.controlHosts.end());
+    for (const NodeId &seed : m_settings.seedIds())
+        hosts.insert(seed);
+    hosts.insert(m_settings.id());
+    return {hosts.begin(), hosts.end()};
+}
+
+void ControlHost::received(const std::shared_ptr<FrameLink> &link, PeerMessage message)
+{
+    switch (message.kind()) {
+    case PeerMessageType::Ping: {
+        PeerMessage pong;
+        pong.type = static_cast<uint8_t>(PeerMessageType::Pong);
+        pong.from = m_settings.id();
+        link->send(pong);
+        return;
+    }
+    case PeerMessageType::Log:
+        if (std::optional<LogMessage> log = unpack<LogMessage>(message.payload)) {
+            // A host that asks to join may be named nowhere yet, and its answer goes over a link of our own.
+            if (!m_links->links().contains(log->from.node)) {
+                std::vector<NodeId> hosts = allControlHosts();
+                hosts.push_back(log->from.node);
+                m_links->setHosts(hosts);
+            }
+            m_group->receive(std::move(*log));
+        } else {
+            HS_LOG(WARNING, LogEvent::MessageUndecodable) << "a log message from " << message.from;
+        }
+        return;
+    case PeerMessageType::EntryStatus:
+        if (const std::optional<EntryStatus> status = unpack<EntryStatus>(message.payload))
+            noteEntry(link, *status);
+        return;
+    default:
+        HS_LOG(WARNING, LogEvent::MessageUndecodable) << "unexpected type " << int(message.type) << " from "
+                                                      << message.from;
+    }
+}
+
+void ControlHost::noteEntry(const std::shared_ptr<FrameLink> &link, const EntryStatus &status)
+{
+    const bool known = m_sessions.contains(link.get());
+    Session &session = m_sessions[link.get()];
+    if (!known || session.status.offered != status.offered)
+        HS_LOG(INFO, LogEvent::SessionOpened) << "entry=" << status.entry << " callers=" << status.callerAddress
+                                              << " offered=" << status.offered;
+    session.status = status;
+    if (known)
+        return;
+    session.link = link;
+    sendUpdate(session, fullUpdate(monotonicNow()));
+}
+
+void ControlHost::closed(const std::shared_ptr<FrameLink> &link)
+{
+    const auto session = m_sessions.find(link.get());
+    if (session != m_sessions.end()) {
+        HS_LOG(INFO, LogEvent::SessionLost) << "entry=" << session->second.status.entry;
+        m_sessions.erase(session);
+    }
+    std::erase(m_inbound, link);
+}
+
+bool ControlHost::isConfirmed(TimePoint now) const
+{
+    return now - m_confirmedAt < kConfirmationLife;
+}
+
+EntryUpdate ControlHost::stateUpdate(TimePoint now) const
+{
+    EntryUpdate update;
+    update.confirmed = isConfirmed(now);
+    update.applied = m_status.applied;
+    update.entries = static_cast<uint32_t>(m_sessions.size());
+    update.controlHosts = allControlHosts();
+    return update;
+}
+
+EntryUpdate ControlHost::fullUpdate(TimePoint now) const
+{
+    EntryUpdate update = stateUpdate(now);
+    update.carriesState = true;
+    update.routes = m_status.routes;
+    update.dataCentresOut = m_status.dataCentresOut;
+    for (const auto &[id, known] : m_registry.all())
+        update.upstreams.push_back(known.announcement);
+    return update;
+}
+
+void ControlHost::sendUpdate(Session &session, const EntryUpdate &update)
+{
+    PeerMessage message;
+    message.type = static_cast<uint8_t>(PeerMessageType::EntryUpdate);
+    message.from = m_settings.id();
+    message.payload = pack(update);
+    session.link->send(message);
+}
+
+void ControlHost::noteStatus(GroupStatus status)
+{
+    const bool stateIsNew = status.applied != m_status.applied;
+    const bool routesAreNew = status.routes.number != m_status.routes.number;
+    if (routesAreNew)
+        HS_LOG(INFO, LogEvent::DocumentAccepted) << "routes=" << status.routes.number << " log=" << status.applied;
+    m_status = std::move(status);
+    m_links->setHosts(allControlHosts());
+    if (!stateIsNew)
+        return;
+    EntryUpdate update = stateUpdate(monotonicNow());
+    update.carriesState = true;
+    update.dataCentresOut = m_status.dataCentresOut;
+    if (routesAreNew)
+        update.routes = m_status.routes;
+    for (auto &[link, session] : m_sessions)
+        sendUpdate(session, update);
+}
+
+void ControlHost::startTimer()
+{
+    m_timer.expires_after(kTick);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            onTimer();
+    });
+}
+
+void ControlHost::onTimer()
+{
+    const TimePoint now = monotonicNow();
+    m_links->tick(now);
+    m_registry.forgetSilent(now);
+    if (now >= m_nextPing) {
+        m_nextPing = now + kRefresh;
+        m_links->sendToAll(PeerMessageType::Ping, "");
+        askWhetherConfirmed();
+        refreshSessions(now);
+    }
+    startTimer();
+}
+
+void ControlHost::askWhetherConfirmed()
+{
+    m_group->read([this](bool confirmed, const ControlState &, const std::optional<NodeId> &) {
+        if (!confirmed)
+            return;
+        const TimePoint at = monotonicNow();
+        asio::post(m_context, [this, at] { m_confirmedAt = at; });
+    });
+}
+
+void ControlHost::refreshSessions(TimePoint now)
+{
+    const std::vector<std::shared_ptr<FrameLink>> inbound = m_inbound;
+    for (const std::shared_ptr<FrameLink> &link : inbound)
+        if (now - link->lastHeard() > kEntrySilence)
+            link->close();
+    EntryUpdate update = stateUpdate(now);
+    for (auto &[link, session] : m_sessions) {
+        update.heard = std::move(session.heard);
+        session.heard.clear();
+        sendUpdate(session, update);
+    }
+}
+
+void ControlHost::tellEntries(const Announcement &announcement)
+{
+    EntryUpdate update = stateUpdate(monotonicNow());
+    update.upstreams.push_back(announcement);
+    for (auto &[link, session] : m_sessions)
+        sendUpdate(session, update);
+}
+
+void ControlHost::announce(const Announcement &announcement)
+{
+    const RegistryChange change = m_registry.accept(monotonicNow(), announcement);
+    if (change == RegistryChange::Refreshed)
+        for (auto &[link, session] : m_sessions)
+            session.heard.push_back(announcement.id);
+    if (change != RegistryChange::Changed)
+        return;
+    HS_LOG(INFO, announcement.isLeaving() ? LogEvent::UpstreamLeaving : LogEvent::UpstreamArrived)
+        << "upstream=" << announcement.id << " service=" << announcement.service << " at=" << announcement.address << ':'
+        << announcement.port << " born=" << announcement.incarnation << " seq=" << announcement.sequence
+        << " version=" << announcement.version << " cold-ms=" << announcement.coldForMillis;
+    tellEntries(announcement);
+}
+
+void ControlHost::remove(const UpstreamId &id, uint64_t incarnation)
+{
+    if (m_registry.remove(monotonicNow(), id, incarnation) != RegistryChange::Changed)
+        return;
+    HS_LOG(INFO, LogEvent::UpstreamLost) << "upstream=" << id << " born=" << incarnation << " it says that it ends";
+    tellEntries(m_registry.find(id)->announcement);
+}
+
+Result<void> ControlHost::submit(Command command)
+{
+    boost::fibers::promise<ApplyOutcome> promise;
+    boost::fibers::future<ApplyOutcome> future = promise.get_future();
+    command.wallSeconds = wallClockSeconds();
+    m_group->submit(std::move(command), [&promise](ApplyOutcome outcome) { promise.set_value(std::move(outcome)); });
+    const ApplyOutcome outcome = future.get();
+    if (outcome.ok())
+        return {};
+    return tl::unexpected(asFailure(outcome));
+}
+
+template <typename Value> Result<Value> ControlHost::read(std::function<Value(const ControlState &)> pick)
+{
+    boost::fibers::promise<Result<Value>> promise;
+    boost::fibers::future<Result<Value>> future = promise.get_future();
+    m_group->read([&](bool confirmed, const ControlState &state, const std::optional<NodeId> &) {
+        if (confirmed)
+            promise.set_value(pick(state));
+        else
+            promise.set_value(failure(ResultCode::NoLeader, "no majority confirms that this state is the newest", true));
+    });
+    return future.get();
+}
+
+ControlApi ControlHost::makeApi()
+{
+    ControlApi api;
+    api.announce = [this](const Announcement &announcement) { announce(announcement); };
+    api.remove = [this](const UpstreamId &id, uint64_t incarnation) { remove(id, incarnation); };
+    api.replaceRoutes = [this](uint64_t number, const std::string &text) {
+        Command command;
+        command.type = static_cast<uint8_t>(CommandType::ReplaceRoutes);
+        command.number = number;
+        command.text = text;
+        return submit(std::move(command));
+    };
+    api.currentRoutes = [this] {
+        return read<AcceptedRoutes>([](const ControlState &state) { return state.routes(); });
+    };
+    api.setDataCentreOut = [this](const DataCentreName &dataCentre, bool out) {
+        Command command;
+        command.type = static_cast<uint8_t>(out ? CommandType::DataCentreOut : CommandType::DataCentreBack);
+        command.subject = dataCentre.value();
+        return submit(std::move(command));
+    };
+    api.setMove = [this](const ServiceName &service, const std::string &state) {
+        Command command;
+        command.type = static_cast<uint8_t>(CommandType::SetMove);
+        command.subject = service.value();
+        command.text = state;
+        return submit(std::move(command));
+    };
+    api.move = [this](const ServiceName &service) {
+        return read<std::string>([&service](const ControlState &state) {
+            const auto found = state.moves().find(service.value());
+            return found == state.moves().end() ? std::string() : found->second;
+        });
+    };
+    api.leader = [this] { return leaderAddress(); };
+    return api;
+}
+
+std::optional<HostAddress> ControlHost::leaderAddress() const
+{
+    if (!m_status.leader || *m_status.leader == m_settings.id())
+        return std::nullopt;
+    const Result<HostAddress> internal = parseHostAddress(m_status.leader->value());
+    if (!internal)
+        return std::nullopt;
+    return HostAddress{internal->address, m_settings.controlAddress->port};
+}
+
+std::optional<EntryPlaces> ControlHost::places(TimePoint now)
+{
+    EntryPlaces places;
+    places.validity = std::min(kDirectoryValidity, m_settings.mostDirectoryValidity);
+    for (const auto &[link, session] : m_sessions)
+        if (session.status.offered && now - session.link->lastHeard() < kEntrySilence)
+            places.addresses.push_back(session.status.callerAddress);
+    if (places.addresses.empty() || now - m_started < kGathering)
+        return std::nullopt;
+    std::shuffle(places.addresses.begin(), places.addresses.end(), m_random);
+    places.addresses.resize(std::min(places.addresses.size(), kMostPlaces));
+    return places;
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/app/EntryHost.cpp
@@ -0,0 +1,198 @@
+#include "app/EntryHost.h"
+
+#include "hickoryspur/process/LogEvent.h"
+#include "hickoryspur/process/Packing.h"
+
+#include <algorithm>
+#include <set>
+
+namespace hickoryspur {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kTick = 50ms;
+/** Control hosts name an entry to callers while it tells of itself this often. */
+constexpr Duration kStatusInterval = 250ms;
+/** Added to the idle time that callers count on, for the way between. */
+constexpr auto kIdleMargin = std::chrono::milliseconds(2000);
+
+TrafficConfig trafficConfig(const HostSettings &settings, uint64_t incarnation)
+{
+    return {settings.dataCentre, settings.extraShare, settings.extraSlack, incarnation};
+}
+
+} // namespace
+
+EntryHost::EntryHost(asio::io_context &context, HostSettings settings, HostDialect dialect, uint64_t incarnation)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_dialect(std::move(dialect))
+    , m_timer(context)
+    , m_traffic(context, trafficConfig(m_settings, incarnation), m_dialect.traffic)
+{
+}
+
+Result<void> EntryHost::start()
+{
+    OutgoingLinks::Hooks hooks;
+    hooks.receive = [this](const NodeId &from, const PeerMessage &message) { received(from, message); };
+    hooks.opened = [this](const NodeId &) { m_nextStatus = TimePoint(); };
+    hooks.lost = [this](const NodeId &host) { m_entryCounts.erase(host); };
+    m_links = std::make_unique<OutgoingLinks>(m_context, m_settings.id(), std::move(hooks));
+    dialControlHosts();
+    auto callers = HttpCallerServer::listen(m_context, *m_settings.callerAddress, ServerLimits(),
+                                            [this](const CallerRequest &request) { return handle(request); });
+    if (!callers)
+        return tl::unexpected(callers.error());
+    m_callerServer = std::move(*callers);
+    auto readiness =
+        HttpCallerServer::listen(m_context, *m_settings.readinessAddress, ServerLimits(),
+                                 [this](const CallerRequest &request) { return m_dialect.readiness(request, isReady()); });
+    if (!readiness)
+        return tl::unexpected(readiness.error());
+    m_readinessServer = std::move(*readiness);
+    onTimer();
+    return {};
+}
+
+void EntryHost::reload(const HostSettings &settings)
+{
+    m_settings.seeds = settings.seeds;
+    m_settings.grace = settings.grace;
+    dialControlHosts();
+}
+
+void EntryHost::setClosing()
+{
+    m_closing = true;
+    m_callerServer->setClosing();
+    tellStatus();
+}
+
+void EntryHost::stopAccepting()
+{
+    m_callerServer->stopAccepting();
+}
+
+CallerResponse EntryHost::respond(CallerAnswer answer) const
+{
+    CallerResponse response;
+    response.status = answer.status;
+    response.contentType = "";
+    response.fields = std::move(answer.fields);
+    response.body = std::move(answer.body);
+    return response;
+}
+
+CallerResponse EntryHost::handle(const CallerRequest &request)
+{
+    if (!m_confirmed)
+        return respond(m_traffic.refuse(RefusalKind::NotRunTryLater));
+    const std::function<bool()> gone = request.gone;
+    const Result<CarriedRequest> carried = m_dialect.carry(request);
+    if (!carried)
+        return respond(m_traffic.refuse(RefusalKind::Malformed));
+    return respond(m_traffic.serve(*carried, gone));
+}
+
+void EntryHost::received(const NodeId &from, const PeerMessage &message)
+{
+    if (message.kind() != PeerMessageType::EntryUpdate)
+        return;
+    const std::optional<EntryUpdate> update = unpack<EntryUpdate>(message.payload);
+    if (!update) {
+        HS_LOG(WARNING, LogEvent::MessageUndecodable) << "an update from " << from;
+        return;
+    }
+    apply(monotonicNow(), from, *update);
+}
+
+void EntryHost::apply(TimePoint now, const NodeId &from, const EntryUpdate &update)
+{
+    if (update.carriesState) {
+        if (update.routes.number > m_traffic.routesNumber())
+            applyRoutes(update.routes);
+        if (update.applied >= m_applied) {
+            m_applied = update.applied;
+            m_traffic.setDataCentresOut(update.dataCentresOut);
+        }
+    }
+    for (const Announcement &announcement : update.upstreams)
+        m_traffic.accept(now, announcement);
+    for (const UpstreamId &upstream : update.heard)
+        m_traffic.heard(now, upstream);
+    m_entryCounts[from] = update.entries;
+    const auto most = std::max_element(m_entryCounts.begin(), m_entryCounts.end(),
+                                       [](const auto &left, const auto &right) { return left.second < right.second; });
+    m_traffic.setEntryCount(most->second);
+    if (update.confirmed) {
+        // A confirmed host's state is in place by now, so nothing older can be served.
+        m_confirmed = m_confirmed || update.applied <= m_applied;
+        if (m_controlHosts != update.controlHosts) {
+            m_controlHosts = update.controlHosts;
+            dialControlHosts();
+        }
+    }
+    if (isReady() != m_wasReady) {
+        m_wasReady = isReady();
+        tellStatus();
+    }
+}
+
+void EntryHost::applyRoutes(const AcceptedRoutes &routes)
+{
+    Result<RouteTable> table = m_dialect.parseRoutes(routes.text);
+    if (!table) {
+        HS_LOG(ERROR, LogEvent::RoutesUnreadable) << "routes=" << routes.number << ' ' << table.error().message;
+        return;
+    }
+    ServerLimits limits;
+    limits.bodyBytes = table->limits.bodyBytes;
+    limits.headerBytes = table->limits.headerBytes;
+    limits.silence = std::chrono::duration_cast<std::chrono::milliseconds>(table->limits.idleTimeout) + kIdleMargin;
+    m_callerServer->setLimits(limits);
+    m_traffic.setRoutes(std::move(*table));
+}
+
+void EntryHost::dialControlHosts()
+{
+    std::set<NodeId> hosts(m_controlHosts.begin(), m_controlHosts.end());
+    for (const NodeId &seed : m_settings.seedIds())
+        hosts.insert(seed);
+    m_links->setHosts({hosts.begin(), hosts.end()});
+}
+
+void EntryHost::tellStatus()
+{
+    EntryStatus status;
+    status.entry = NodeId(m_settings.name);
+    status.callerAddress = m_settings.callerAddress->text();
+    status.dataCentre = m_settings.dataCentre;
+    status.offered = isReady();
+    m_links->sendToAll(PeerMessageType::EntryStatus, pack(status));
+}
+
+void EntryHost::startTimer()
+{
+    m_timer.expires_after(kTick);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            onTimer();
+    });
+}
+
+void EntryHost::onTimer()
+{
+    const TimePoint now = monotonicNow();
+    m_links->tick(now);
+    m_traffic.tick(now);
+    if (now >= m_nextStatus) {
+        m_nextStatus = now + kStatusInterval;
+        tellStatus();
+    }
+    startTimer();
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/app/HostProcess.cpp
@@ -0,0 +1,188 @@
+#include "app/HostProcess.h"
+
+#include "app/ControlHost.h"
+#include "app/EntryHost.h"
+#include "connection/AsioScheduler.h"
+#include "hickoryspur/process/LogEvent.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/fiber/all.hpp>
+
+#include <csignal>
+#include <random>
+
+namespace hickoryspur {
+
+namespace {
+
+namespace asio = boost::asio;
+
+/** How often the settings file is looked at for a change without a signal. */
+constexpr Duration kSettingsCheck = 1s;
+constexpr Duration kStopCheck = 20ms;
+/** Callers keep an address up to three times the directory's validity; an entry serves for that long. */
+constexpr Duration kCallersLeave = 3900ms;
+/** Part of the grace that is left when a stopping process ends whatever still runs. */
+constexpr Duration kStopMargin = 250ms;
+/** A control host answers what it has read, and others answer what comes next. */
+constexpr Duration kControlStops = 300ms;
+
+uint64_t drawIncarnation()
+{
+    std::random_device device;
+    return (static_cast<uint64_t>(device()) << 32U) | device();
+}
+
+class HostProcess
+{
+public:
+    HostProcess(std::string settingsPath, HostSettings settings, std::string settingsText, const HostDialect &dialect)
+        : m_context(std::make_shared<asio::io_context>(1))
+        , m_signals(*m_context, SIGTERM, SIGINT, SIGHUP)
+        , m_timer(*m_context)
+        , m_settingsPath(std::move(settingsPath))
+        , m_settings(std::move(settings))
+        , m_settingsText(std::move(settingsText))
+        , m_dialect(dialect)
+    {
+    }
+
+    int run();
+
+private:
+    Result<void> start();
+    void waitForSignal();
+    void watchSettings();
+    void reload();
+    void stop();
+
+    std::shared_ptr<asio::io_context> m_context;
+    asio::signal_set m_signals;
+    asio::steady_timer m_timer;
+    std::string m_settingsPath;
+    HostSettings m_settings;
+    std::string m_settingsText;
+    const HostDialect &m_dialect;
+    std::unique_ptr<ControlHost> m_control;
+    std::unique_ptr<EntryHost> m_entry;
+    boost::fibers::promise<int> m_stopping;
+    bool m_stopAsked = false;
+};
+
+Result<void> HostProcess::start()
+{
+    const uint64_t incarnation = drawIncarnation();
+    if (m_settings.role == HostRole::Control) {
+        m_control = std::make_unique<ControlHost>(*m_context, m_settings, m_dialect, incarnation);
+        return m_control->start();
+    }
+    m_entry = std::make_unique<EntryHost>(*m_context, m_settings, m_dialect, incarnation);
+    return m_entry->start();
+}
+
+void HostProcess::waitForSignal()
+{
+    m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP)
+            reload();
+        else if (!m_stopAsked) {
+            m_stopAsked = true;
+            m_stopping.set_value(signal);
+        }
+        waitForSignal();
+    });
+}
+
+void HostProcess::watchSettings()
+{
+    m_timer.expires_after(kSettingsCheck);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (error)
+            return;
+        reload();
+        watchSettings();
+    });
+}
+
+void HostProcess::reload()
+{
+    const Result<std::string> text = readFile(m_settingsPath);
+    if (!text || *text == m_settingsText)
+        return;
+    m_settingsText = *text;
+    const Result<HostSettings> settings = parseHostSettings(*text, m_settingsPath);
+    if (!settings) {
+        HS_LOG(ERROR, LogEvent::SettingsRefused) << "the settings before stay: " << settings.error().message;
+        return;
+    }
+    HS_LOG(INFO, LogEvent::SettingsReloaded) << settings->seeds.size() << " seeds";
+    if (m_control)
+        m_control->reload(*settings);
+    else
+        m_entry->reload(*settings);
+    m_settings.grace = settings->grace;
+}
+
+void HostProcess::stop()
+{
+    const TimePoint asked = monotonicNow();
+    const auto sleepUntil = [](TimePoint until) {
+        const Duration left = until - monotonicNow();
+        if (left > Duration::zero())
+            boost::this_fiber::sleep_for(left);
+    };
+    const TimePoint last = asked + m_settings.grace - kStopMargin;
+    if (m_control) {
+        m_control->setClosing();
+        sleepUntil(std::min(last, asked + kControlStops));
+        while (m_control->openRequests() > 0 && monotonicNow() < last)
+            boost::this_fiber::sleep_for(kStopCheck);
+        return;
+    }
+    m_entry->setClosing();
+    sleepUntil(std::min(last, asked + kCallersLeave));
+    m_entry->stopAccepting();
+    while (m_entry->openRequests() > 0 && monotonicNow() < last)
+        boost::this_fiber::sleep_for(kStopCheck);
+    // The last answers are on their way out of the sockets.
+    boost::this_fiber::sleep_for(kStopCheck);
+}
+
+int HostProcess::run()
+{
+    boost::fibers::use_scheduling_algorithm<AsioScheduler>(m_context);
+    if (const Result<void> started = start(); !started) {
+        LOG(ERROR) << started.error().message;
+        return exitCode(started.error().code);
+    }
+    HS_LOG(INFO, LogEvent::ProcessStarted) << m_settings.name << " at " << m_settings.internalAddress.text();
+    waitForSignal();
+    watchSettings();
+    const int signal = m_stopping.get_future().get();
+    HS_LOG(INFO, LogEvent::ProcessStopping) << "signal " << signal;
+    stop();
+    HS_LOG(INFO, LogEvent::ProcessStopped) << m_settings.name;
+    return 0;
+}
+
+} // namespace
+
+int runHost(const std::string &settingsPath, const HostDialect &dialect)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const Result<std::string> text = readFile(settingsPath);
+    const Result<HostSettings> settings =
+        text ? parseHostSettings(*text, settingsPath) : tl::unexpected(text.error());
+    if (!settings) {
+        LOG(ERROR) << settings.error().message;
+        return exitCode(settings.error().code);
+    }
+    // Lives until the process ends: connections' fibers cannot be unwound from here.
+    const int code = (new HostProcess(settingsPath, *settings, *text, dialect))->run();
+    google::FlushLogFiles(google::GLOG_INFO);
+    std::_Exit(code);
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/connection/UpstreamConnections.cpp
@@ -0,0 +1,496 @@
+#include "connection/UpstreamConnections.h"
+
+#include "hickoryspur/process/Metrics.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <deque>
+#include <unordered_map>
+
+namespace hickoryspur {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr size_t kMostAnswerBytes = 8ULL * 1024 * 1024;
+constexpr unsigned kMostHeaderBytes = 16U * 1024;
+/** Connecting takes milliseconds; an upstream that takes longer is dark or overrun. */
+constexpr Duration kConnectPatience = 400ms;
+/** An upstream that states no idle time is trusted to keep a connection this long. */
+constexpr Duration kUnstatedIdle = 4s;
+/** Before the stated idle time ends, the connection is no longer used. */
+constexpr Duration kIdleMargin = 900ms;
+/** A request that must not be sent twice goes only on a connection used this recently. */
+constexpr Duration kFreshIdle = 1s;
+/** Answers to earlier requests that are dropped before the connection is given up. */
+constexpr int kMostStrayAnswers = 4;
+
+using ResponseParser = http::response_parser<http::string_body>;
+
+/** The idle time in seconds that an upstream states, as in "timeout=5". */
+std::optional<Duration> statedIdle(beast::string_view keepAlive)
+{
+    const size_t start = keepAlive.find("timeout=");
+    if (start == beast::string_view::npos)
+        return std::nullopt;
+    const char *first = keepAlive.data() + start + sizeof("timeout=") - 1;
+    int seconds = 0;
+    const auto [end, error] = std::from_chars(first, keepAlive.data() + keepAlive.size(), seconds);
+    static_cast<void>(end);
+    return error == std::errc() ? std::optional<Duration>(std::chrono::seconds(seconds)) : std::nullopt;
+}
+
+UpstreamAnswer toAnswer(http::response<http::string_body> &&response)
+{
+    UpstreamAnswer answer;
+    answer.status = response.result_int();
+    for (const auto &field : response)
+        answer.fields.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    answer.body = std::move(response.body());
+    return answer;
+}
+
+struct Exchange
+{
+    UpstreamConnections::Handle handle = 0;
+    ExchangeRequest request;
+    UpstreamConnections::Done done;
+};
+
+class Pool;
+
+/** One connection. Its handlers keep it alive; the pool it belongs to may be gone before them. */
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(asio::io_context &context, std::weak_ptr<Pool> pool)
+        : m_socket(context)
+        , m_pool(std::move(pool))
+    {
+    }
+
+    void open(TimePoint now, const HostAddress &address);
+    void run(Exchange exchange);
+    void finish(ExchangeResult result, bool keep);
+    void close();
+    bool isIdle() const { return m_state == State::Idle; }
+    bool isOpening() const { return m_state == State::Connecting; }
+    bool isClosed() const { return m_state == State::Closed; }
+    bool isBusy() const { return m_exchange.has_value(); }
+    UpstreamConnections::Handle handle() const { return m_exchange ? m_exchange->handle : 0; }
+    TimePoint giveUpAt() const { return m_exchange ? m_exchange->request.giveUpAt : TimePoint::max(); }
+    TimePoint since() const { return m_since; }
+    Duration mostIdle() const { return m_mostIdle; }
+
+private:
+    enum class State { New, Connecting, Idle, Busy, Closed };
+
+    void opened(error_code error);
+    void watch();
+    void read();
+    void onRead(error_code error);
+
+    tcp::socket m_socket;
+    std::weak_ptr<Pool> m_pool;
+    State m_state = State::New;
+    TimePoint m_since;
+    Duration m_mostIdle = kUnstatedIdle;
+    bool m_watching = false;
+    int m_strays = 0;
+    std::optional<Exchange> m_exchange;
+    std::optional<ResponseParser> m_parser;
+    beast::flat_buffer m_buffer;
+};
+
+/** The connections to one upstream, and the exchanges that wait for one. */
+class Pool : public std::enable_shared_from_this<Pool>
+{
+public:
+    Pool(asio::io_context &context, const UpstreamTarget &target, UpstreamConnections::BelongsTo belongsTo)
+        : m_context(context)
+        , m_target(target)
+        , m_belongsTo(std::move(belongsTo))
+    {
+    }
+
+    void setLimit(uint32_t connections) { m_target.connections = std::max<uint32_t>(1, connections); }
+    const HostAddress &address() const { return m_target.address; }
+    void send(Exchange exchange);
+    void open();
+    void becameIdle();
+    void becameUnreachable(const std::string &reason);
+    bool abandon(UpstreamConnections::Handle handle);
+    void tick(TimePoint now);
+    void closeIdle();
+    bool hasRoom() const;
+    size_t size() const { return m_connections.size(); }
+    bool belongsTo(const UpstreamAnswer &answer, const std::string &id) const { return m_belongsTo(answer, id); }
+
+private:
+    std::shared_ptr<Connection> takeIdle(TimePoint now, bool fresh);
+    void startWaiting();
+    void dropClosed();
+
+    asio::io_context &m_context;
+    UpstreamTarget m_target;
+    UpstreamConnections::BelongsTo m_belongsTo;
+    std::vector<std::shared_ptr<Connection>> m_connections;
+    std::deque<Exchange> m_waiting;
+};
+
+void Connection::open(TimePoint now, const HostAddress &address)
+{
+    static Counter &opened = Metrics::counter("hickoryspur_upstream_connections_opened_total");
+    opened.add();
+    m_state = State::Connecting;
+    m_since = now;
+    m_socket.async_connect(tcp::endpoint(asio::ip::make_address(address.address), address.port),
+                           [self = shared_from_this()](error_code error) { self->opened(error); });
+}
+
+void Connection::opened(error_code error)
+{
+    if (m_state != State::Connecting)
+        return;
+    const std::shared_ptr<Pool> pool = m_pool.lock();
+    if (error || !pool) {
+        close();
+        if (pool)
+            pool->becameUnreachable("connecting failed: " + error.message());
+        return;
+    }
+    error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    m_state = State::Idle;
+    m_since = monotonicNow();
+    watch();
+    pool->becameIdle();
+}
+
+void Connection::watch()
+{
+    if (m_watching)
+        return;
+    m_watching = true;
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+        self->m_watching = false;
+        // Bytes on an idle connection belong to no request, and an end closes it.
+        if (self->m_state == State::Idle || (error && self->m_state != State::Busy))
+            self->close();
+    });
+}
+
+void Connection::run(Exchange exchange)
+{
+    m_exchange = std::move(exchange);
+    m_state = State::Busy;
+    m_strays = 0;
+    asio::async_write(m_socket, asio::buffer(m_exchange->request.bytes),
+                      [self = shared_from_this()](error_code error, size_t) {
+                          if (!error && self->m_exchange)
+                              self->read();
+                          else if (self->m_exchange)
+                              self->finish({AttemptOutcome::Failed, {}, "writing: " + error.message()}, false);
+                      });
+}
+
+void Connection::read()
+{
+    m_parser.emplace();
+    m_parser->body_limit(kMostAnswerBytes);
+    m_parser->header_limit(kMostHeaderBytes);
+    http::async_read(m_socket, m_buffer, *m_parser,
+                     [self = shared_from_this()](error_code error, size_t) { self->onRead(error); });
+}
+
+void Connection::onRead(error_code error)
+{
+    static Counter &strays = Metrics::counter("hickoryspur_upstream_reply_mismatch_total");
+    if (!m_exchange)
+        return;
+    if (error)
+        return finish({AttemptOutcome::Failed, {}, "reading: " + error.message()}, false);
+    const bool keep = m_parser->get().keep_alive() && !m_parser->get().need_eof();
+    if (const std::optional<Duration> idle = statedIdle(m_parser->get()[http::field::keep_alive]))
+        m_mostIdle = *idle;
+    UpstreamAnswer answer = toAnswer(m_parser->release());
+    const std::shared_ptr<Pool> pool = m_pool.lock();
+    if (pool && !pool->belongsTo(answer, m_exchange->request.requestId)) {
+        strays.add();
+        if (keep && ++m_strays <= kMostStrayAnswers)
+            return read();
+        return finish({AttemptOutcome::Failed, {}, "the answer belongs to another request"}, false);
+    }
+    // Bytes behind the answer belong to nothing that was asked.
+    finish({AttemptOutcome::Answered, std::move(answer), ""}, keep && m_buffer.size() == 0);
+}
+
+void Connection::finish(ExchangeResult result, bool keep)
+{
+    const UpstreamConnections::Done done = std::move(m_exchange->done);
+    m_exchange.reset();
+    m_parser.reset();
+    if (keep && m_state == State::Busy) {
+        m_state = State::Idle;
+        m_since = monotonicNow();
+        watch();
+    } else {
+        close();
+    }
+    done(std::move(result));
+    if (const std::shared_ptr<Pool> pool = m_pool.lock())
+        pool->becameIdle();
+}
+
+void Connection::close()
+{
+    if (m_state == State::Closed)
+        return;
+    m_state = State::Closed;
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+std::shared_ptr<Connection> Pool::takeIdle(TimePoint now, bool fresh)
+{
+    // The one used last is the least likely to have been closed, and lets the others run out.
+    std::shared_ptr<Connection> latest;
+    for (const std::shared_ptr<Connection> &connection : m_connections) {
+        if (!connection->isIdle())
+            continue;
+        const Duration idle = now - connection->since();
+        if (idle + kIdleMargin > connection->mostIdle() || (fresh && idle > kFreshIdle))
+            continue;
+        if (!latest || connection->since() > latest->since())
+            latest = connection;
+    }
+    return latest;
+}
+
+void Pool::dropClosed()
+{
+    std::erase_if(m_connections, [](const auto &connection) { return connection->isClosed(); });
+}
+
+bool Pool::hasRoom() const
+{
+    const auto usable = std::count_if(m_connections.begin(), m_connections.end(), [](const auto &connection) {
+        return connection->isBusy() || connection->isOpening();
+    });
+    return static_cast<size_t>(usable) + m_waiting.size() < m_target.connections;
+}
+
+void Pool::send(Exchange exchange)
+{
+    const TimePoint now = monotonicNow();
+    const bool fresh = exchange.request.fresh;
+    if (const std::shared_ptr<Connection> connection = takeIdle(now, fresh)) {
+        connection->run(std::move(exchange));
+        return;
+    }
+    if (fresh)
+        closeIdle();
+    m_waiting.push_back(std::move(exchange));
+    const auto opening = std::count_if(m_connections.begin(), m_connections.end(),
+                                       [](const auto &connection) { return connection->isOpening(); });
+    if (static_cast<size_t>(opening) < m_waiting.size())
+        open();
+}
+
+void Pool::open()
+{
+    dropClosed();
+    if (m_connections.size() >= m_target.connections) {
+        // An idle one that is too old to use makes room for a new one.
+        const TimePoint now = monotonicNow();
+        const auto stale = std::find_if(m_connections.begin(), m_connections.end(), [now](const auto &connection) {
+            return connection->isIdle() && now - connection->since() + kIdleMargin > connection->mostIdle();
+        });
+        if (stale == m_connections.end())
+            return;
+        (*stale)->close();
+        m_connections.erase(stale);
+    }
+    m_connections.push_back(std::make_shared<Connection>(m_context, weak_from_this()));
+    m_connections.back()->open(monotonicNow(), m_target.address);
+}
+
+void Pool::becameIdle()
+{
+    dropClosed();
+    startWaiting();
+}
+
+void Pool::startWaiting()
+{
+    while (!m_waiting.empty()) {
+        const std::shared_ptr<Connection> connection = takeIdle(monotonicNow(), m_waiting.front().request.fresh);
+        if (!connection)
+            break;
+        Exchange exchange = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        connection->run(std::move(exchange));
+    }
+    if (!m_waiting.empty() && hasRoom())
+        open();
+}
+
+void Pool::becameUnreachable(const std::string &reason)
+{
+    dropClosed();
+    const bool othersOpen = std::any_of(m_connections.begin(), m_connections.end(),
+                                        [](const auto &connection) { return !connection->isClosed(); });
+    if (othersOpen || m_waiting.empty())
+        return;
+    std::deque<Exchange> waiting = std::move(m_waiting);
+    m_waiting.clear();
+    for (Exchange &exchange : waiting)
+        exchange.done({AttemptOutcome::Unsent, {}, reason});
+}
+
+bool Pool::abandon(UpstreamConnections::Handle handle)
+{
+    const auto waiting = std::find_if(m_waiting.begin(), m_waiting.end(),
+                                      [handle](const Exchange &exchange) { return exchange.handle == handle; });
+    if (waiting != m_waiting.end()) {
+        const UpstreamConnections::Done done = std::move(waiting->done);
+        m_waiting.erase(waiting);
+        done({AttemptOutcome::Unsent, {}, "abandoned before it was sent"});
+        return true;
+    }
+    const auto running = std::find_if(m_connections.begin(), m_connections.end(),
+                                      [handle](const auto &connection) { return connection->handle() == handle; });
+    if (running == m_connections.end())
+        return false;
+    const std::shared_ptr<Connection> connection = *running;
+    connection->finish({AttemptOutcome::Abandoned, {}, "abandoned"}, false);
+    return true;
+}
+
+void Pool::tick(TimePoint now)
+{
+    dropClosed();
+    const std::vector<std::shared_ptr<Connection>> connections = m_connections;
+    for (const std::shared_ptr<Connection> &connection : connections) {
+        if (connection->isOpening() && now - connection->since() > kConnectPatience) {
+            connection->close();
+            becameUnreachable("connecting took too long");
+        } else if (connection->isBusy() && now >= connection->giveUpAt()) {
+            connection->finish({AttemptOutcome::Failed, {}, "no answer in time"}, false);
+        }
+    }
+    while (!m_waiting.empty() && now >= m_waiting.front().request.giveUpAt) {
+        const Exchange exchange = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        exchange.done({AttemptOutcome::Unsent, {}, "no connection in time"});
+    }
+}
+
+void Pool::closeIdle()
+{
+    for (const std::shared_ptr<Connection> &connection : m_connections)
+        if (connection->isIdle())
+            connection->close();
+    dropClosed();
+}
+
+} // namespace
+
+struct UpstreamConnections::State
+{
+    asio::io_context &context;
+    BelongsTo belongsTo;
+    std::unordered_map<UpstreamId, std::shared_ptr<Pool>> pools;
+    std::unordered_map<Handle, std::weak_ptr<Pool>> running;
+    Handle nextHandle = 1;
+
+    std::shared_ptr<Pool> pool(const UpstreamTarget &target);
+};
+
+std::shared_ptr<Pool> UpstreamConnections::State::pool(const UpstreamTarget &target)
+{
+    std::shared_ptr<Pool> &pool = pools[target.id];
+    if (!pool || pool->address().text() != target.address.text())
+        pool = std::make_shared<Pool>(context, target, belongsTo);
+    pool->setLimit(target.connections);
+    return pool;
+}
+
+UpstreamConnections::UpstreamConnections(asio::io_context &context, BelongsTo belongsTo)
+    : m_state(new State{context, std::move(belongsTo), {}, {}, 1})
+{
+}
+
+UpstreamConnections::~UpstreamConnections() = default;
+
+UpstreamConnections::Handle UpstreamConnections::send(const UpstreamTarget &target, ExchangeRequest request, Done done)
+{
+    const Handle handle = m_state->nextHandle++;
+    const std::shared_ptr<Pool> pool = m_state->pool(target);
+    m_state->running[handle] = pool;
+    State *state = m_state.get();
+    // Posted, so that a failure found at once does not call back into the sender.
+    asio::post(state->context, [state, pool, handle, request = std::move(request), done = std::move(done)]() mutable {
+        // Holding the pool keeps it able to judge the answer after the upstream itself has been forgotten.
+        pool->send({handle, std::move(request), [state, pool, handle, done = std::move(done)](ExchangeResult result) {
+                        state->running.erase(handle);
+                        done(std::move(result));
+                    }});
+    });
+    return handle;
+}
+
+void UpstreamConnections::abandon(Handle handle)
+{
+    const auto found = m_state->running.find(handle);
+    if (found == m_state->running.end())
+        return;
+    if (const std::shared_ptr<Pool> pool = found->second.lock())
+        pool->abandon(handle);
+}
+
+void UpstreamConnections::warm(const UpstreamTarget &target)
+{
+    const std::shared_ptr<Pool> pool = m_state->pool(target);
+    if (pool->size() == 0)
+        pool->open();
+}
+
+bool UpstreamConnections::hasRoom(const UpstreamTarget &target) const
+{
+    const auto found = m_state->pools.find(target.id);
+    return found == m_state->pools.end() || found->second->hasRoom();
+}
+
+void UpstreamConnections::forget(const UpstreamId &id)
+{
+    const auto found = m_state->pools.find(id);
+    if (found == m_state->pools.end())
+        return;
+    const std::shared_ptr<Pool> pool = found->second;
+    pool->closeIdle();
+    if (pool->size() == 0)
+        m_state->pools.erase(found);
+}
+
+void UpstreamConnections::tick(TimePoint now)
+{
+    std::vector<std::shared_ptr<Pool>> pools;
+    for (const auto &[id, pool] : m_state->pools)
+        pools.push_back(pool);
+    for (const std::shared_ptr<Pool> &pool : pools)
+        pool->tick(now);
+}
+
+} // namespace hickoryspur
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,7 @@
 // hickoryspur: one binary whose first argument is the subcommand.
+#include "PlatformDialect.h"
 #include "app/EntryProcess.h"
+#include "app/HostProcess.h"
 #include "app/OperatorCommands.h"
 
 #include <boost/program_options.hpp>
@@ -11,9 +13,11 @@
 
 namespace options = boost::program_options;
 
-int runServe(const std::vector<std::string> &arguments)
+/** Reads the one option of the subcommands that run a process: its settings file. */
+std::optional<int> readSettingsPath(const std::vector<std::string> &arguments, const std::string &title,
+                                    std::string &path)
 {
-    options::options_description description("hickoryspur serve: run an entry or control host");
+    options::options_description description(title);
     description.add_options()("help", "show this help")("settings", options::value<std::string>()->required(),
                                                         "settings file");
     options::variables_map values;
@@ -28,7 +32,25 @@
         std::cerr << "hickoryspur: " << error.what() << '\n';
         return hickoryspur::exitCode(hickoryspur::ResultCode::UsageError);
     }
-    const auto settings = hickoryspur::loadSettings(values["settings"].as<std::string>());
+    path = values["settings"].as<std::string>();
+    return std::nullopt;
+}
+
+int runHost(const std::vector<std::string> &arguments)
+{
+    std::string path;
+    if (const auto code =
+            readSettingsPath(arguments, "hickoryspur host: run one host of a deployment that is found by seeds", path))
+        return *code;
+    return hickoryspur::runHost(path, hickoryspur::platform::makeDialect());
+}
+
+int runServe(const std::vector<std::string> &arguments)
+{
+    std::string path;
+    if (const auto code = readSettingsPath(arguments, "hickoryspur serve: run an entry or control host", path))
+        return *code;
+    const auto settings = hickoryspur::loadSettings(path);
     if (!settings) {
         std::cerr << settings.error().message << '\n';
         return hickoryspur::exitCode(settings.error().code);
@@ -45,11 +67,14 @@
     const std::vector<std::string> arguments(argv + 1, argv + argc);
     if (arguments.empty() || arguments.front() == "--help") {
         std::cout << "hickoryspur COMMAND [--help]\n\n  serve         run an entry or control host\n"
+                  << "  host          run one host of a deployment that is found by seeds\n"
                   << hickoryspur::operatorCommandList();
         return arguments.empty() ? hickoryspur::exitCode(hickoryspur::ResultCode::UsageError) : 0;
     }
     const std::vector<std::string> rest(arguments.begin() + 1, arguments.end());
     if (arguments.front() == "serve")
         return runServe(rest);
+    if (arguments.front() == "host")
+        return runHost(rest);
     return hickoryspur::runOperatorCommand(arguments.front(), rest);
 }
--- a/src/process/CheckedYaml.cpp
+++ b/src/process/CheckedYaml.cpp
@@ -183,6 +183,15 @@
     return *value / 100;
 }
 
+double YamlSection::fraction(const std::string &field, double fallback)
+{
+    const YAML::Node node = take(field);
+    double value = fallback;
+    if (node && (!node.IsScalar() || !YAML::convert<double>::decode(node, value) || value < 0 || value > 1))
+        error(field, "must be a number from 0 to 1");
+    return value;
+}
+
 std::vector<std::string> YamlSection::texts(const std::string &field)
 {
     std::vector<std::string> result;
--- a/src/process/CheckedYaml.h
+++ b/src/process/CheckedYaml.h
@@ -54,6 +54,8 @@
     Duration duration(const std::string &field, Duration least, Duration most, std::optional<Duration> fallback = {});
     /** A share such as 2% or 99.9%, as a fraction. */
     double share(const std::string &field, double fallback);
+    /** A number such as 0.2, from 0 to 1. */
+    double fraction(const std::string &field, double fallback);
     std::vector<std::string> texts(const std::string &field);
     /** The items of a list, each of which is a section of its own. */
     std::vector<YAML::Node> items(const std::string &field);
--- a/src/process/ControlNode.cpp
+++ b/src/process/ControlNode.cpp
@@ -271,8 +271,9 @@
 {
     if (m_log->membershipChangePending())
         return;
-    const auto isCaughtUp = [this](const MemberId &member) { return m_log->isCaughtUp(member); };
-    const std::optional<Membership> next = nextRepairStep(m_log->membership(), isCaughtUp);
+    RepairInputs inputs;
+    inputs.isCaughtUp = [this](const MemberId &member) { return m_log->isCaughtUp(member); };
+    const std::optional<Membership> next = nextRepairStep(m_log->membership(), inputs);
     if (!next)
         return;
     LogActions actions;
--- a/src/process/ControlState.cpp
+++ b/src/process/ControlState.cpp
@@ -116,6 +116,8 @@
         return setEntry(command, true);
     case CommandType::EntryDown:
         return setEntry(command, false);
+    case CommandType::ReplaceRoutes:
+        return replaceRoutes(command);
     }
     // A command of a newer release: skipped alike on every host of this one.
     return refuse(ResultCode::MalformedRequest, "unknown command type " + std::to_string(command.type));
@@ -173,6 +175,15 @@
     return {};
 }
 
+ApplyOutcome ControlState::replaceRoutes(const Command &command)
+{
+    // The highest number wins whatever the order of arrival, so a resent or overtaken change is no error.
+    if (command.number <= m_routes.number)
+        return {0, "not higher than the version in place", m_routes.number, ""};
+    m_routes = {command.number, command.text};
+    return {0, "accepted", command.number, ""};
+}
+
 ApplyOutcome ControlState::setDataCentre(const Command &command, bool out)
 {
     const bool changed = m_out.contains(command.subject) != out;
--- /dev/null
+++ b/src/process/FrameLink.cpp
@@ -0,0 +1,279 @@
+#include "process/FrameLink.h"
+
+#include "hickoryspur/process/LogEvent.h"
+#include "hickoryspur/process/Packing.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <cstring>
+#include <set>
+
+namespace hickoryspur {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+/** A peer that is this far behind with reading is given up. */
+constexpr size_t kMostQueuedBytes = 16ULL * 1024 * 1024;
+/** Pause after a failed accept, as when descriptors run out. */
+constexpr auto kAcceptPause = std::chrono::milliseconds(50);
+
+std::string frame(const PeerMessage &message)
+{
+    const std::string body = pack(message);
+    const auto length = static_cast<uint32_t>(body.size());
+    std::string result(sizeof(length), '\0');
+    std::memcpy(result.data(), &length, sizeof(length));
+    return result + body;
+}
+
+} // namespace
+
+FrameLink::FrameLink(tcp::socket socket, Receive receive, Closed closed)
+    : m_socket(std::move(socket))
+    , m_receive(std::move(receive))
+    , m_closed(std::move(closed))
+    , m_lastHeard(monotonicNow())
+{
+}
+
+void FrameLink::start()
+{
+    m_state = State::Open;
+    error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    readLength();
+    writeNext();
+}
+
+void FrameLink::connect(const HostAddress &address)
+{
+    m_state = State::Connecting;
+    m_socket.async_connect(tcp::endpoint(asio::ip::make_address(address.address), address.port),
+                           [self = shared_from_this()](error_code error) {
+                               if (self->m_state != State::Connecting)
+                                   return;
+                               if (error)
+                                   self->close();
+                               else
+                                   self->start();
+                           });
+}
+
+void FrameLink::send(const PeerMessage &message)
+{
+    if (m_state == State::Closed)
+        return;
+    m_queue.push_back(frame(message));
+    m_queuedBytes += m_queue.back().size();
+    if (m_queuedBytes > kMostQueuedBytes)
+        close();
+    else
+        writeNext();
+}
+
+void FrameLink::close()
+{
+    if (m_state == State::Closed)
+        return;
+    m_state = State::Closed;
+    error_code ignored;
+    m_socket.close(ignored);
+    const Closed closed = std::move(m_closed);
+    m_receive = nullptr;
+    m_closed = nullptr;
+    if (closed)
+        closed(shared_from_this());
+}
+
+void FrameLink::readLength()
+{
+    asio::async_read(m_socket, asio::buffer(&m_length, sizeof(m_length)),
+                     [self = shared_from_this()](error_code error, size_t) {
+                         if (error || self->m_length > kMaxMessageBytes)
+                             self->close();
+                         else if (self->m_state == State::Open)
+                             self->readBody(self->m_length);
+                     });
+}
+
+void FrameLink::readBody(uint32_t length)
+{
+    m_body.resize(length);
+    asio::async_read(m_socket, asio::buffer(m_body), [self = shared_from_this()](error_code error, size_t) {
+        if (error || self->m_state != State::Open)
+            return self->close();
+        std::optional<PeerMessage> message = unpack<PeerMessage>(self->m_body);
+        if (!message) {
+            HS_LOG(WARNING, LogEvent::MessageUndecodable) << self->m_body.size() << " bytes from a peer; closing";
+            return self->close();
+        }
+        self->m_lastHeard = monotonicNow();
+        const Receive receive = self->m_receive;
+        receive(self, std::move(*message));
+        if (self->m_state == State::Open)
+            self->readLength();
+    });
+}
+
+void FrameLink::writeNext()
+{
+    if (m_writing || m_queue.empty() || m_state != State::Open)
+        return;
+    m_writing = true;
+    // Everything that waits goes out in one write.
+    auto batch = std::make_shared<std::string>();
+    while (!m_queue.empty()) {
+        *batch += m_queue.front();
+        m_queue.pop_front();
+    }
+    asio::async_write(m_socket, asio::buffer(*batch), [self = shared_from_this(), batch](error_code error, size_t) {
+        self->m_writing = false;
+        self->m_queuedBytes -= std::min(self->m_queuedBytes, batch->size());
+        if (error)
+            self->close();
+        else
+            self->writeNext();
+    });
+}
+
+FrameListener::FrameListener(asio::io_context &context, Accepted accepted)
+    : m_acceptor(context)
+    , m_pause(context)
+    , m_accepted(std::move(accepted))
+{
+}
+
+Result<std::unique_ptr<FrameListener>> FrameListener::listen(asio::io_context &context, const HostAddress &address,
+                                                             Accepted accepted)
+{
+    std::unique_ptr<FrameListener> listener(new FrameListener(context, std::move(accepted)));
+    const tcp::endpoint endpoint(asio::ip::make_address(address.address), address.port);
+    tcp::acceptor &acceptor = listener->m_acceptor;
+    error_code error;
+    acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(endpoint, error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return failure(ResultCode::AddressInUse, address.text() + ": " + error.message());
+    listener->accept();
+    return listener;
+}
+
+void FrameListener::accept()
+{
+    m_acceptor.async_accept([this](error_code error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        if (!error) {
+            m_accepted(std::move(socket));
+            return accept();
+        }
+        HS_LOG(WARNING, LogEvent::PeerSilent) << "cannot accept a peer's connection: " << error.message();
+        m_pause.expires_after(kAcceptPause);
+        m_pause.async_wait([this](error_code) { accept(); });
+    });
+}
+
+OutgoingLinks::OutgoingLinks(asio::io_context &context, NodeId self, Hooks hooks)
+    : m_context(context)
+    , m_self(std::move(self))
+    , m_hooks(std::move(hooks))
+{
+}
+
+void OutgoingLinks::setHosts(const std::vector<NodeId> &hosts)
+{
+    const std::set<NodeId> wanted(hosts.begin(), hosts.end());
+    for (auto next = m_links.begin(); next != m_links.end();) {
+        const auto current = next++;
+        if (wanted.contains(current->first))
+            continue;
+        const std::shared_ptr<FrameLink> link = current->second;
+        m_links.erase(current);
+        if (link)
+            link->close();
+    }
+    for (const NodeId &host : wanted)
+        if (host != m_self)
+            m_links.try_emplace(host);
+}
+
+void OutgoingLinks::dial(TimePoint now, const NodeId &host)
+{
+    const Result<HostAddress> address = parseHostAddress(host.value());
+    if (!address || now - m_lastDial[host] < kRedialAfter)
+        return;
+    m_lastDial[host] = now;
+    auto receive = [this, host](const std::shared_ptr<FrameLink> &, PeerMessage message) {
+        if (!m_reported[host]) {
+            m_reported[host] = true;
+            HS_LOG(INFO, LogEvent::PeerBack) << "peer=" << host;
+        }
+        m_hooks.receive(host, std::move(message));
+    };
+    auto closed = [this, host](const std::shared_ptr<FrameLink> &) {
+        if (m_reported[host]) {
+            m_reported[host] = false;
+            HS_LOG(WARNING, LogEvent::PeerSilent) << "peer=" << host;
+        }
+        if (m_hooks.lost)
+            m_hooks.lost(host);
+    };
+    auto link = std::make_shared<FrameLink>(tcp::socket(m_context), std::move(receive), std::move(closed));
+    m_links[host] = link;
+    link->connect(*address);
+    if (m_hooks.opened)
+        m_hooks.opened(host);
+}
+
+void OutgoingLinks::tick(TimePoint now)
+{
+    std::vector<NodeId> toDial;
+    for (const auto &[host, link] : m_links) {
+        if (link && !link->isClosed() && now - link->lastHeard() > kSilence)
+            link->close();
+        if (!link || link->isClosed())
+            toDial.push_back(host);
+    }
+    for (const NodeId &host : toDial)
+        dial(now, host);
+}
+
+bool OutgoingLinks::send(const NodeId &to, PeerMessageType type, std::string payload)
+{
+    const auto found = m_links.find(to);
+    if (found == m_links.end() || !found->second || found->second->isClosed())
+        return false;
+    PeerMessage message;
+    message.type = static_cast<uint8_t>(type);
+    message.from = m_self;
+    message.payload = std::move(payload);
+    found->second->send(message);
+    return true;
+}
+
+void OutgoingLinks::sendToAll(PeerMessageType type, const std::string &payload)
+{
+    for (const auto &[host, link] : m_links)
+        send(host, type, payload);
+}
+
+size_t OutgoingLinks::openCount() const
+{
+    return static_cast<size_t>(std::count_if(m_links.begin(), m_links.end(), [](const auto &item) {
+        return item.second && item.second->isOpen();
+    }));
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/process/GroupNode.cpp
@@ -0,0 +1,199 @@
+#include "hickoryspur/process/GroupNode.h"
+
+#include "hickoryspur/process/LogEvent.h"
+#include "hickoryspur/process/MemberRepair.h"
+#include "hickoryspur/process/Packing.h"
+
+#include <algorithm>
+#include <set>
+
+namespace hickoryspur {
+
+GroupNode::GroupNode(RecoveredStorage recovered, std::vector<NodeId> seeds, GroupTiming timing, uint64_t seed,
+                     TimePoint now)
+    : m_timing(timing)
+    , m_seeds(std::move(seeds))
+    , m_log(recovered.self, m_seeds, recovered.log, timing.log, seed, now)
+    , m_state(ControlState::deserialize(recovered.log.checkpoint.state).value_or(ControlState()))
+    , m_lastCheckpoint(recovered.log.checkpoint.index)
+{
+    m_log.setControlNodes(knownHosts());
+}
+
+void GroupNode::setSeeds(std::vector<NodeId> seeds)
+{
+    m_seeds = std::move(seeds);
+    m_log.setControlNodes(knownHosts());
+}
+
+std::vector<NodeId> GroupNode::knownHosts() const
+{
+    std::set<NodeId> hosts(m_seeds.begin(), m_seeds.end());
+    const Membership &membership = m_log.membership();
+    for (const auto *group : {&membership.voters, &membership.learners})
+        for (const MemberId &member : *group)
+            hosts.insert(member.node);
+    hosts.erase(m_log.self().node);
+    return {hosts.begin(), hosts.end()};
+}
+
+GroupActions GroupNode::tick(TimePoint now)
+{
+    GroupActions result;
+    take(m_log.tick(now), result);
+    const auto live =
+        std::find_if(m_waiting.begin(), m_waiting.end(), [now](const Waiting &waiting) { return now < waiting.deadline; });
+    answerUnknown(live, result);
+    repair(now, result);
+    checkpointIfDue(result);
+    return result;
+}
+
+bool GroupNode::isOutsider(const LogMessage &message) const
+{
+    if (message.kind() == LogMessageType::JoinRequest)
+        return true;
+    // A voter that was removed while it was away goes by an old membership and asks for votes.
+    const Membership &membership = m_log.membership();
+    return message.kind() == LogMessageType::PreVoteRequest && m_log.isCurrent() && !membership.isVoter(message.from)
+        && !membership.isLearner(message.from);
+}
+
+void GroupNode::takeIn(TimePoint now, const LogMessage &message, GroupActions &result)
+{
+    LogMessage join = message;
+    join.type = static_cast<uint8_t>(LogMessageType::JoinRequest);
+    if (m_log.isLeader()) {
+        take(m_log.receive(now, join), result);
+        return;
+    }
+    // Whoever asks may know no more than this host's address; only the leader can take it in.
+    const std::optional<NodeId> leads = m_log.leader();
+    if (leads && *leads != message.from.node && *leads != m_log.self().node)
+        result.messages.push_back({*leads, std::move(join)});
+}
+
+GroupActions GroupNode::receive(TimePoint now, const LogMessage &message)
+{
+    GroupActions result;
+    if (isOutsider(message)) {
+        takeIn(now, message, result);
+        return result;
+    }
+    take(m_log.receive(now, message), result);
+    return result;
+}
+
+GroupActions GroupNode::persisted(TimePoint now)
+{
+    GroupActions result;
+    take(m_log.persisted(now, m_log.lastIndex()), result);
+    return result;
+}
+
+GroupActions GroupNode::submit(TimePoint now, uint64_t ticket, const Command &command)
+{
+    GroupActions result;
+    LogActions actions;
+    const Result<LogIndex> index =
+        leads(now) ? m_log.propose(pack(command), actions)
+                   : failure(ResultCode::NoLeader, "this host does not lead the control group", true);
+    if (!index) {
+        result.answers.push_back({ticket, {static_cast<int>(index.error().code), index.error().message, 0, ""}});
+        return result;
+    }
+    m_waiting.push_back({ticket, *index, m_log.term(), now + m_timing.commandPatience});
+    take(std::move(actions), result);
+    take(m_log.tick(now), result);
+    return result;
+}
+
+void GroupNode::take(LogActions actions, GroupActions &result)
+{
+    if (actions.installCheckpoint) {
+        m_state = ControlState::deserialize(actions.installCheckpoint->state).value_or(ControlState());
+        m_lastCheckpoint = actions.installCheckpoint->index;
+        m_bytesSinceCheckpoint = 0;
+        result.stateChanged = true;
+    }
+    if (actions.becameLeader)
+        HS_LOG(INFO, LogEvent::LeaderElected) << m_log.self().node << " leads term " << m_log.term();
+    if (actions.lostLeadership) {
+        HS_LOG(WARNING, LogEvent::LeaderLost) << m_log.self().node << " no longer leads, term " << m_log.term();
+        answerUnknown(m_waiting.end(), result);
+    }
+    std::move(actions.messages.begin(), actions.messages.end(), std::back_inserter(result.messages));
+    actions.messages.clear();
+    const std::vector<LogEntry> committed = std::move(actions.committed);
+    if (actions.needsSync())
+        result.log.push_back(std::move(actions));
+    for (const LogEntry &entry : committed)
+        apply(entry, result);
+}
+
+void GroupNode::apply(const LogEntry &entry, GroupActions &result)
+{
+    m_bytesSinceCheckpoint += entry.data.size();
+    if (entry.kind == static_cast<uint8_t>(EntryKind::Membership))
+        m_log.setControlNodes(knownHosts());
+    ApplyOutcome outcome;
+    if (entry.kind == static_cast<uint8_t>(EntryKind::Command)) {
+        const std::optional<Command> command = unpack<Command>(entry.data);
+        if (command) {
+            outcome = m_state.apply(entry.index, *command);
+        } else {
+            HS_LOG(ERROR, LogEvent::MessageUndecodable) << "log entry " << entry.index << " is no command; skipped";
+            outcome = {static_cast<int>(ResultCode::MalformedRequest), "the command cannot be read", 0, ""};
+        }
+        result.stateChanged = true;
+    }
+    while (!m_waiting.empty() && m_waiting.front().index <= entry.index) {
+        const Waiting &waiting = m_waiting.front();
+        const bool same = waiting.index == entry.index && waiting.term == entry.term;
+        const ApplyOutcome lost{static_cast<int>(ResultCode::OutcomeUnknown), "another leader's entry took its place",
+                                0, ""};
+        result.answers.push_back({waiting.ticket, same ? outcome : lost});
+        m_waiting.pop_front();
+    }
+}
+
+void GroupNode::answerUnknown(std::deque<Waiting>::const_iterator end, GroupActions &result)
+{
+    for (auto waiting = m_waiting.cbegin(); waiting != end; ++waiting)
+        result.answers.push_back({waiting->ticket,
+                                  {static_cast<int>(ResultCode::OutcomeUnknown),
+                                   "not known to be stored by a majority; send it again", 0, ""}});
+    m_waiting.erase(m_waiting.cbegin(), end);
+}
+
+void GroupNode::repair(TimePoint now, GroupActions &result)
+{
+    if (!leads(now) || m_log.membershipChangePending())
+        return;
+    RepairInputs inputs;
+    inputs.isCaughtUp = [this](const MemberId &member) { return m_log.isCaughtUp(member); };
+    inputs.isLost = [this, now](const MemberId &member) { return m_log.silence(now, member) > m_timing.lostAfter; };
+    inputs.mostVoters = m_timing.mostVoters;
+    inputs.leastVoters = m_timing.leastVoters;
+    const std::optional<Membership> next = nextRepairStep(m_log.membership(), inputs);
+    if (!next)
+        return;
+    LogActions actions;
+    if (m_log.proposeMembership(*next, actions))
+        HS_LOG(INFO, LogEvent::MemberChanged)
+            << next->voters.size() << " voters, " << next->learners.size() << " learners";
+    take(std::move(actions), result);
+}
+
+void GroupNode::checkpointIfDue(GroupActions &result)
+{
+    const LogIndex applied = m_log.commitIndex();
+    const bool manyEntries = applied.value() - m_lastCheckpoint.value() >= m_timing.entriesPerCheckpoint;
+    if (!manyEntries && m_bytesSinceCheckpoint < m_timing.bytesPerCheckpoint)
+        return;
+    result.checkpoint = m_log.makeCheckpoint(applied, m_state.serialize());
+    m_lastCheckpoint = applied;
+    m_bytesSinceCheckpoint = 0;
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/process/HostSettings.cpp
@@ -0,0 +1,100 @@
+#include "hickoryspur/process/HostSettings.h"
+
+#include "process/CheckedYaml.h"
+
+namespace hickoryspur {
+
+namespace {
+
+constexpr Duration kLongestGrace = 1h;
+
+std::optional<HostAddress> readOptionalAddress(YamlSection &section, const std::string &field)
+{
+    const std::string text = section.text(field, "");
+    if (text.empty())
+        return std::nullopt;
+    const Result<HostAddress> address = parseHostAddress(text);
+    if (!address)
+        section.error(field, address.error().message);
+    return address ? std::optional(*address) : std::nullopt;
+}
+
+HostRole readRole(YamlSection &section)
+{
+    const std::string role = section.text("role");
+    if (role != "entry" && role != "control")
+        section.error("role", "must be entry or control");
+    return role == "control" ? HostRole::Control : HostRole::Entry;
+}
+
+std::vector<HostAddress> readSeeds(YamlSection &section)
+{
+    std::vector<HostAddress> seeds;
+    for (const std::string &text : section.texts("seeds")) {
+        const Result<HostAddress> address = parseHostAddress(text);
+        if (address)
+            seeds.push_back(*address);
+        else
+            section.error("seeds", text + ": " + address.error().message);
+    }
+    return seeds;
+}
+
+void checkRole(YamlSection &section, const HostSettings &settings)
+{
+    if (settings.role == HostRole::Entry && (!settings.callerAddress || !settings.readinessAddress))
+        section.error("role", "an entry needs caller-address and readiness-address");
+    if (settings.role == HostRole::Control && (!settings.controlAddress || settings.dataFolder.empty()))
+        section.error("role", "a control host needs control-address and data-folder");
+}
+
+} // namespace
+
+std::vector<NodeId> HostSettings::seedIds() const
+{
+    std::vector<NodeId> ids;
+    for (const HostAddress &seed : seeds)
+        ids.emplace_back(HostAddress{seed.address, internalAddress.port}.text());
+    return ids;
+}
+
+Result<HostSettings> parseHostSettings(const std::string &text, const std::string &source)
+{
+    YamlErrors errors(source);
+    const YAML::Node root = parseYaml(text, errors);
+    if (!errors.empty())
+        return failure(ResultCode::SettingsInvalid, errors.text());
+    YamlSection section(root, "settings", errors);
+    HostSettings settings;
+    settings.name = section.text("name");
+    settings.role = readRole(section);
+    settings.dataCentre = DataCentreName(section.text("data-centre"));
+    if (const std::optional<HostAddress> address = readOptionalAddress(section, "internal-address"))
+        settings.internalAddress = *address;
+    else
+        section.error("internal-address", "is missing");
+    settings.callerAddress = readOptionalAddress(section, "caller-address");
+    settings.readinessAddress = readOptionalAddress(section, "readiness-address");
+    settings.controlAddress = readOptionalAddress(section, "control-address");
+    settings.directoryAddress = readOptionalAddress(section, "directory-address");
+    settings.seeds = readSeeds(section);
+    settings.dataFolder = section.text("data-folder", "");
+    settings.firstStart = section.boolean("first-start", false);
+    settings.grace = section.duration("grace", 1s, kLongestGrace, settings.grace);
+    settings.extraShare = section.fraction("extra-share", settings.extraShare);
+    settings.extraSlack = static_cast<double>(section.integer("extra-slack", 0, INT32_MAX, 50));
+    settings.mostDirectoryValidity =
+        section.duration("directory-validity", 100ms, kLongestGrace, settings.mostDirectoryValidity);
+    checkRole(section, settings);
+    section.finish();
+    if (!errors.empty())
+        return failure(ResultCode::SettingsInvalid, errors.text());
+    return settings;
+}
+
+Result<HostSettings> loadHostSettings(const std::string &path)
+{
+    return readFile(path).and_then([&](const std::string &text) { return parseHostSettings(text, path); });
+}
+
+} // namespace hickoryspur
--- a/src/process/MemberRepair.cpp
+++ b/src/process/MemberRepair.cpp
@@ -4,22 +4,50 @@
 
 namespace hickoryspur {
 
-std::optional<Membership> nextRepairStep(const Membership &current,
-                                         const std::function<bool(const MemberId &)> &isCaughtUp)
+namespace {
+
+std::optional<Membership> stepFor(const Membership &current, const MemberId &learner, size_t mostVoters)
 {
-    const auto learner = std::find_if(current.learners.begin(), current.learners.end(), isCaughtUp);
-    if (learner == current.learners.end())
-        return std::nullopt;
     Membership next = current;
-    const auto sameHost = [&](const MemberId &voter) { return voter.node == learner->node; };
+    const auto sameHost = [&](const MemberId &voter) { return voter.node == learner.node; };
     const auto replaced = std::find_if(next.voters.begin(), next.voters.end(), sameHost);
     if (replaced != next.voters.end()) {
         next.voters.erase(replaced);
         return next;
     }
-    next.voters.push_back(*learner);
-    std::erase(next.learners, *learner);
+    if (next.voters.size() >= mostVoters)
+        return std::nullopt;
+    next.voters.push_back(learner);
+    std::erase(next.learners, learner);
+    return next;
+}
+
+std::optional<Membership> withoutOneLost(const Membership &current, const RepairInputs &inputs)
+{
+    Membership next = current;
+    const auto learner = std::find_if(next.learners.begin(), next.learners.end(), inputs.isLost);
+    if (learner != next.learners.end()) {
+        next.learners.erase(learner);
+        return next;
+    }
+    const auto voter = std::find_if(next.voters.begin(), next.voters.end(), inputs.isLost);
+    if (voter == next.voters.end() || next.voters.size() <= inputs.leastVoters)
+        return std::nullopt;
+    next.voters.erase(voter);
     return next;
 }
 
+} // namespace
+
+std::optional<Membership> nextRepairStep(const Membership &current, const RepairInputs &inputs)
+{
+    for (const MemberId &learner : current.learners) {
+        if (!inputs.isCaughtUp(learner))
+            continue;
+        if (std::optional<Membership> next = stepFor(current, learner, inputs.mostVoters))
+            return next;
+    }
+    return inputs.isLost ? withoutOneLost(current, inputs) : std::nullopt;
+}
+
 } // namespace hickoryspur
--- a/src/process/ReplicatedLog.cpp
+++ b/src/process/ReplicatedLog.cpp
@@ -562,6 +562,15 @@
     return isLeader() && found != m_progress.end() && found->second.match >= m_commit && m_commit >= m_termStart;
 }
 
+Duration ReplicatedLog::silence(TimePoint now, const MemberId &member) const
+{
+    if (!isLeader() || member == m_self)
+        return Duration::zero();
+    const auto found = m_progress.find(member);
+    const std::optional<TimePoint> acked = found == m_progress.end() ? std::nullopt : found->second.ackedSend;
+    return now - std::max(acked.value_or(m_ledSince), m_ledSince);
+}
+
 std::optional<std::vector<LogEntry>> ReplicatedLog::committedAfter(LogIndex index, size_t most) const
 {
     std::vector<LogEntry> result;
--- a/src/request/ExtraBudget.cpp
+++ b/src/request/ExtraBudget.cpp
@@ -29,7 +29,7 @@
 bool ExtraBudget::takeExtra(TimePoint now)
 {
     advance(now);
-    const double allowed = m_share * static_cast<double>(m_first);
+    const double allowed = m_share * static_cast<double>(m_first) + m_slack;
     if (static_cast<double>(m_extra + 1) > allowed)
         return false;
     ++m_extra;
--- a/src/request/HttpCallerServer.cpp
+++ b/src/request/HttpCallerServer.cpp
@@ -65,9 +65,11 @@
 {
     CallerRequest request;
     request.method = std::string(message.method_string());
-    splitTarget(std::string(message.target()), request);
+    request.target = std::string(message.target());
+    splitTarget(request.target, request);
     for (const auto &field : message) {
         std::string name(field.name_string());
+        request.fields.emplace_back(name, std::string(field.value()));
         std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
         request.headers[name] = std::string(field.value());
     }
@@ -78,9 +80,12 @@
 http::response<http::string_body> toMessage(const CallerResponse &response, bool keepAlive)
 {
     http::response<http::string_body> message{static_cast<http::status>(response.status), 11};
-    message.set(http::field::content_type, response.contentType);
+    if (!response.contentType.empty())
+        message.set(http::field::content_type, response.contentType);
     for (const auto &[name, value] : response.headers)
         message.set(name, value);
+    for (const auto &[name, value] : response.fields)
+        message.insert(name, value);
     message.keep_alive(keepAlive);
     message.body() = response.body;
     message.prepare_payload();
@@ -123,7 +128,10 @@
     ServerLimits limits;
     CallerHandler handler;
     size_t connections = 0;
+    size_t openRequests = 0;
+    bool accepting = true;
     bool stopping = false;
+    bool closing = false;
 
     static void acceptLoop(const std::shared_ptr<State> &state);
     static void serve(const std::shared_ptr<State> &state, beast::tcp_stream stream);
@@ -146,7 +154,7 @@
 void HttpCallerServer::State::acceptLoop(const std::shared_ptr<State> &state)
 {
     static Counter &refused = Metrics::counter("hickoryspur_caller_connections_refused_total");
-    while (!state->stopping) {
+    while (!state->stopping && state->accepting) {
         asio::ip::tcp::socket socket(state->context);
         const error_code error = await([&](auto done) { state->acceptor.async_accept(socket, std::move(done)); });
         if (error)
@@ -182,11 +190,14 @@
     const error_code error = await([&](auto done) { http::async_read(stream, buffer, parser, std::move(done)); });
     if (error && !isProtocolError(error))
         return false;
-    const bool keepAlive = !error && parser.get().keep_alive();
+    const bool asksToKeep = !error && parser.get().keep_alive();
+    ++openRequests;
     const CallerResponse response = error ? refusalFor(error) : handle(stream, toCallerRequest(parser.release()));
+    const bool keepAlive = asksToKeep && !closing;
     const http::response<http::string_body> message = toMessage(response, keepAlive);
     stream.expires_after(limits.silence);
     const error_code written = await([&](auto done) { http::async_write(stream, message, std::move(done)); });
+    --openRequests;
     return !written && keepAlive;
 }
 
@@ -223,6 +234,28 @@
     m_state->acceptor.close(ignored);
 }
 
+void HttpCallerServer::setClosing()
+{
+    m_state->closing = true;
+}
+
+void HttpCallerServer::stopAccepting()
+{
+    m_state->accepting = false;
+    error_code ignored;
+    m_state->acceptor.close(ignored);
+}
+
+void HttpCallerServer::setLimits(ServerLimits limits)
+{
+    m_state->limits = limits;
+}
+
+size_t HttpCallerServer::openRequests() const
+{
+    return m_state->openRequests;
+}
+
 Result<std::unique_ptr<HttpCallerServer>> HttpCallerServer::listen(asio::io_context &context,
                                                                    const HostAddress &address, ServerLimits limits,
                                                                    CallerHandler handler)
--- a/src/request/HttpCallerServer.h
+++ b/src/request/HttpCallerServer.h
@@ -12,16 +12,22 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace hickoryspur {
 
 struct CallerRequest
 {
     std::string method;
+    /** As it came, with its query. */
+    std::string target;
     std::string path;
     std::map<std::string, std::string> parameters;
     /** Header fields by lower-case name. */
     std::map<std::string, std::string> headers;
+    /** The same fields as they came. */
+    std::vector<std::pair<std::string, std::string>> fields;
     std::string body;
     std::function<bool()> gone;
 
@@ -33,8 +39,11 @@
 {
     unsigned status = 200;
     std::string body;
+    /** Empty where the fields below say what the body is. */
     std::string contentType = "application/json";
     std::map<std::string, std::string> headers;
+    /** Fields whose names may repeat; sent after the others. */
+    std::vector<std::pair<std::string, std::string>> fields{};
 };
 
 /** Called on a fiber of the server's thread. */
@@ -56,6 +65,12 @@
     static Result<std::unique_ptr<HttpCallerServer>>
     listen(boost::asio::io_context &context, const HostAddress &address, ServerLimits limits, CallerHandler handler);
     ~HttpCallerServer();
+    /** Answers from now on say that the connection closes, so that callers go elsewhere. */
+    void setClosing();
+    void stopAccepting();
+    void setLimits(ServerLimits limits);
+    /** Requests that have been read and not answered. */
+    size_t openRequests() const;
     HttpCallerServer(const HttpCallerServer &) = delete;
     HttpCallerServer &operator=(const HttpCallerServer &) = delete;
 
--- /dev/null
+++ b/src/request/ReplicaBook.cpp
@@ -0,0 +1,99 @@
+#include "hickoryspur/request/ReplicaBook.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hickoryspur {
+
+namespace {
+
+/** Weight of one new observation. */
+constexpr double kLatencyWeight = 0.25;
+constexpr double kFailureWeight = 0.2;
+/** One long answer may be chance; more than this is not learned from it. */
+constexpr double kMostRatio = 20;
+/** Observations lose half of their weight in this time without new ones. */
+constexpr double kHalfLifeSeconds = 3;
+/** Costs in multiples of the usual latency. */
+constexpr double kQueueCost = 0.5;
+constexpr double kOverdueCost = 8;
+constexpr double kFailureCost = 12;
+constexpr double kUnreachableCost = 100;
+constexpr double kColdCost = 0.8;
+constexpr double kOtherDataCentreCost = 0.3;
+constexpr double kSilentCost = 20;
+/** Heartbeats come about every second and may be held up; two missed ones are a hint. */
+constexpr Duration kSilenceHint = 3s;
+/** Replicas this close to the best are drawn by lot, so that entries do not flock together. */
+constexpr double kTie = 0.1;
+/** An upstream that could not be reached comes last this long, doubled for each time in a row. */
+constexpr Duration kAvoid = 500ms;
+constexpr uint32_t kMostDoublings = 3;
+
+} // namespace
+
+void ReplicaBook::sent(const UpstreamId &id)
+{
+    ++m_scores[id].out;
+}
+
+void ReplicaBook::overdue(const UpstreamId &id)
+{
+    ++m_scores[id].overdue;
+}
+
+void ReplicaBook::ended(TimePoint now, const UpstreamId &id, AttemptOutcome outcome, double latencyRatio,
+                        bool wasOverdue)
+{
+    Score &score = m_scores[id];
+    score.out -= std::min<uint32_t>(score.out, 1);
+    if (wasOverdue)
+        score.overdue -= std::min<uint32_t>(score.overdue, 1);
+    if (outcome == AttemptOutcome::Abandoned)
+        return;
+    score.lastEnd = now;
+    if (outcome == AttemptOutcome::Unsent) {
+        const uint32_t doublings = std::min(score.unreachable, kMostDoublings);
+        score.avoidUntil = now + kAvoid * (1U << doublings);
+        ++score.unreachable;
+        return;
+    }
+    score.unreachable = 0;
+    score.avoidUntil = TimePoint();
+    const double failed = outcome == AttemptOutcome::Answered ? 0 : 1;
+    score.failures += kFailureWeight * (failed - score.failures);
+    if (outcome == AttemptOutcome::Answered)
+        score.latencyRatio += kLatencyWeight * (std::min(latencyRatio, kMostRatio) - score.latencyRatio);
+}
+
+double ReplicaBook::cost(TimePoint now, const Candidate &candidate) const
+{
+    double extra = candidate.sameDataCentre ? 0 : kOtherDataCentreCost;
+    extra += candidate.cold ? kColdCost : 0;
+    extra += candidate.silence > kSilenceHint ? kSilentCost : 0;
+    const auto found = m_scores.find(candidate.id);
+    if (found == m_scores.end())
+        return 1 + extra;
+    const Score &score = found->second;
+    const double idleSeconds = std::chrono::duration<double>(now - score.lastEnd).count();
+    const double weight = std::exp2(-idleSeconds / kHalfLifeSeconds);
+    const double ratio = 1 + (score.latencyRatio - 1) * weight;
+    return ratio * (1 + kQueueCost * score.out) + kOverdueCost * score.overdue + kFailureCost * score.failures * weight
+        + (now < score.avoidUntil ? kUnreachableCost : 0) + extra;
+}
+
+size_t ReplicaBook::best(TimePoint now, const std::vector<Candidate> &candidates)
+{
+    std::vector<double> costs;
+    costs.reserve(candidates.size());
+    for (const Candidate &candidate : candidates)
+        costs.push_back(cost(now, candidate));
+    const double least = *std::min_element(costs.begin(), costs.end());
+    std::vector<size_t> close;
+    for (size_t i = 0; i < costs.size(); ++i)
+        if (costs[i] <= least + kTie)
+            close.push_back(i);
+    return close[std::uniform_int_distribution<size_t>(0, close.size() - 1)(m_random)];
+}
+
+} // namespace hickoryspur
