Dial every control host that any other names, and keep guests

Cause: after a power loss of all hosts the leader was no seed; entries dialled hosts named by confirmed ones only, and nobody they reached could be confirmed. Ruled out: the log (all four hosts had entry 22), the leader's lease.

--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -60,7 +60,8 @@
     OutgoingLinks::Hooks links;
     links.receive = [](const NodeId &, const PeerMessage &) {};
     m_links = std::make_unique<OutgoingLinks>(m_context, m_settings.id(), std::move(links));
-    m_links->setHosts(m_settings.seedIds());
+    m_hosts.setSeeds(m_settings.seedIds());
+    dialControlHosts();
     auto listener = FrameListener::listen(m_context, m_settings.internalAddress, [this](asio::ip::tcp::socket socket) {
         auto link = std::make_shared<FrameLink>(
             std::move(socket), [this](const auto &from, PeerMessage message) { received(from, std::move(message)); },
@@ -113,7 +114,8 @@
     m_settings.seeds = settings.seeds;
     m_settings.mostDirectoryValidity = settings.mostDirectoryValidity;
     m_group->setSeeds(m_settings.seedIds());
-    m_links->setHosts(allControlHosts());
+    m_hosts.setSeeds(m_settings.seedIds());
+    dialControlHosts();
 }
 
 void ControlHost::setClosing()
@@ -128,13 +130,9 @@
     return m_controlServer->openRequests() + (m_directoryServer ? m_directoryServer->openRequests() : 0);
 }
 
-std::vector<NodeId> ControlHost::allControlHosts() const
+void ControlHost::dialControlHosts()
 {
-    std::set<NodeId> hosts(m_status.controlHosts.begin(), m_status.controlHosts.end());
-    for (const NodeId &seed : m_settings.seedIds())
-        hosts.insert(seed);
-    hosts.insert(m_settings.id());
-    return {hosts.begin(), hosts.end()};
+    m_links->setHosts(m_hosts.hosts(monotonicNow()));
 }
 
 void ControlHost::received(const std::shared_ptr<FrameLink> &link, PeerMessage message)
@@ -150,11 +148,8 @@
     case PeerMessageType::Log:
         if (std::optional<LogMessage> log = unpack<LogMessage>(message.payload)) {
             // A host that asks to join may be named nowhere yet, and its answer goes over a link of our own.
-            if (!m_links->links().contains(log->from.node)) {
-                std::vector<NodeId> hosts = allControlHosts();
-                hosts.push_back(log->from.node);
-                m_links->setHosts(hosts);
-            }
+            if (m_hosts.noteGuest(monotonicNow(), log->from.node))
+                dialControlHosts();
             m_group->receive(std::move(*log));
         } else {
             HS_LOG(WARNING, LogEvent::MessageUndecodable) << "a log message from " << message.from;
@@ -205,7 +200,8 @@
     update.confirmed = isConfirmed(now);
     update.applied = m_status.applied;
     update.entries = static_cast<uint32_t>(m_sessions.size());
-    update.controlHosts = allControlHosts();
+    update.controlHosts = m_status.controlHosts;
+    update.controlHosts.push_back(m_settings.id());
     return update;
 }
 
@@ -236,7 +232,8 @@
     if (routesAreNew)
         HS_LOG(INFO, LogEvent::DocumentAccepted) << "routes=" << status.routes.number << " log=" << status.applied;
     m_status = std::move(status);
-    m_links->setHosts(allControlHosts());
+    if (m_hosts.noteNamed(m_settings.id(), m_status.controlHosts))
+        dialControlHosts();
     if (!stateIsNew)
         return;
     EntryUpdate update = stateUpdate(monotonicNow());
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -6,6 +6,7 @@
 
 #include "app/HostDialect.h"
 #include "hickoryspur/connection/UpstreamRegistry.h"
+#include "hickoryspur/process/ControlHostBook.h"
 #include "hickoryspur/process/FleetMessage.h"
 #include "hickoryspur/process/HostSettings.h"
 #include "process/FrameLink.h"
@@ -49,7 +50,7 @@
     EntryUpdate stateUpdate(TimePoint now) const;
     EntryUpdate fullUpdate(TimePoint now) const;
     bool isConfirmed(TimePoint now) const;
-    std::vector<NodeId> allControlHosts() const;
+    void dialControlHosts();
 
     ControlApi makeApi();
     void announce(const Announcement &announcement);
@@ -75,6 +76,7 @@
     std::map<FrameLink *, Session> m_sessions;
     UpstreamRegistry m_registry;
     GroupStatus m_status;
+    ControlHostBook m_hosts;
     TimePoint m_confirmedAt;
     TimePoint m_nextPing;
     std::mt19937_64 m_random;
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -4,7 +4,6 @@
 #include "hickoryspur/process/Packing.h"
 
 #include <algorithm>
-#include <set>
 
 namespace hickoryspur {
 
@@ -39,8 +38,12 @@
     OutgoingLinks::Hooks hooks;
     hooks.receive = [this](const NodeId &from, const PeerMessage &message) { received(from, message); };
     hooks.opened = [this](const NodeId &) { m_nextStatus = TimePoint(); };
-    hooks.lost = [this](const NodeId &host) { m_entryCounts.erase(host); };
+    hooks.lost = [this](const NodeId &host) {
+        m_entryCounts.erase(host);
+        m_hosts.forgetSource(host);
+    };
     m_links = std::make_unique<OutgoingLinks>(m_context, m_settings.id(), std::move(hooks));
+    m_hosts.setSeeds(m_settings.seedIds());
     dialControlHosts();
     auto callers = HttpCallerServer::listen(m_context, *m_settings.callerAddress, ServerLimits(),
                                             [this](const CallerRequest &request) { return handle(request); });
@@ -60,7 +63,7 @@
 void EntryHost::reload(const HostSettings &settings)
 {
     m_settings.seeds = settings.seeds;
-    m_settings.grace = settings.grace;
+    m_hosts.setSeeds(m_settings.seedIds());
     dialControlHosts();
 }
 
@@ -127,14 +130,10 @@
     const auto most = std::max_element(m_entryCounts.begin(), m_entryCounts.end(),
                                        [](const auto &left, const auto &right) { return left.second < right.second; });
     m_traffic.setEntryCount(most->second);
-    if (update.confirmed) {
-        // A confirmed host's state is in place by now, so nothing older can be served.
-        m_confirmed = m_confirmed || update.applied <= m_applied;
-        if (m_controlHosts != update.controlHosts) {
-            m_controlHosts = update.controlHosts;
-            dialControlHosts();
-        }
-    }
+    // A confirmed host's state is in place by now, so nothing older can be served.
+    m_confirmed = m_confirmed || (update.confirmed && update.applied <= m_applied);
+    if (m_hosts.noteNamed(from, update.controlHosts))
+        dialControlHosts();
     if (isReady() != m_wasReady) {
         m_wasReady = isReady();
         tellStatus();
@@ -158,10 +157,7 @@
 
 void EntryHost::dialControlHosts()
 {
-    std::set<NodeId> hosts(m_controlHosts.begin(), m_controlHosts.end());
-    for (const NodeId &seed : m_settings.seedIds())
-        hosts.insert(seed);
-    m_links->setHosts({hosts.begin(), hosts.end()});
+    m_links->setHosts(m_hosts.hosts(monotonicNow()));
 }
 
 void EntryHost::tellStatus()
--- a/src/app/EntryHost.h
+++ b/src/app/EntryHost.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "app/HostDialect.h"
+#include "hickoryspur/process/ControlHostBook.h"
 #include "hickoryspur/process/FleetMessage.h"
 #include "hickoryspur/process/HostSettings.h"
 #include "process/FrameLink.h"
@@ -50,7 +51,7 @@
     std::unique_ptr<OutgoingLinks> m_links;
     std::unique_ptr<HttpCallerServer> m_callerServer;
     std::unique_ptr<HttpCallerServer> m_readinessServer;
-    std::vector<NodeId> m_controlHosts;
+    ControlHostBook m_hosts;
     /** Entries that each control host has a session with. */
     std::map<NodeId, uint32_t> m_entryCounts;
     uint64_t m_applied = 0;
