--- a/include/hickoryspur/process/FleetMessage.h
+++ b/include/hickoryspur/process/FleetMessage.h
@@ -37,10 +37,13 @@
     std::vector<Announcement> upstreams;
     /** Upstreams of which another heartbeat without news has come. */
     std::vector<UpstreamId> heard;
-    /** Entries with a session at the sender. */
-    uint32_t entries = 0;
+    /** The two lists below are told when they have changed since the last update on this session. */
+    bool carriesHosts = false;
+    /** Addresses of the entries to which callers may be sent. */
+    std::vector<std::string> entries;
     std::vector<NodeId> controlHosts;
-    MSGPACK_DEFINE(confirmed, applied, routes, carriesState, dataCentresOut, upstreams, heard, entries, controlHosts)
+    MSGPACK_DEFINE(confirmed, applied, routes, carriesState, dataCentresOut, upstreams, heard, carriesHosts, entries,
+                   controlHosts)
 };
 
 } // namespace hickoryspur
--- a/include/hickoryspur/process/GroupNode.h
+++ b/include/hickoryspur/process/GroupNode.h
@@ -13,9 +13,12 @@
 
 namespace hickoryspur {
 
+/** Callers and operators wait while no host leads, so an election starts after a few missed heartbeats. */
+constexpr LogTiming kGroupLogTiming{.heartbeat = 60ms, .electionTimeout = 320ms};
+
 struct GroupTiming
 {
-    LogTiming log;
+    LogTiming log = kGroupLogTiming;
     /** A voter silent this long no longer counts, where enough others do; longer than any restart. */
     Duration lostAfter = 10s;
     /** A command that is not committed by then is answered as unknown; callers ask again. */
--- a/include/hickoryspur/request/Dialect.h
+++ b/include/hickoryspur/request/Dialect.h
@@ -78,7 +78,7 @@
 struct Dialect
 {
     /** The whole request as sent to one upstream, which is named in it; `left` is what the caller still waits. */
-    std::function<std::string(const CarriedRequest &, const UpstreamId &, std::optional<Duration> left)> encode;
+    std::function<std::string(const CarriedRequest &, const UpstreamId &, Duration left)> encode;
     /** Whether the answer is one to the request of this id. */
     std::function<bool(const UpstreamAnswer &, const std::string &requestId)> belongsTo;
     std::function<AnswerMeaning(const UpstreamAnswer &)> read;
--- a/include/hickoryspur/request/ScatterRun.h
+++ b/include/hickoryspur/request/ScatterRun.h
@@ -93,6 +93,8 @@
     /** The attempt was slow; its end tells how slow. */
     bool wasOverdue(AttemptKey key) const { return m_shards[key.shard].attempts[key.attempt].overdue; }
     bool isFinished() const { return m_finished; }
+    /** For the log: each shard without an answer, with the replicas that were asked and how long ago. */
+    std::string unanswered(TimePoint now) const;
 
 private:
     struct Attempt
@@ -123,6 +125,8 @@
     size_t m_answered = 0;
     size_t m_lost = 0;
     size_t m_runs = 0;
+    /** Extra sub-requests that the budget did not allow. */
+    size_t m_denied = 0;
     bool m_finished = false;
 };
 
--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -19,16 +19,10 @@
 constexpr Duration kTick = 100ms;
 /** Entries hear from each control host this often, also when nothing has changed. */
 constexpr Duration kRefresh = 200ms;
-/** An entry tells of itself every quarter second; one that misses several is not named to callers. */
-constexpr Duration kEntrySilence = 1200ms;
-/** After a start entries need this long to open their sessions. */
-constexpr Duration kGathering = 700ms;
+/** An entry tells of itself several times in this time; one that does not is not named to callers. */
+constexpr Duration kEntrySilence = 700ms;
 /** A confirmation by the control group is good for this long. */
 constexpr Duration kConfirmationLife = 400ms;
-/** Callers keep an answer three times as long at most, and a stopping entry serves for that time. */
-constexpr Duration kDirectoryValidity = 1200ms;
-/** Callers are given no more addresses than this. */
-constexpr size_t kMostPlaces = 64;
 
 ServerLimits controlLimits()
 {
@@ -49,9 +43,7 @@
     , m_settings(std::move(settings))
     , m_dialect(std::move(dialect))
     , m_incarnation(incarnation)
-    , m_started(monotonicNow())
     , m_timer(context)
-    , m_random(incarnation)
 {
 }
 
@@ -97,14 +89,6 @@
     if (!control)
         return tl::unexpected(control.error());
     m_controlServer = std::move(*control);
-    if (m_settings.directoryAddress) {
-        auto directory = HttpCallerServer::listen(
-            m_context, *m_settings.directoryAddress, ServerLimits(),
-            [this](const CallerRequest &request) { return m_dialect.directory(request, places(monotonicNow())); });
-        if (!directory)
-            return tl::unexpected(directory.error());
-        m_directoryServer = std::move(*directory);
-    }
     startTimer();
     return {};
 }
@@ -112,7 +96,6 @@
 void ControlHost::reload(const HostSettings &settings)
 {
     m_settings.seeds = settings.seeds;
-    m_settings.mostDirectoryValidity = settings.mostDirectoryValidity;
     m_group->setSeeds(m_settings.seedIds());
     m_hosts.setSeeds(m_settings.seedIds());
     dialControlHosts();
@@ -121,13 +104,11 @@
 void ControlHost::setClosing()
 {
     m_controlServer->setClosing();
-    if (m_directoryServer)
-        m_directoryServer->setClosing();
 }
 
 size_t ControlHost::openRequests() const
 {
-    return m_controlServer->openRequests() + (m_directoryServer ? m_directoryServer->openRequests() : 0);
+    return m_controlServer->openRequests();
 }
 
 void ControlHost::dialControlHosts()
@@ -167,16 +148,19 @@
 
 void ControlHost::noteEntry(const std::shared_ptr<FrameLink> &link, const EntryStatus &status)
 {
-    const bool known = m_sessions.contains(link.get());
-    Session &session = m_sessions[link.get()];
-    if (!known || session.status.offered != status.offered)
-        HS_LOG(INFO, LogEvent::SessionOpened) << "entry=" << status.entry << " callers=" << status.callerAddress
-                                              << " offered=" << status.offered;
+    const TimePoint now = monotonicNow();
+    const auto [found, isNew] = m_sessions.try_emplace(link.get());
+    Session &session = found->second;
+    const bool offeredBefore = session.status.offered;
+    session.link = link;
     session.status = status;
-    if (known)
+    if (isNew)
+        sendUpdate(session, fullUpdate(now));
+    if (!isNew && offeredBefore == status.offered)
         return;
-    session.link = link;
-    sendUpdate(session, fullUpdate(monotonicNow()));
+    HS_LOG(INFO, LogEvent::SessionOpened) << "entry=" << status.entry << " callers=" << status.callerAddress
+                                          << " offered=" << status.offered;
+    refreshSessions(now);
 }
 
 void ControlHost::closed(const std::shared_ptr<FrameLink> &link)
@@ -199,12 +183,31 @@
     EntryUpdate update;
     update.confirmed = isConfirmed(now);
     update.applied = m_status.applied;
-    update.entries = static_cast<uint32_t>(m_sessions.size());
-    update.controlHosts = m_status.controlHosts;
-    update.controlHosts.push_back(m_settings.id());
     return update;
 }
 
+std::vector<std::string> ControlHost::offeredEntries() const
+{
+    std::vector<std::string> offered;
+    for (const auto &[link, session] : m_sessions)
+        if (session.status.offered && !session.link->isClosed())
+            offered.push_back(session.status.callerAddress);
+    std::sort(offered.begin(), offered.end());
+    return offered;
+}
+
+void ControlHost::noteHosts()
+{
+    std::vector<std::string> offered = offeredEntries();
+    std::vector<NodeId> controlHosts = m_status.controlHosts;
+    controlHosts.push_back(m_settings.id());
+    if (m_hostsVersion > 0 && offered == m_offered && controlHosts == m_controlHosts)
+        return;
+    ++m_hostsVersion;
+    m_offered = std::move(offered);
+    m_controlHosts = std::move(controlHosts);
+}
+
 EntryUpdate ControlHost::fullUpdate(TimePoint now) const
 {
     EntryUpdate update = stateUpdate(now);
@@ -216,8 +219,17 @@
     return update;
 }
 
-void ControlHost::sendUpdate(Session &session, const EntryUpdate &update)
+void ControlHost::sendUpdate(Session &session, EntryUpdate update)
 {
+    if (session.link->isClosed())
+        return;
+    noteHosts();
+    if (session.toldHosts != m_hostsVersion) {
+        session.toldHosts = m_hostsVersion;
+        update.carriesHosts = true;
+        update.entries = m_offered;
+        update.controlHosts = m_controlHosts;
+    }
     PeerMessage message;
     message.type = static_cast<uint8_t>(PeerMessageType::EntryUpdate);
     message.from = m_settings.id();
@@ -231,11 +243,17 @@
     const bool routesAreNew = status.routes.number != m_status.routes.number;
     if (routesAreNew)
         HS_LOG(INFO, LogEvent::DocumentAccepted) << "routes=" << status.routes.number << " log=" << status.applied;
+    const bool beganToLead = status.leads && !m_status.leads;
+    if (status.leads)
+        m_confirmedAt = std::max(m_confirmedAt, status.at);
     m_status = std::move(status);
     if (m_hosts.noteNamed(m_settings.id(), m_status.controlHosts))
         dialControlHosts();
-    if (!stateIsNew)
+    if (!stateIsNew) {
+        if (beganToLead)
+            refreshSessions(monotonicNow());
         return;
+    }
     EntryUpdate update = stateUpdate(monotonicNow());
     update.carriesState = true;
     update.dataCentresOut = m_status.dataCentresOut;
@@ -325,10 +343,11 @@
 
 Result<void> ControlHost::submit(Command command)
 {
-    boost::fibers::promise<ApplyOutcome> promise;
-    boost::fibers::future<ApplyOutcome> future = promise.get_future();
+    // The control thread keeps the promise until it has left it; this fiber may wake before that.
+    const auto promise = std::make_shared<boost::fibers::promise<ApplyOutcome>>();
+    boost::fibers::future<ApplyOutcome> future = promise->get_future();
     command.wallSeconds = wallClockSeconds();
-    m_group->submit(std::move(command), [&promise](ApplyOutcome outcome) { promise.set_value(std::move(outcome)); });
+    m_group->submit(std::move(command), [promise](ApplyOutcome outcome) { promise->set_value(std::move(outcome)); });
     const ApplyOutcome outcome = future.get();
     if (outcome.ok())
         return {};
@@ -337,13 +356,13 @@
 
 template <typename Value> Result<Value> ControlHost::read(std::function<Value(const ControlState &)> pick)
 {
-    boost::fibers::promise<Result<Value>> promise;
-    boost::fibers::future<Result<Value>> future = promise.get_future();
-    m_group->read([&](bool confirmed, const ControlState &state, const std::optional<NodeId> &) {
+    const auto promise = std::make_shared<boost::fibers::promise<Result<Value>>>();
+    boost::fibers::future<Result<Value>> future = promise->get_future();
+    m_group->read([promise, pick](bool confirmed, const ControlState &state, const std::optional<NodeId> &) {
         if (confirmed)
-            promise.set_value(pick(state));
+            promise->set_value(pick(state));
         else
-            promise.set_value(failure(ResultCode::NoLeader, "no majority confirms that this state is the newest", true));
+            promise->set_value(failure(ResultCode::NoLeader, "no majority confirms that this state is the newest", true));
     });
     return future.get();
 }
@@ -377,7 +396,7 @@
         return submit(std::move(command));
     };
     api.move = [this](const ServiceName &service) {
-        return read<std::string>([&service](const ControlState &state) {
+        return read<std::string>([service](const ControlState &state) {
             const auto found = state.moves().find(service.value());
             return found == state.moves().end() ? std::string() : found->second;
         });
@@ -396,18 +415,4 @@
     return HostAddress{internal->address, m_settings.controlAddress->port};
 }
 
-std::optional<EntryPlaces> ControlHost::places(TimePoint now)
-{
-    EntryPlaces places;
-    places.validity = std::min(kDirectoryValidity, m_settings.mostDirectoryValidity);
-    for (const auto &[link, session] : m_sessions)
-        if (session.status.offered && now - session.link->lastHeard() < kEntrySilence)
-            places.addresses.push_back(session.status.callerAddress);
-    if (places.addresses.empty() || now - m_started < kGathering)
-        return std::nullopt;
-    std::shuffle(places.addresses.begin(), places.addresses.end(), m_random);
-    places.addresses.resize(std::min(places.addresses.size(), kMostPlaces));
-    return places;
-}
-
 } // namespace hickoryspur
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -1,7 +1,6 @@
 // A control host of a deployment: takes part in the control group, hears upstreams' heartbeats and
-// passes them on to every entry, carries out operators' requests, and tells callers where the
-// entries are. Sessions with entries are soft state: an entry that stops telling of itself within
-// about a second is no longer named to callers.
+// passes them on to every entry, and carries out operators' requests. Sessions with entries are soft
+// state: an entry that stops telling of itself is soon no longer named to callers.
 #pragma once
 
 #include "app/HostDialect.h"
@@ -16,7 +15,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
-#include <random>
 
 namespace hickoryspur {
 
@@ -36,6 +34,8 @@
         std::shared_ptr<FrameLink> link;
         EntryStatus status;
         std::vector<UpstreamId> heard;
+        /** What was last told of entries and control hosts. */
+        uint64_t toldHosts = 0;
     };
 
     void received(const std::shared_ptr<FrameLink> &link, PeerMessage message);
@@ -46,9 +46,12 @@
     void startTimer();
     void refreshSessions(TimePoint now);
     void askWhetherConfirmed();
-    void sendUpdate(Session &session, const EntryUpdate &update);
+    void sendUpdate(Session &session, EntryUpdate update);
     EntryUpdate stateUpdate(TimePoint now) const;
     EntryUpdate fullUpdate(TimePoint now) const;
+    /** Counts changes of the entries to be named and of the control hosts. */
+    void noteHosts();
+    std::vector<std::string> offeredEntries() const;
     bool isConfirmed(TimePoint now) const;
     void dialControlHosts();
 
@@ -59,19 +62,16 @@
     Result<void> submit(Command command);
     template <typename Value> Result<Value> read(std::function<Value(const ControlState &)> pick);
     std::optional<HostAddress> leaderAddress() const;
-    std::optional<EntryPlaces> places(TimePoint now);
 
     boost::asio::io_context &m_context;
     HostSettings m_settings;
     HostDialect m_dialect;
     uint64_t m_incarnation;
-    TimePoint m_started;
     boost::asio::steady_timer m_timer;
     std::unique_ptr<GroupThread> m_group;
     std::unique_ptr<FrameListener> m_listener;
     std::unique_ptr<OutgoingLinks> m_links;
     std::unique_ptr<HttpCallerServer> m_controlServer;
-    std::unique_ptr<HttpCallerServer> m_directoryServer;
     std::vector<std::shared_ptr<FrameLink>> m_inbound;
     std::map<FrameLink *, Session> m_sessions;
     UpstreamRegistry m_registry;
@@ -79,7 +79,9 @@
     ControlHostBook m_hosts;
     TimePoint m_confirmedAt;
     TimePoint m_nextPing;
-    std::mt19937_64 m_random;
+    uint64_t m_hostsVersion = 0;
+    std::vector<std::string> m_offered;
+    std::vector<NodeId> m_controlHosts;
 };
 
 } // namespace hickoryspur
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -13,7 +13,11 @@
 
 constexpr Duration kTick = 50ms;
 /** Control hosts name an entry to callers while it tells of itself this often. */
-constexpr Duration kStatusInterval = 250ms;
+constexpr Duration kStatusInterval = 150ms;
+/** Some callers keep an answer three times as long, and a stopping entry serves for that time. */
+constexpr Duration kDirectoryValidity = 1200ms;
+/** Callers use no more addresses than this. */
+constexpr size_t kMostPlaces = 64;
 /** Added to the idle time that callers count on, for the way between. */
 constexpr auto kIdleMargin = std::chrono::milliseconds(2000);
 
@@ -30,6 +34,7 @@
     , m_dialect(std::move(dialect))
     , m_timer(context)
     , m_traffic(context, trafficConfig(m_settings, incarnation), m_dialect.traffic)
+    , m_random(incarnation)
 {
 }
 
@@ -39,7 +44,6 @@
     hooks.receive = [this](const NodeId &from, const PeerMessage &message) { received(from, message); };
     hooks.opened = [this](const NodeId &) { m_nextStatus = TimePoint(); };
     hooks.lost = [this](const NodeId &host) {
-        m_entryCounts.erase(host);
         m_hosts.forgetSource(host);
     };
     m_links = std::make_unique<OutgoingLinks>(m_context, m_settings.id(), std::move(hooks));
@@ -56,6 +60,14 @@
     if (!readiness)
         return tl::unexpected(readiness.error());
     m_readinessServer = std::move(*readiness);
+    if (m_settings.directoryAddress) {
+        auto directory = HttpCallerServer::listen(
+            m_context, *m_settings.directoryAddress, ServerLimits(),
+            [this](const CallerRequest &request) { return m_dialect.directory(request, places(monotonicNow())); });
+        if (!directory)
+            return tl::unexpected(directory.error());
+        m_directoryServer = std::move(*directory);
+    }
     onTimer();
     return {};
 }
@@ -126,14 +138,15 @@
         m_traffic.accept(now, announcement);
     for (const UpstreamId &upstream : update.heard)
         m_traffic.heard(now, upstream);
-    m_entryCounts[from] = update.entries;
-    const auto most = std::max_element(m_entryCounts.begin(), m_entryCounts.end(),
-                                       [](const auto &left, const auto &right) { return left.second < right.second; });
-    m_traffic.setEntryCount(most->second);
+    m_entries.heard(now, from);
+    if (update.carriesHosts) {
+        m_entries.note(now, from, update.entries);
+        if (m_hosts.noteNamed(from, update.controlHosts))
+            dialControlHosts();
+    }
+    m_traffic.setEntryCount(m_entries.count(now));
     // A confirmed host's state is in place by now, so nothing older can be served.
     m_confirmed = m_confirmed || (update.confirmed && update.applied <= m_applied);
-    if (m_hosts.noteNamed(from, update.controlHosts))
-        dialControlHosts();
     if (isReady() != m_wasReady) {
         m_wasReady = isReady();
         tellStatus();
@@ -170,6 +183,20 @@
     m_links->sendToAll(PeerMessageType::EntryStatus, pack(status));
 }
 
+std::optional<EntryPlaces> EntryHost::places(TimePoint now)
+{
+    EntryPlaces places;
+    places.validity = std::min(kDirectoryValidity, m_settings.mostDirectoryValidity);
+    places.addresses = m_entries.addresses(now);
+    if (m_closing)
+        std::erase(places.addresses, m_settings.callerAddress->text());
+    if (places.addresses.empty())
+        return std::nullopt;
+    std::shuffle(places.addresses.begin(), places.addresses.end(), m_random);
+    places.addresses.resize(std::min(places.addresses.size(), kMostPlaces));
+    return places;
+}
+
 void EntryHost::startTimer()
 {
     m_timer.expires_after(kTick);
--- a/src/app/EntryHost.h
+++ b/src/app/EntryHost.h
@@ -1,4 +1,5 @@
-// An entry of a deployment: answers callers from its own connections to upstreams, and keeps a
+// An entry of a deployment: answers callers from its own connections to upstreams, tells them where
+// the entries are, and keeps a
 // session with every control host, from which it learns the routes in force, the upstreams and the
 // data centres that are out. It serves callers once a leader that a majority confirms has told it
 // the routes, and goes on serving by them when it loses all control hosts.
@@ -6,6 +7,7 @@
 
 #include "app/HostDialect.h"
 #include "hickoryspur/process/ControlHostBook.h"
+#include "hickoryspur/process/EntryBook.h"
 #include "hickoryspur/process/FleetMessage.h"
 #include "hickoryspur/process/HostSettings.h"
 #include "process/FrameLink.h"
@@ -15,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <random>
 
 namespace hickoryspur {
 
@@ -34,6 +37,7 @@
 private:
     CallerResponse handle(const CallerRequest &request);
     CallerResponse respond(CallerAnswer answer) const;
+    std::optional<EntryPlaces> places(TimePoint now);
     void received(const NodeId &from, const PeerMessage &message);
     void apply(TimePoint now, const NodeId &from, const EntryUpdate &update);
     void applyRoutes(const AcceptedRoutes &routes);
@@ -51,9 +55,10 @@
     std::unique_ptr<OutgoingLinks> m_links;
     std::unique_ptr<HttpCallerServer> m_callerServer;
     std::unique_ptr<HttpCallerServer> m_readinessServer;
+    std::unique_ptr<HttpCallerServer> m_directoryServer;
     ControlHostBook m_hosts;
-    /** Entries that each control host has a session with. */
-    std::map<NodeId, uint32_t> m_entryCounts;
+    EntryBook m_entries;
+    std::mt19937_64 m_random;
     uint64_t m_applied = 0;
     bool m_confirmed = false;
     bool m_closing = false;
--- a/src/connection/UpstreamConnections.cpp
+++ b/src/connection/UpstreamConnections.cpp
@@ -109,6 +109,7 @@
     bool m_watching = false;
     int m_strays = 0;
     std::optional<Exchange> m_exchange;
+    std::string m_bytes;
     std::optional<ResponseParser> m_parser;
     beast::flat_buffer m_buffer;
 };
@@ -196,7 +197,8 @@
     m_exchange = std::move(exchange);
     m_state = State::Busy;
     m_strays = 0;
-    asio::async_write(m_socket, asio::buffer(m_exchange->request.bytes),
+    m_bytes = m_exchange->request.encode(monotonicNow());
+    asio::async_write(m_socket, asio::buffer(m_bytes),
                       [self = shared_from_this()](error_code error, size_t) {
                           if (!error && self->m_exchange)
                               self->read();
--- a/src/connection/UpstreamConnections.h
+++ b/src/connection/UpstreamConnections.h
@@ -26,7 +26,8 @@
 
 struct ExchangeRequest
 {
-    std::string bytes;
+    /** Writes the request when it is sent, which may be some time after it was asked for. */
+    std::function<std::string(TimePoint)> encode;
     std::string requestId;
     /** The exchange ends as failed then. */
     TimePoint giveUpAt;
--- a/src/process/FrameLink.cpp
+++ b/src/process/FrameLink.cpp
@@ -4,6 +4,7 @@
 #include "hickoryspur/process/Packing.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
@@ -85,11 +86,13 @@
     m_state = State::Closed;
     error_code ignored;
     m_socket.close(ignored);
-    const Closed closed = std::move(m_closed);
     m_receive = nullptr;
+    // Told later, so that whoever sends to many connections can lose one in the midst of it.
+    asio::post(m_socket.get_executor(), [self = shared_from_this(), closed = std::move(m_closed)] {
+        if (closed)
+            closed(self);
+    });
     m_closed = nullptr;
-    if (closed)
-        closed(shared_from_this());
 }
 
 void FrameLink::readLength()
--- a/src/process/GroupThread.cpp
+++ b/src/process/GroupThread.cpp
@@ -195,6 +195,7 @@
     }
     status.leader = leader;
     status.leads = leads;
+    status.at = monotonicNow();
     hooks.publish(std::move(status));
 }
 
--- a/src/process/GroupThread.h
+++ b/src/process/GroupThread.h
@@ -32,6 +32,8 @@
     std::vector<NodeId> controlHosts;
     std::optional<NodeId> leader;
     bool leads = false;
+    /** When leads was found to hold. */
+    TimePoint at;
 };
 
 class GroupThread
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -20,8 +20,8 @@
 constexpr double kBudgetUsed = 0.85;
 /** Entries until a control host has told how many there are. */
 constexpr uint32_t kEntriesAtFirst = 8;
-/** Part of an upstream's connections that all entries together use. */
-constexpr double kConnectionsUsed = 0.9;
+/** Part of an upstream's connections that all entries together use; connections of entries that were lost linger. */
+constexpr double kConnectionsUsed = 0.6;
 /** The way between caller and entry, and an answer's time in this process, come off the target latency. */
 constexpr Duration kAnswerMargin = 12ms;
 /** The same off the caller's deadline; a later answer reaches nobody. */
@@ -162,9 +162,11 @@
     const TimePoint now = monotonicNow();
     const std::optional<UpstreamTarget> target = m_traffic.target(attempt.upstream);
     ExchangeRequest request;
-    const bool tellsTime = m_request.patience.has_value();
-    const Duration left = std::max<Duration>(1ms, m_started + m_request.patience.value_or(m_route.timeout) - now);
-    request.bytes = m_traffic.m_dialect.encode(m_request, attempt.upstream, tellsTime ? std::optional(left) : std::nullopt);
+    // What is left is told as of the moment of sending: a connection may have to be opened first.
+    request.encode = [self = shared_from_this(), upstream = attempt.upstream](TimePoint at) {
+        const Duration patience = self->m_request.patience.value_or(self->m_route.timeout);
+        return self->m_traffic.m_dialect.encode(self->m_request, upstream, self->m_started + patience - at);
+    };
     request.requestId = m_request.id;
     request.giveUpAt = m_deadline;
     request.fresh = !m_route.idempotent;
@@ -306,7 +308,7 @@
     HS_LOG_REQUEST(event) << "request=" << m_request.id << " route=" << m_route.name << " outcome=" << endName(end)
                           << " parts=" << m_run->partsIn() << '/' << m_shardCount
                           << " ms=" << millis(monotonicNow() - m_started) << " routes=" << m_routes->number
-                          << " out=" << m_running.size() << " last=\"" << m_lastReason << '"';
+                          << " missing=" << m_run->unanswered(monotonicNow()) << " last=\"" << m_lastReason << '"';
 }
 
 EntryTraffic::EntryTraffic(asio::io_context &context, TrafficConfig config, Dialect dialect)
--- a/src/request/ReplicaBook.cpp
+++ b/src/request/ReplicaBook.cpp
@@ -20,7 +20,7 @@
 constexpr double kFailureCost = 12;
 constexpr double kUnreachableCost = 100;
 constexpr double kColdCost = 0.8;
-constexpr double kOtherDataCentreCost = 0.3;
+constexpr double kOtherDataCentreCost = 0.8;
 constexpr double kSilentCost = 20;
 /** Heartbeats come about every second and may be held up; two missed ones are a hint. */
 constexpr Duration kSilenceHint = 3s;
--- a/src/request/ScatterRun.cpp
+++ b/src/request/ScatterRun.cpp
@@ -3,6 +3,7 @@
 #include "hickoryspur/process/Check.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace hickoryspur {
 
@@ -56,8 +57,12 @@
     for (const Attempt &attempt : shard.attempts)
         tried.push_back(attempt.upstream);
     const std::optional<UpstreamId> upstream = m_hooks.choose(m_plan.shards[index], tried);
-    if (!upstream || (paid && !m_hooks.takeExtra(m_plan.shards[index])))
+    if (!upstream)
         return false;
+    if (paid && !m_hooks.takeExtra(m_plan.shards[index])) {
+        ++m_denied;
+        return false;
+    }
     shard.attempts.push_back({*upstream, now, true, false});
     // Until its end says otherwise, what is sent may run.
     ++shard.runs;
@@ -146,6 +151,22 @@
     m_finished = actions.end.has_value();
 }
 
+std::string ScatterRun::unanswered(TimePoint now) const
+{
+    std::ostringstream text;
+    for (size_t index = 0; index < m_shards.size(); ++index) {
+        const Shard &shard = m_shards[index];
+        if (shard.answered)
+            continue;
+        text << m_plan.shards[index] << '[';
+        for (const Attempt &attempt : shard.attempts)
+            text << attempt.upstream << (attempt.running ? "+" : "-") << toMilliseconds(now - attempt.sentAt) << ' ';
+        text << ']';
+    }
+    text << " denied=" << m_denied;
+    return text.str();
+}
+
 TimePoint ScatterRun::nextWake(TimePoint now) const
 {
     TimePoint next = m_plan.deadline;
