--- a/include/hickoryspur/request/ReplicaBook.h
+++ b/include/hickoryspur/request/ReplicaBook.h
@@ -25,6 +25,8 @@
     Refused,
     /** Nothing reached the upstream. */
     Unsent,
+    /** It may have run; not a byte came in all the time that there was. */
+    Silent,
     /** We stopped waiting; says nothing of the replica. */
     Abandoned,
 };
@@ -55,6 +57,8 @@
     size_t best(TimePoint now, const std::vector<Candidate> &candidates);
     /** Multiples of the usual latency until an answer is expected; lower is better. */
     double cost(TimePoint now, const Candidate &candidate) const;
+    /** An answer in time is unlikely: it could not be reached lately, or a request to it is overdue already. */
+    bool isDoubtful(TimePoint now, const UpstreamId &id) const;
     void forget(const UpstreamId &id) { m_scores.erase(id); }
 
 private:
--- a/include/hickoryspur/request/ScatterRun.h
+++ b/include/hickoryspur/request/ScatterRun.h
@@ -2,7 +2,9 @@
 // and a failed one retried, and when the answer is good enough to give. A request to one service is
 // a run of one shard. It answers the load pattern of replicas that stand still for a moment: a part
 // that is late is asked for elsewhere at once, and an answer that lacks a part is given at the
-// target latency rather than a whole one long after it.
+// target latency rather than a whole one long after it. A shard whose replicas are all overrun or
+// gone is left out at once while enough others can answer: waiting for it would make the answer late,
+// and sending to it would lengthen the queues that keep it from answering at all.
 //
 // It does no I/O. The caller feeds it time and the ends of attempts, and carries out what it returns.
 #pragma once
@@ -33,10 +35,18 @@
     Duration hedgeAfter = 50ms;
 };
 
+/** A replica that is to be asked. */
+struct ReplicaChoice
+{
+    UpstreamId id;
+    /** Every replica is as unlikely to answer in time; this is the best of them. */
+    bool doubtful = false;
+};
+
 struct ScatterHooks
 {
     /** A replica for the service, none of those tried already; nothing where there is none. */
-    std::function<std::optional<UpstreamId>(const ServiceName &, const std::vector<UpstreamId> &tried)> choose;
+    std::function<std::optional<ReplicaChoice>(const ServiceName &, const std::vector<UpstreamId> &tried)> choose;
     /** Takes one extra sub-request from the service's budget where it allows one. */
     std::function<bool(const ServiceName &)> takeExtra;
     /** An attempt at this replica has become overdue. */
@@ -111,8 +121,12 @@
         uint32_t runs = 0;
         bool answered = false;
         bool lost = false;
+        /** Left out without being asked; counts as lost until it is needed. */
+        bool skipped = false;
     };
 
+    void skipDoubtful();
+    void askSkipped(TimePoint now, ScatterActions &actions);
     bool trySend(TimePoint now, uint32_t index, bool paid, ScatterActions &actions);
     void failShard(TimePoint now, uint32_t index, AttemptOutcome outcome, ScatterActions &actions);
     void hedgeOverdue(TimePoint now, ScatterActions &actions);
--- a/src/connection/UpstreamConnections.cpp
+++ b/src/connection/UpstreamConnections.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -27,6 +28,8 @@
 constexpr unsigned kMostHeaderBytes = 16U * 1024;
 /** Connecting takes milliseconds; an upstream that takes longer is dark or overrun. */
 constexpr Duration kConnectPatience = 400ms;
+/** An upstream that has too many connections accepts one and resets it; that shows within a round trip. */
+constexpr Duration kSettle = 2500us;
 /** An upstream that states no idle time is trusted to keep a connection this long. */
 constexpr Duration kUnstatedIdle = 4s;
 /** Before the stated idle time ends, the connection is no longer used. */
@@ -76,6 +79,7 @@
 public:
     Connection(asio::io_context &context, std::weak_ptr<Pool> pool)
         : m_socket(context)
+        , m_settle(context)
         , m_pool(std::move(pool))
     {
     }
@@ -85,7 +89,7 @@
     void finish(ExchangeResult result, bool keep);
     void close();
     bool isIdle() const { return m_state == State::Idle; }
-    bool isOpening() const { return m_state == State::Connecting; }
+    bool isOpening() const { return m_state == State::Connecting || m_state == State::Settling; }
     bool isClosed() const { return m_state == State::Closed; }
     bool isBusy() const { return m_exchange.has_value(); }
     UpstreamConnections::Handle handle() const { return m_exchange ? m_exchange->handle : 0; }
@@ -94,14 +98,16 @@
     Duration mostIdle() const { return m_mostIdle; }
 
 private:
-    enum class State { New, Connecting, Idle, Busy, Closed };
+    enum class State { New, Connecting, Settling, Idle, Busy, Closed };
 
     void opened(error_code error);
+    void settled();
     void watch();
     void read();
     void onRead(error_code error);
 
     tcp::socket m_socket;
+    asio::steady_timer m_settle;
     std::weak_ptr<Pool> m_pool;
     State m_state = State::New;
     TimePoint m_since;
@@ -173,10 +179,20 @@
     }
     error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
+    m_state = State::Settling;
+    watch();
+    m_settle.expires_after(kSettle);
+    m_settle.async_wait([self = shared_from_this()](error_code) { self->settled(); });
+}
+
+void Connection::settled()
+{
+    if (m_state != State::Settling)
+        return;
     m_state = State::Idle;
     m_since = monotonicNow();
-    watch();
-    pool->becameIdle();
+    if (const std::shared_ptr<Pool> pool = m_pool.lock())
+        pool->becameIdle();
 }
 
 void Connection::watch()
@@ -186,6 +202,12 @@
     m_watching = true;
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
         self->m_watching = false;
+        if (self->m_state == State::Settling) {
+            self->close();
+            if (const std::shared_ptr<Pool> pool = self->m_pool.lock())
+                pool->becameUnreachable("the upstream closed a new connection");
+            return;
+        }
         // Bytes on an idle connection belong to no request, and an end closes it.
         if (self->m_state == State::Idle || (error && self->m_state != State::Busy))
             self->close();
@@ -389,7 +411,7 @@
             connection->close();
             becameUnreachable("connecting took too long");
         } else if (connection->isBusy() && now >= connection->giveUpAt()) {
-            connection->finish({AttemptOutcome::Failed, {}, "no answer in time"}, false);
+            connection->finish({AttemptOutcome::Silent, {}, "no answer in time"}, false);
         }
     }
     while (!m_waiting.empty() && now >= m_waiting.front().request.giveUpAt) {
--- a/src/process/FrameLink.cpp
+++ b/src/process/FrameLink.cpp
@@ -47,6 +47,7 @@
 void FrameLink::start()
 {
     m_state = State::Open;
+    m_lastHeard = monotonicNow();
     error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
     readLength();
@@ -244,7 +245,8 @@
 {
     std::vector<NodeId> toDial;
     for (const auto &[host, link] : m_links) {
-        if (link && !link->isClosed() && now - link->lastHeard() > kSilence)
+        const Duration patience = link && link->isOpen() ? kSilence : kConnectPatience;
+        if (link && !link->isClosed() && now - link->lastHeard() > patience)
             link->close();
         if (!link || link->isClosed())
             toDial.push_back(host);
--- a/src/process/FrameLink.h
+++ b/src/process/FrameLink.h
@@ -86,6 +86,8 @@
     /** A control host answers at least every ping, so this is several missed ones. */
     static constexpr Duration kSilence = 1200ms;
     static constexpr Duration kRedialAfter = 150ms;
+    /** The opening packet to a host that is down is lost, and is sent again only after a second. */
+    static constexpr Duration kConnectPatience = 250ms;
 
     struct Hooks
     {
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -362,7 +362,7 @@
     return plan;
 }
 
-std::optional<UpstreamId> EntryTraffic::choose(const ServiceName &service, const std::vector<UpstreamId> &tried)
+std::optional<ReplicaChoice> EntryTraffic::choose(const ServiceName &service, const std::vector<UpstreamId> &tried)
 {
     std::vector<ReplicaBook::Candidate> all;
     std::vector<ReplicaBook::Candidate> withRoom;
@@ -383,7 +383,9 @@
     const std::vector<ReplicaBook::Candidate> &candidates = withRoom.empty() ? all : withRoom;
     if (candidates.empty())
         return std::nullopt;
-    return candidates[m_book.best(monotonicNow(), candidates)].id;
+    const TimePoint now = monotonicNow();
+    const UpstreamId &best = candidates[m_book.best(now, candidates)].id;
+    return ReplicaChoice{best, m_book.isDoubtful(now, best)};
 }
 
 bool EntryTraffic::takeExtra(const ServiceName &service)
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -68,7 +68,7 @@
     friend class Run;
 
     ScatterPlan makePlan(TimePoint now, const Route &route, const CarriedRequest &request);
-    std::optional<UpstreamId> choose(const ServiceName &service, const std::vector<UpstreamId> &tried);
+    std::optional<ReplicaChoice> choose(const ServiceName &service, const std::vector<UpstreamId> &tried);
     bool takeExtra(const ServiceName &service);
     ExtraBudget &budget(const ServiceName &service);
     RouteLatency &latency(const Route &route);
--- a/src/request/ReplicaBook.cpp
+++ b/src/request/ReplicaBook.cpp
@@ -52,7 +52,7 @@
     if (outcome == AttemptOutcome::Abandoned)
         return;
     score.lastEnd = now;
-    if (outcome == AttemptOutcome::Unsent) {
+    if (outcome == AttemptOutcome::Unsent || outcome == AttemptOutcome::Silent) {
         const uint32_t doublings = std::min(score.unreachable, kMostDoublings);
         score.avoidUntil = now + kAvoid * (1U << doublings);
         ++score.unreachable;
@@ -82,6 +82,12 @@
         + (now < score.avoidUntil ? kUnreachableCost : 0) + extra;
 }
 
+bool ReplicaBook::isDoubtful(TimePoint now, const UpstreamId &id) const
+{
+    const auto found = m_scores.find(id);
+    return found != m_scores.end() && (found->second.overdue > 0 || now < found->second.avoidUntil);
+}
+
 size_t ReplicaBook::best(TimePoint now, const std::vector<Candidate> &candidates)
 {
     std::vector<double> costs;
--- a/src/request/ScatterRun.cpp
+++ b/src/request/ScatterRun.cpp
@@ -27,15 +27,45 @@
                        [](const Attempt &attempt) { return attempt.running; });
 }
 
+void ScatterRun::skipDoubtful()
+{
+    size_t spare = m_shards.size() - m_plan.leastParts;
+    for (uint32_t index = 0; index < m_shards.size() && spare > 0; ++index) {
+        const std::optional<ReplicaChoice> choice = m_hooks.choose(m_plan.shards[index], {});
+        if (choice && !choice->doubtful)
+            continue;
+        m_shards[index].lost = true;
+        m_shards[index].skipped = true;
+        ++m_lost;
+        --spare;
+    }
+}
+
+void ScatterRun::askSkipped(TimePoint now, ScatterActions &actions)
+{
+    for (uint32_t index = 0; index < m_shards.size() && m_shards.size() - m_lost < m_plan.leastParts; ++index) {
+        Shard &shard = m_shards[index];
+        if (!shard.skipped)
+            continue;
+        shard.skipped = false;
+        if (!trySend(now, index, false, actions))
+            continue;
+        shard.lost = false;
+        --m_lost;
+    }
+}
+
 ScatterActions ScatterRun::start(TimePoint now)
 {
     ScatterActions actions;
+    skipDoubtful();
     for (uint32_t index = 0; index < m_shards.size(); ++index) {
-        if (trySend(now, index, false, actions))
+        if (m_shards[index].skipped || trySend(now, index, false, actions))
             continue;
         m_shards[index].lost = true;
         ++m_lost;
     }
+    askSkipped(now, actions);
     // A request that cannot be served is turned away before anything runs.
     if (m_shards.size() - m_lost < m_plan.leastParts) {
         actions.sends.clear();
@@ -56,18 +86,19 @@
     std::vector<UpstreamId> tried;
     for (const Attempt &attempt : shard.attempts)
         tried.push_back(attempt.upstream);
-    const std::optional<UpstreamId> upstream = m_hooks.choose(m_plan.shards[index], tried);
-    if (!upstream)
+    const std::optional<ReplicaChoice> choice = m_hooks.choose(m_plan.shards[index], tried);
+    // An extra sub-request to a replica that is overrun itself helps nobody.
+    if (!choice || (paid && choice->doubtful))
         return false;
     if (paid && !m_hooks.takeExtra(m_plan.shards[index])) {
         ++m_denied;
         return false;
     }
-    shard.attempts.push_back({*upstream, now, true, false});
+    shard.attempts.push_back({choice->id, now, true, false});
     // Until its end says otherwise, what is sent may run.
     ++shard.runs;
     ++m_runs;
-    actions.sends.push_back({{index, static_cast<uint32_t>(shard.attempts.size() - 1)}, *upstream});
+    actions.sends.push_back({{index, static_cast<uint32_t>(shard.attempts.size() - 1)}, choice->id});
     return true;
 }
 
@@ -107,6 +138,7 @@
         return;
     shard.lost = true;
     ++m_lost;
+    askSkipped(now, actions);
 }
 
 ScatterActions ScatterRun::tick(TimePoint now)
@@ -123,7 +155,7 @@
 {
     for (uint32_t index = 0; index < m_shards.size(); ++index) {
         Shard &shard = m_shards[index];
-        if (shard.answered || shard.lost)
+        if (shard.answered || shard.lost || shard.attempts.empty())
             continue;
         Attempt &latest = shard.attempts.back();
         if (!latest.running || latest.overdue || now - latest.sentAt < m_plan.hedgeAfter)
