Keep the parser of a read that is under way; recall upstreams; take removed voters in again

Reproduced by connections_answerComesAsTimeEnds_endOnce, which aborts before this change. After a restart of all hosts entries waited up to 1.2 s for heartbeats: control hosts keep the list.

--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -36,6 +36,7 @@
     UpstreamRestarted = 1503,
     UpstreamEjected = 1504,
     IdentityConflict = 1505,
+    UpstreamsRecalled = 1506,
     ConnectionSilent = 1600,
     ReplyMismatch = 1601,
     MoveStarted = 1700,
@@ -62,5 +63,4 @@
 
 #define HS_LOG(severity, event) LOG(severity) << 'E' << static_cast<int>(event) << ' '
 /** For lines about single requests: of a kind that comes often, at most so many a second are written. */
-#define HS_LOG_REQUEST(event) \
-    LOG_IF(WARNING, ::hickoryspur::mayLogRequest()) << 'E' << static_cast<int>(event) << ' '
+#define HS_LOG_REQUEST(event) LOG_IF(WARNING, ::hickoryspur::mayLogRequest()) << 'E' << static_cast<int>(event) << ' '
--- a/include/hickoryspur/process/LogStorage.h
+++ b/include/hickoryspur/process/LogStorage.h
@@ -45,6 +45,11 @@
 /** One record of the log file: length, checksum, payload. A reader stops at the first bad one. */
 std::string encodeRecord(const std::string &payload);
 
+/** Keeps bytes that are no part of the log in a file of the data folder, whole and durable or as before. */
+Result<void> saveRecordFile(const std::string &folder, const std::string &name, const std::string &payload);
+/** Nothing where the file is missing or damaged. */
+std::optional<std::string> loadRecordFile(const std::string &folder, const std::string &name);
+
 class FileLogStorage : public LogStorage
 {
 public:
--- a/include/hickoryspur/process/ReplicatedLog.h
+++ b/include/hickoryspur/process/ReplicatedLog.h
@@ -192,6 +192,8 @@
         LogIndex next{1};
         /** The latest send time, on this leader's clock, that the member has answered. */
         std::optional<TimePoint> ackedSend;
+        /** When this leader first sent to it; a member is not silent before that. */
+        TimePoint since;
     };
 
     bool isVoter() const { return membership().isVoter(m_self); }
@@ -220,6 +222,7 @@
     void noteMembership(const LogEntry &entry);
     void sendAppend(TimePoint now, const MemberId &to, LogActions &actions);
     void broadcast(TimePoint now, LogActions &actions);
+    void followProgress(TimePoint now, const MemberId &member);
     void advanceCommit(LogActions &actions);
     void commitTo(LogIndex index, LogActions &actions);
     std::optional<TimePoint> quorumAckedSend() const;
--- a/include/hickoryspur/process/Time.h
+++ b/include/hickoryspur/process/Time.h
@@ -16,7 +16,8 @@
 {
     timespec now{};
     clock_gettime(CLOCK_BOOTTIME, &now);
-    return TimePoint(std::chrono::seconds(now.tv_sec) + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(now.tv_nsec)));
+    return TimePoint(std::chrono::seconds(now.tv_sec)
+                     + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 /** Wall-clock seconds since 1970, for people and audit trails; no decision depends on it. */
--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -21,6 +21,8 @@
 constexpr Duration kRefresh = 200ms;
 /** An entry tells of itself several times in this time; one that does not is not named to callers. */
 constexpr Duration kEntrySilence = 700ms;
+/** How often the known upstreams are kept on disk, where they have changed; each time costs a sync. */
+constexpr Duration kSaveInterval = 1s;
 /** A confirmation by the control group is good for this long. */
 constexpr Duration kConfirmationLife = 400ms;
 
@@ -80,12 +82,15 @@
     hooks.publish = [this](GroupStatus status) {
         asio::post(m_context, [this, status = std::move(status)]() mutable { noteStatus(std::move(status)); });
     };
+    hooks.notes = [this](std::string bytes) {
+        asio::post(m_context, [this, bytes = std::move(bytes)] { recallUpstreams(bytes); });
+    };
     m_group = std::make_unique<GroupThread>(std::move(config), std::move(hooks));
 
     const ControlApi api = makeApi();
-    auto control = HttpCallerServer::listen(
-        m_context, *m_settings.controlAddress, controlLimits(),
-        [this, api](const CallerRequest &request) { return m_dialect.control(request, api); });
+    auto control =
+        HttpCallerServer::listen(m_context, *m_settings.controlAddress, controlLimits(),
+                                 [this, api](const CallerRequest &request) { return m_dialect.control(request, api); });
     if (!control)
         return tl::unexpected(control.error());
     m_controlServer = std::move(*control);
@@ -141,8 +146,8 @@
             noteEntry(link, *status);
         return;
     default:
-        HS_LOG(WARNING, LogEvent::MessageUndecodable) << "unexpected type " << int(message.type) << " from "
-                                                      << message.from;
+        HS_LOG(WARNING, LogEvent::MessageUndecodable)
+            << "unexpected type " << int(message.type) << " from " << message.from;
     }
 }
 
@@ -158,8 +163,8 @@
         sendUpdate(session, fullUpdate(now));
     if (!isNew && offeredBefore == status.offered)
         return;
-    HS_LOG(INFO, LogEvent::SessionOpened) << "entry=" << status.entry << " callers=" << status.callerAddress
-                                          << " offered=" << status.offered;
+    HS_LOG(INFO, LogEvent::SessionOpened)
+        << "entry=" << status.entry << " callers=" << status.callerAddress << " offered=" << status.offered;
     refreshSessions(now);
 }
 
@@ -277,6 +282,7 @@
     const TimePoint now = monotonicNow();
     m_links->tick(now);
     m_registry.forgetSilent(now);
+    saveUpstreamsIfDue(now);
     if (now >= m_nextPing) {
         m_nextPing = now + kRefresh;
         m_links->sendToAll(PeerMessageType::Ping, "");
@@ -310,8 +316,39 @@
     }
 }
 
+void ControlHost::saveUpstreamsIfDue(TimePoint now)
+{
+    if (!m_upstreamsChanged || now < m_nextSave)
+        return;
+    m_upstreamsChanged = false;
+    m_nextSave = now + kSaveInterval;
+    std::vector<Announcement> upstreams;
+    for (const auto &[id, known] : m_registry.all())
+        if (known.takesWork())
+            upstreams.push_back(known.announcement);
+    m_group->saveNotes(pack(upstreams));
+}
+
+void ControlHost::recallUpstreams(const std::string &bytes)
+{
+    const auto upstreams = unpack<std::vector<Announcement>>(bytes);
+    if (!upstreams) {
+        HS_LOG(WARNING, LogEvent::MessageUndecodable) << "the kept list of upstreams; waiting for their heartbeats";
+        return;
+    }
+    // Each is named in every request to it, so one that has gone meanwhile can do no harm.
+    size_t recalled = 0;
+    for (const Announcement &announcement : *upstreams)
+        if (m_registry.accept(monotonicNow(), announcement) == RegistryChange::Changed) {
+            ++recalled;
+            tellEntries(announcement);
+        }
+    HS_LOG(INFO, LogEvent::UpstreamsRecalled) << recalled << " upstreams as they were kept";
+}
+
 void ControlHost::tellEntries(const Announcement &announcement)
 {
+    m_upstreamsChanged = true;
     EntryUpdate update = stateUpdate(monotonicNow());
     update.upstreams.push_back(announcement);
     for (auto &[link, session] : m_sessions)
@@ -327,8 +364,8 @@
     if (change != RegistryChange::Changed)
         return;
     HS_LOG(INFO, announcement.isLeaving() ? LogEvent::UpstreamLeaving : LogEvent::UpstreamArrived)
-        << "upstream=" << announcement.id << " service=" << announcement.service << " at=" << announcement.address << ':'
-        << announcement.port << " born=" << announcement.incarnation << " seq=" << announcement.sequence
+        << "upstream=" << announcement.id << " service=" << announcement.service << " at=" << announcement.address
+        << ':' << announcement.port << " born=" << announcement.incarnation << " seq=" << announcement.sequence
         << " version=" << announcement.version << " cold-ms=" << announcement.coldForMillis;
     tellEntries(announcement);
 }
@@ -362,7 +399,8 @@
         if (confirmed)
             promise->set_value(pick(state));
         else
-            promise->set_value(failure(ResultCode::NoLeader, "no majority confirms that this state is the newest", true));
+            promise->set_value(
+                failure(ResultCode::NoLeader, "no majority confirms that this state is the newest", true));
     });
     return future.get();
 }
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -59,6 +59,8 @@
     void announce(const Announcement &announcement);
     void remove(const UpstreamId &id, uint64_t incarnation);
     void tellEntries(const Announcement &announcement);
+    void saveUpstreamsIfDue(TimePoint now);
+    void recallUpstreams(const std::string &bytes);
     Result<void> submit(Command command);
     template <typename Value> Result<Value> read(std::function<Value(const ControlState &)> pick);
     std::optional<HostAddress> leaderAddress() const;
@@ -79,6 +81,8 @@
     ControlHostBook m_hosts;
     TimePoint m_confirmedAt;
     TimePoint m_nextPing;
+    TimePoint m_nextSave;
+    bool m_upstreamsChanged = false;
     uint64_t m_hostsVersion = 0;
     std::vector<std::string> m_offered;
     std::vector<NodeId> m_controlHosts;
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -43,9 +43,7 @@
     OutgoingLinks::Hooks hooks;
     hooks.receive = [this](const NodeId &from, const PeerMessage &message) { received(from, message); };
     hooks.opened = [this](const NodeId &) { m_nextStatus = TimePoint(); };
-    hooks.lost = [this](const NodeId &host) {
-        m_hosts.forgetSource(host);
-    };
+    hooks.lost = [this](const NodeId &host) { m_hosts.forgetSource(host); };
     m_links = std::make_unique<OutgoingLinks>(m_context, m_settings.id(), std::move(hooks));
     m_hosts.setSeeds(m_settings.seedIds());
     dialControlHosts();
@@ -54,9 +52,9 @@
     if (!callers)
         return tl::unexpected(callers.error());
     m_callerServer = std::move(*callers);
-    auto readiness =
-        HttpCallerServer::listen(m_context, *m_settings.readinessAddress, ServerLimits(),
-                                 [this](const CallerRequest &request) { return m_dialect.readiness(request, isReady()); });
+    auto readiness = HttpCallerServer::listen(
+        m_context, *m_settings.readinessAddress, ServerLimits(),
+        [this](const CallerRequest &request) { return m_dialect.readiness(request, isReady()); });
     if (!readiness)
         return tl::unexpected(readiness.error());
     m_readinessServer = std::move(*readiness);
--- a/src/app/HostProcess.cpp
+++ b/src/app/HostProcess.cpp
@@ -173,8 +173,7 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     const Result<std::string> text = readFile(settingsPath);
-    const Result<HostSettings> settings =
-        text ? parseHostSettings(*text, settingsPath) : tl::unexpected(text.error());
+    const Result<HostSettings> settings = text ? parseHostSettings(*text, settingsPath) : tl::unexpected(text.error());
     if (!settings) {
         LOG(ERROR) << settings.error().message;
         return exitCode(settings.error().code);
--- a/src/connection/UpstreamConnections.cpp
+++ b/src/connection/UpstreamConnections.cpp
@@ -116,6 +116,7 @@
     int m_strays = 0;
     std::optional<Exchange> m_exchange;
     std::string m_bytes;
+    /** A read that is under way uses it, also after its exchange has been given up. */
     std::optional<ResponseParser> m_parser;
     beast::flat_buffer m_buffer;
 };
@@ -220,13 +221,12 @@
     m_state = State::Busy;
     m_strays = 0;
     m_bytes = m_exchange->request.encode(monotonicNow());
-    asio::async_write(m_socket, asio::buffer(m_bytes),
-                      [self = shared_from_this()](error_code error, size_t) {
-                          if (!error && self->m_exchange)
-                              self->read();
-                          else if (self->m_exchange)
-                              self->finish({AttemptOutcome::Failed, {}, "writing: " + error.message()}, false);
-                      });
+    asio::async_write(m_socket, asio::buffer(m_bytes), [self = shared_from_this()](error_code error, size_t) {
+        if (!error && self->m_exchange)
+            self->read();
+        else if (self->m_exchange)
+            self->finish({AttemptOutcome::Failed, {}, "writing: " + error.message()}, false);
+    });
 }
 
 void Connection::read()
@@ -264,7 +264,6 @@
 {
     const UpstreamConnections::Done done = std::move(m_exchange->done);
     m_exchange.reset();
-    m_parser.reset();
     if (keep && m_state == State::Busy) {
         m_state = State::Idle;
         m_since = monotonicNow();
--- a/src/process/FrameLink.cpp
+++ b/src/process/FrameLink.cpp
@@ -276,9 +276,8 @@
 
 size_t OutgoingLinks::openCount() const
 {
-    return static_cast<size_t>(std::count_if(m_links.begin(), m_links.end(), [](const auto &item) {
-        return item.second && item.second->isOpen();
-    }));
+    return static_cast<size_t>(std::count_if(m_links.begin(), m_links.end(),
+                                             [](const auto &item) { return item.second && item.second->isOpen(); }));
 }
 
 } // namespace hickoryspur
--- a/src/process/GroupNode.cpp
+++ b/src/process/GroupNode.cpp
@@ -41,8 +41,8 @@
 {
     GroupActions result;
     take(m_log.tick(now), result);
-    const auto live =
-        std::find_if(m_waiting.begin(), m_waiting.end(), [now](const Waiting &waiting) { return now < waiting.deadline; });
+    const auto live = std::find_if(m_waiting.begin(), m_waiting.end(),
+                                   [now](const Waiting &waiting) { return now < waiting.deadline; });
     answerUnknown(live, result);
     repair(now, result);
     checkpointIfDue(result);
@@ -95,9 +95,9 @@
 {
     GroupActions result;
     LogActions actions;
-    const Result<LogIndex> index =
-        leads(now) ? m_log.propose(pack(command), actions)
-                   : failure(ResultCode::NoLeader, "this host does not lead the control group", true);
+    const Result<LogIndex> index = leads(now)
+        ? m_log.propose(pack(command), actions)
+        : failure(ResultCode::NoLeader, "this host does not lead the control group", true);
     if (!index) {
         result.answers.push_back({ticket, {static_cast<int>(index.error().code), index.error().message, 0, ""}});
         return result;
--- a/src/process/GroupThread.cpp
+++ b/src/process/GroupThread.cpp
@@ -21,6 +21,7 @@
 constexpr Duration kTick = 20ms;
 /** Pause before a folder that failed is opened again. */
 constexpr Duration kReopenAfter = 300ms;
+constexpr const char *kNotesFile = "notes";
 
 } // namespace
 
@@ -88,11 +89,13 @@
     ++lives;
     storage = std::move(*opened);
     HS_LOG(INFO, LogEvent::LogRecovered) << "checkpoint " << recovered.log.checkpoint.index << " and "
-                                         << recovered.log.entries.size() << " entries after it, "
-                                         << recovered.cutBytes << " bytes of an unfinished record cut";
+                                         << recovered.log.entries.size() << " entries after it, " << recovered.cutBytes
+                                         << " bytes of an unfinished record cut";
     node = std::make_unique<GroupNode>(std::move(recovered), config.seeds, config.timing, config.incarnation + lives,
                                        monotonicNow());
     statusDue = true;
+    if (std::optional<std::string> notes = loadRecordFile(config.dataFolder, kNotesFile))
+        hooks.notes(std::move(*notes));
 }
 
 void GroupThread::State::take(GroupActions actions)
@@ -164,7 +167,8 @@
         return;
     const std::vector<GroupActions> batch = std::move(pending);
     pending.clear();
-    const bool writes = std::any_of(batch.begin(), batch.end(), [](const auto &actions) { return !actions.log.empty(); });
+    const bool writes =
+        std::any_of(batch.begin(), batch.end(), [](const auto &actions) { return !actions.log.empty(); });
     if (const Result<void> written = write(batch); !written) {
         closeAfter(written.error());
         publishIfDue();
@@ -243,15 +247,16 @@
 
 void GroupThread::submit(Command command, Done done)
 {
-    asio::post(m_state->context, [state = m_state.get(), command = std::move(command), done = std::move(done)]() mutable {
-        if (!state->node) {
-            done({static_cast<int>(ResultCode::NoLeader), "the log of this host is closed", 0, ""});
-            return;
-        }
-        const uint64_t ticket = state->nextTicket++;
-        state->tickets.emplace(ticket, std::move(done));
-        state->take(state->node->submit(monotonicNow(), ticket, command));
-    });
+    asio::post(m_state->context,
+               [state = m_state.get(), command = std::move(command), done = std::move(done)]() mutable {
+                   if (!state->node) {
+                       done({static_cast<int>(ResultCode::NoLeader), "the log of this host is closed", 0, ""});
+                       return;
+                   }
+                   const uint64_t ticket = state->nextTicket++;
+                   state->tickets.emplace(ticket, std::move(done));
+                   state->take(state->node->submit(monotonicNow(), ticket, command));
+               });
 }
 
 void GroupThread::read(Read read)
@@ -263,6 +268,16 @@
     });
 }
 
+void GroupThread::saveNotes(std::string bytes)
+{
+    asio::post(m_state->context, [state = m_state.get(), bytes = std::move(bytes)] {
+        if (!state->node)
+            return;
+        const Result<void> saved = saveRecordFile(state->config.dataFolder, kNotesFile, bytes);
+        LOG_IF(WARNING, !saved) << "notes are not saved: " << saved.error().message;
+    });
+}
+
 void GroupThread::setSeeds(std::vector<NodeId> seeds)
 {
     asio::post(m_state->context, [state = m_state.get(), seeds = std::move(seeds)] {
--- a/src/process/GroupThread.h
+++ b/src/process/GroupThread.h
@@ -44,6 +44,8 @@
         /** Called on the control thread. */
         std::function<void(const LogEnvelope &)> send;
         std::function<void(GroupStatus)> publish;
+        /** What saveNotes() last kept, when the folder has been opened. */
+        std::function<void(std::string)> notes;
     };
     using Done = std::function<void(ApplyOutcome)>;
     /** The state, where this host leads and a majority has confirmed it; else the leader, where known. */
@@ -59,6 +61,8 @@
     void submit(Command command, Done done);
     void read(Read read);
     void setSeeds(std::vector<NodeId> seeds);
+    /** Keeps soft state that spares the first seconds after a restart; a failure costs no more than that. */
+    void saveNotes(std::string bytes);
 
 private:
     struct State;
--- a/src/process/LogStorage.cpp
+++ b/src/process/LogStorage.cpp
@@ -152,6 +152,17 @@
     return result ? storage.sync() : result;
 }
 
+Result<void> saveRecordFile(const std::string &folder, const std::string &name, const std::string &payload)
+{
+    return replaceFile(folder, name, encodeRecord(payload));
+}
+
+std::optional<std::string> loadRecordFile(const std::string &folder, const std::string &name)
+{
+    const std::optional<std::string> bytes = readWhole(folder + '/' + name);
+    return bytes ? decodeRecord(*bytes, 0) : std::nullopt;
+}
+
 FileLogStorage::FileLogStorage(std::string folder)
     : m_folder(std::move(folder))
 {
--- a/src/process/ReplicatedLog.cpp
+++ b/src/process/ReplicatedLog.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/** A pre-vote is asked for again after this part of the election timeout. */
+constexpr int kPreVotePart = 4;
+
 LogIndex after(LogIndex index)
 {
     return LogIndex(index.value() + 1);
@@ -201,6 +204,9 @@
     m_role = Role::PreCandidate;
     m_leader.reset();
     m_votes = {{m_self, true}};
+    // Asking costs nothing, and after a start of all hosts the others refuse only for a moment yet.
+    std::uniform_int_distribution<int64_t> pause(0, m_timing.electionTimeout.count() / kPreVotePart);
+    m_electionDeadline = now + m_timing.electionTimeout / kPreVotePart + Duration(pause(m_random));
     if (m_votes.size() >= membership().majority()) {
         startElection(now, actions);
         return;
@@ -229,7 +235,7 @@
     m_ledSince = now;
     m_progress.clear();
     for (const MemberId &member : others())
-        m_progress[member].next = after(lastIndex());
+        followProgress(now, member);
     actions.becameLeader = true;
     m_termStart = after(lastIndex());
     appendEntry({m_termStart, m_hard.term, static_cast<uint8_t>(EntryKind::TermStart), ""}, actions);
@@ -462,13 +468,25 @@
 void ReplicatedLog::broadcast(TimePoint now, LogActions &actions)
 {
     m_nextHeartbeat = now + m_timing.heartbeat;
-    for (const MemberId &member : others()) {
+    const std::vector<MemberId> members = others();
+    // A member that left and is taken in again starts anew.
+    std::erase_if(m_progress, [&](const auto &item) {
+        return std::find(members.begin(), members.end(), item.first) == members.end();
+    });
+    for (const MemberId &member : members) {
         if (!m_progress.contains(member))
-            m_progress[member].next = after(lastIndex());
+            followProgress(now, member);
         sendAppend(now, member, actions);
     }
 }
 
+void ReplicatedLog::followProgress(TimePoint now, const MemberId &member)
+{
+    Progress &progress = m_progress[member];
+    progress.next = after(lastIndex());
+    progress.since = now;
+}
+
 Result<LogIndex> ReplicatedLog::propose(const std::string &command, LogActions &actions)
 {
     if (!isLeader())
@@ -567,8 +585,9 @@
     if (!isLeader() || member == m_self)
         return Duration::zero();
     const auto found = m_progress.find(member);
-    const std::optional<TimePoint> acked = found == m_progress.end() ? std::nullopt : found->second.ackedSend;
-    return now - std::max(acked.value_or(m_ledSince), m_ledSince);
+    if (found == m_progress.end())
+        return Duration::zero();
+    return now - std::max(found->second.ackedSend.value_or(TimePoint()), found->second.since);
 }
 
 std::optional<std::vector<LogEntry>> ReplicatedLog::committedAfter(LogIndex index, size_t most) const
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -368,8 +368,7 @@
     std::vector<ReplicaBook::Candidate> withRoom;
     for (const UpstreamId &id : m_registry.replicas(service)) {
         const Announcement &announcement = m_registry.find(id)->announcement;
-        if (m_out.contains(announcement.dataCentre.value())
-            || std::find(tried.begin(), tried.end(), id) != tried.end())
+        if (m_out.contains(announcement.dataCentre.value()) || std::find(tried.begin(), tried.end(), id) != tried.end())
             continue;
         ReplicaBook::Candidate candidate;
         candidate.id = id;
@@ -434,8 +433,8 @@
 {
     if (m_routes && table.number <= m_routes->number)
         return;
-    HS_LOG(INFO, LogEvent::RoutesApplied) << "routes=" << table.number << " before=" << routesNumber()
-                                          << " count=" << table.routes.size();
+    HS_LOG(INFO, LogEvent::RoutesApplied)
+        << "routes=" << table.number << " before=" << routesNumber() << " count=" << table.routes.size();
     m_routes = std::make_shared<const RouteTable>(std::move(table));
 }
 
--- /dev/null
+++ b/test/failure/UpstreamConnectionsFailureTest.cpp
@@ -0,0 +1,188 @@
+#include "connection/UpstreamConnections.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <thread>
+
+using namespace hickoryspur;
+
+/** Upstreams are sockets of the test itself, answered by hand on the same thread. */
+class UpstreamConnectionsFailureTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(UpstreamConnectionsFailureTest);
+    CPPUNIT_TEST(connections_answerComesAsTimeEnds_endOnce);
+    CPPUNIT_TEST(connections_answerToAnotherRequest_isDroppedAndTheNextTaken);
+    CPPUNIT_TEST(connections_bytesBehindTheAnswer_connectionIsNotUsedAgain);
+    CPPUNIT_TEST(connections_answerCutShort_isNoAnswer);
+    CPPUNIT_TEST(connections_newOneIsReset_nothingWasSent);
+    CPPUNIT_TEST(connections_nobodyListens_nothingWasSent);
+    CPPUNIT_TEST_SUITE_END();
+
+    using tcp = boost::asio::ip::tcp;
+
+    struct Upstream
+    {
+        explicit Upstream(boost::asio::io_context &context)
+            : acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+            , socket(context)
+        {
+        }
+        tcp::acceptor acceptor;
+        tcp::socket socket;
+    };
+
+    UpstreamTarget target(const Upstream &upstream, const std::string &id) const
+    {
+        return {UpstreamId(id), {"127.0.0.1", upstream.acceptor.local_endpoint().port()}, 2};
+    }
+
+    void send(const UpstreamTarget &to, const std::string &id, UpstreamConnections::Done done)
+    {
+        ExchangeRequest request;
+        request.encode = [id](TimePoint) { return "GET /" + id + " HTTP/1.1\r\nHost: h\r\n\r\n"; };
+        request.requestId = id;
+        request.giveUpAt = monotonicNow() + 5s;
+        m_connections.send(to, std::move(request), std::move(done));
+    }
+
+    /** Runs what is due until the condition holds. */
+    template <typename Condition> void runUntil(Condition condition)
+    {
+        const TimePoint end = monotonicNow() + 5s;
+        while (!condition() && monotonicNow() < end) {
+            m_context.poll();
+            m_context.restart();
+            std::this_thread::sleep_for(1ms);
+        }
+        CPPUNIT_ASSERT(condition());
+    }
+
+    void awaitRequest(Upstream &upstream)
+    {
+        runUntil([&] {
+            boost::system::error_code error;
+            if (!upstream.socket.is_open()) {
+                upstream.acceptor.non_blocking(true);
+                upstream.acceptor.accept(upstream.socket, error);
+            }
+            return upstream.socket.is_open() && upstream.socket.available(error) > 0;
+        });
+        boost::asio::streambuf request;
+        boost::asio::read_until(upstream.socket, request, "\r\n\r\n");
+    }
+
+    static std::string answer(const std::string &id, const std::string &body = "body")
+    {
+        return "HTTP/1.1 200 OK\r\nRequest: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+            + body;
+    }
+
+    static void reply(Upstream &upstream, const std::string &bytes)
+    {
+        boost::asio::write(upstream.socket, boost::asio::buffer(bytes));
+        std::this_thread::sleep_for(5ms);
+    }
+
+public:
+    void connections_answerComesAsTimeEnds_endOnce()
+    {
+        Upstream first(m_context);
+        Upstream second(m_context);
+        int firstEnds = 0;
+        int secondEnds = 0;
+        // Both answers have been read when the end of the first one finds the second over its time.
+        const auto endOther = [this](int &ends) {
+            return [this, &ends](const ExchangeResult &) {
+                ++ends;
+                m_connections.tick(monotonicNow() + 60s);
+            };
+        };
+        send(target(first, "u1"), "r1", endOther(firstEnds));
+        send(target(second, "u2"), "r2", endOther(secondEnds));
+        awaitRequest(first);
+        awaitRequest(second);
+        reply(first, answer("r1"));
+        reply(second, answer("r2"));
+        runUntil([&] { return firstEnds + secondEnds == 2; });
+        m_context.poll();
+        CPPUNIT_ASSERT_EQUAL(1, firstEnds);
+        CPPUNIT_ASSERT_EQUAL(1, secondEnds);
+    }
+
+    void connections_answerToAnotherRequest_isDroppedAndTheNextTaken()
+    {
+        Upstream upstream(m_context);
+        std::optional<ExchangeResult> result;
+        send(target(upstream, "u"), "r", [&](ExchangeResult ended) { result = std::move(ended); });
+        awaitRequest(upstream);
+        reply(upstream, answer("earlier", "wrong") + answer("r", "right"));
+        runUntil([&] { return result.has_value(); });
+        CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Answered);
+        CPPUNIT_ASSERT_EQUAL(std::string("right"), result->answer.body);
+    }
+
+    void connections_bytesBehindTheAnswer_connectionIsNotUsedAgain()
+    {
+        Upstream upstream(m_context);
+        int ends = 0;
+        send(target(upstream, "u"), "r1", [&](const ExchangeResult &) { ++ends; });
+        awaitRequest(upstream);
+        reply(upstream, answer("r1") + answer("r1", "again"));
+        runUntil([&] { return ends == 1; });
+        Upstream *sameAddress = &upstream;
+        sameAddress->socket = tcp::socket(m_context);
+        std::string body;
+        send(target(upstream, "u"), "r2", [&](const ExchangeResult &ended) { body = ended.answer.body; });
+        awaitRequest(upstream);
+        reply(upstream, answer("r2", "fresh"));
+        runUntil([&] { return !body.empty(); });
+        CPPUNIT_ASSERT_EQUAL(std::string("fresh"), body);
+    }
+
+    void connections_answerCutShort_isNoAnswer()
+    {
+        Upstream upstream(m_context);
+        std::optional<ExchangeResult> result;
+        send(target(upstream, "u"), "r", [&](ExchangeResult ended) { result = std::move(ended); });
+        awaitRequest(upstream);
+        reply(upstream, "HTTP/1.1 200 OK\r\nRequest: r\r\nContent-Length: 100\r\n\r\npart");
+        upstream.socket.close();
+        runUntil([&] { return result.has_value(); });
+        CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Failed);
+    }
+
+    void connections_newOneIsReset_nothingWasSent()
+    {
+        Upstream upstream(m_context);
+        std::optional<ExchangeResult> result;
+        send(target(upstream, "u"), "r", [&](ExchangeResult ended) { result = std::move(ended); });
+        m_context.poll_one();
+        upstream.acceptor.accept(upstream.socket);
+        upstream.socket.set_option(boost::asio::socket_base::linger(true, 0));
+        upstream.socket.close();
+        runUntil([&] { return result.has_value(); });
+        CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Unsent);
+    }
+
+    void connections_nobodyListens_nothingWasSent()
+    {
+        Upstream upstream(m_context);
+        const UpstreamTarget to = target(upstream, "u");
+        upstream.acceptor.close();
+        std::optional<ExchangeResult> result;
+        send(to, "r", [&](ExchangeResult ended) { result = std::move(ended); });
+        runUntil([&] { return result.has_value(); });
+        CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Unsent);
+    }
+
+private:
+    boost::asio::io_context m_context;
+    UpstreamConnections m_connections{
+        m_context, [](const UpstreamAnswer &answer, const std::string &id) { return answer.field("Request") == id; }};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamConnectionsFailureTest);
--- /dev/null
+++ b/test/fakes/GroupFleet.cpp
@@ -0,0 +1,160 @@
+#include "fakes/GroupFleet.h"
+
+#include "hickoryspur/process/Check.h"
+
+#include <algorithm>
+
+namespace hickoryspur {
+
+namespace {
+
+constexpr Duration kStep = 5ms;
+
+} // namespace
+
+GroupFleet::GroupFleet(size_t seeds, LinkFaults faults, uint64_t seed)
+    : m_random(seed)
+    , m_links(faults, seed + 1)
+{
+    setInvariantHandler([](Invariant, const std::string &message) { throw std::logic_error(message); });
+    Membership initial;
+    for (size_t i = 0; i < seeds; ++i) {
+        m_seeds.emplace_back("10.0.0." + std::to_string(i + 1) + ":7000");
+        initial.voters.push_back({m_seeds.back(), DiskIncarnation(1)});
+    }
+    for (size_t i = 0; i < seeds; ++i) {
+        Host host;
+        host.name = m_seeds[i];
+        host.disk = std::make_unique<MemoryDisk>(MemberId{host.name, DiskIncarnation(1)}, initial);
+        m_hosts.push_back(std::move(host));
+        start(i);
+    }
+}
+
+size_t GroupFleet::add()
+{
+    Host host;
+    host.name = NodeId("10.0.0." + std::to_string(m_hosts.size() + 1) + ":7000");
+    host.disk = std::make_unique<MemoryDisk>(MemberId{host.name, DiskIncarnation(m_nextDisk++)}, Membership());
+    m_hosts.push_back(std::move(host));
+    start(m_hosts.size() - 1);
+    return m_hosts.size() - 1;
+}
+
+void GroupFleet::start(size_t index)
+{
+    Host &host = m_hosts[index];
+    GroupTiming timing;
+    timing.entriesPerCheckpoint = 20;
+    host.node = std::make_unique<GroupNode>(host.disk->recover(), m_seeds, timing, m_random(), m_now);
+    host.frozenUntil = TimePoint();
+}
+
+void GroupFleet::crash(size_t index)
+{
+    m_hosts[index].node.reset();
+    m_hosts[index].disk->crash(m_random);
+}
+
+void GroupFleet::loseDisk(size_t index)
+{
+    m_hosts[index].node.reset();
+    m_hosts[index].disk->lose(DiskIncarnation(m_nextDisk++));
+}
+
+void GroupFleet::restart(size_t index)
+{
+    if (!isUp(index))
+        start(index);
+}
+
+void GroupFleet::isolate(size_t index)
+{
+    std::vector<NodeId> all;
+    for (const Host &host : m_hosts)
+        all.push_back(host.name);
+    m_links.isolate(m_hosts[index].name, all);
+}
+
+std::optional<size_t> GroupFleet::find(const NodeId &name) const
+{
+    const auto found =
+        std::find_if(m_hosts.begin(), m_hosts.end(), [&](const Host &host) { return host.name == name; });
+    return found == m_hosts.end() ? std::nullopt : std::optional<size_t>(found - m_hosts.begin());
+}
+
+void GroupFleet::carryOut(size_t index, GroupActions actions)
+{
+    Host &host = m_hosts[index];
+    for (const LogActions &log : actions.log)
+        persist(*host.disk, log);
+    if (actions.checkpoint)
+        host.disk->saveCheckpoint(*actions.checkpoint, CheckpointOrigin::MadeHere);
+    for (const LogEnvelope &envelope : actions.messages)
+        m_links.send(m_now, host.name, envelope.to, envelope.message);
+    for (const CommandAnswer &answer : actions.answers)
+        m_outcomes[answer.ticket] = answer.outcome;
+    if (!actions.log.empty())
+        carryOut(index, host.node->persisted(m_now));
+}
+
+void GroupFleet::step()
+{
+    m_now += kStep;
+    for (auto &delivery : m_links.due(m_now)) {
+        const std::optional<size_t> to = find(delivery.to);
+        if (!to || !isUp(*to))
+            continue;
+        // A frozen host finds its messages when it wakes.
+        if (m_now < m_hosts[*to].frozenUntil)
+            m_links.send(m_hosts[*to].frozenUntil, delivery.from, delivery.to, delivery.message);
+        else
+            carryOut(*to, node(*to).receive(m_now, delivery.message));
+    }
+    for (size_t i = 0; i < m_hosts.size(); ++i)
+        if (isUp(i) && m_now >= m_hosts[i].frozenUntil)
+            carryOut(i, node(i).tick(m_now));
+}
+
+void GroupFleet::run(Duration duration)
+{
+    runUntil(duration, [] { return false; });
+}
+
+bool GroupFleet::runUntil(Duration limit, const std::function<bool()> &condition)
+{
+    const TimePoint end = m_now + limit;
+    while (m_now < end) {
+        if (condition())
+            return true;
+        step();
+    }
+    return condition();
+}
+
+uint64_t GroupFleet::replaceRoutes(size_t index, uint64_t number)
+{
+    Command command;
+    command.type = static_cast<uint8_t>(CommandType::ReplaceRoutes);
+    command.number = number;
+    command.text = "routes " + std::to_string(number);
+    const uint64_t ticket = m_nextTicket++;
+    carryOut(index, node(index).submit(m_now, ticket, command));
+    return ticket;
+}
+
+std::optional<ApplyOutcome> GroupFleet::outcome(uint64_t ticket) const
+{
+    const auto found = m_outcomes.find(ticket);
+    return found == m_outcomes.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::optional<size_t> GroupFleet::leader() const
+{
+    for (size_t i = 0; i < m_hosts.size(); ++i)
+        if (m_hosts[i].node && m_now >= m_hosts[i].frozenUntil && m_hosts[i].node->leads(m_now))
+            return i;
+    return std::nullopt;
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/test/fakes/GroupFleet.h
@@ -0,0 +1,67 @@
+// Control hosts that find each other through seeds, over the in-memory links and disks, in steps of a
+// hand-made clock. Hosts can crash, lose their disks, freeze, be cut off, be removed and be added.
+#pragma once
+
+#include "fakes/MemoryDisk.h"
+#include "fakes/MemoryLinks.h"
+#include "hickoryspur/process/GroupNode.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+
+namespace hickoryspur {
+
+class GroupFleet
+{
+public:
+    GroupFleet(size_t seeds, LinkFaults faults, uint64_t seed);
+
+    /** A host that knows the seeds and has an empty disk; its index. */
+    size_t add();
+    void crash(size_t index);
+    void loseDisk(size_t index);
+    void restart(size_t index);
+    void freeze(size_t index, Duration duration) { m_hosts[index].frozenUntil = m_now + duration; }
+    void isolate(size_t index);
+    void heal() { m_links.heal(); }
+
+    void run(Duration duration);
+    bool runUntil(Duration limit, const std::function<bool()> &condition);
+
+    uint64_t replaceRoutes(size_t index, uint64_t number);
+    std::optional<ApplyOutcome> outcome(uint64_t ticket) const;
+    std::optional<size_t> leader() const;
+    bool isUp(size_t index) const { return m_hosts[index].node != nullptr; }
+    GroupNode &node(size_t index) { return *m_hosts[index].node; }
+    size_t size() const { return m_hosts.size(); }
+    TimePoint now() const { return m_now; }
+    std::mt19937_64 &random() { return m_random; }
+
+private:
+    struct Host
+    {
+        NodeId name;
+        std::unique_ptr<MemoryDisk> disk;
+        std::unique_ptr<GroupNode> node;
+        TimePoint frozenUntil;
+    };
+
+    void start(size_t index);
+    void step();
+    void carryOut(size_t index, GroupActions actions);
+    std::optional<size_t> find(const NodeId &name) const;
+
+    std::mt19937_64 m_random;
+    MemoryLinks<LogMessage> m_links;
+    TimePoint m_now{Duration(1'000'000'000)};
+    std::vector<NodeId> m_seeds;
+    std::vector<Host> m_hosts;
+    std::map<uint64_t, ApplyOutcome> m_outcomes;
+    uint64_t m_nextTicket = 1;
+    uint64_t m_nextDisk = 100;
+};
+
+} // namespace hickoryspur
