--- a/include/hickoryspur/process/EntryBook.h
+++ b/include/hickoryspur/process/EntryBook.h
@@ -1,6 +1,7 @@
 // Which entries callers may be sent to, as an entry knows it from the control hosts' sessions: what
 // any control host names that was heard lately counts, so one that has lost its way to an entry does
-// not hide it. When none is heard any more, the last word of each holds.
+// not hide it. An entry that hears no majority of them is probably cut off itself, together with the
+// entries that the heard ones name; then the last word of the others holds, less those.
 #pragma once
 
 #include "hickoryspur/process/Ids.h"
@@ -22,8 +23,8 @@
     void note(TimePoint now, const NodeId &source, std::vector<std::string> addresses);
     /** It has spoken without naming any anew. */
     void heard(TimePoint now, const NodeId &source);
-    /** Sorted, each once. */
-    std::vector<std::string> addresses(TimePoint now) const;
+    /** Sorted, each once; controlHosts is how many there are. */
+    std::vector<std::string> addresses(TimePoint now, size_t controlHosts) const;
     /** The most entries that one control host has named lately. */
     uint32_t count(TimePoint now) const;
 
@@ -34,8 +35,6 @@
         TimePoint heard;
     };
 
-    std::vector<const Source *> counting(TimePoint now) const;
-
     std::map<NodeId, Source> m_sources;
 };
 
--- a/include/hickoryspur/process/FleetMessage.h
+++ b/include/hickoryspur/process/FleetMessage.h
@@ -5,6 +5,7 @@
 
 #include "hickoryspur/connection/Announcement.h"
 #include "hickoryspur/process/ControlState.h"
+#include "hickoryspur/process/LogQuorum.h"
 
 #include <string>
 #include <vector>
@@ -20,7 +21,9 @@
     DataCentreName dataCentre;
     /** Callers may be sent to it: it knows the configuration and is not stopping. */
     bool offered = false;
-    MSGPACK_DEFINE(entry, callerAddress, dataCentre, offered)
+    /** It does not know yet what is in force, and asks for the host's log. */
+    bool needsState = false;
+    MSGPACK_DEFINE(entry, callerAddress, dataCentre, offered, needsState)
 };
 
 /** From a control host to an entry: all it knows on connecting, then what has changed. */
@@ -42,8 +45,10 @@
     /** Addresses of the entries to which callers may be sent. */
     std::vector<std::string> entries;
     std::vector<NodeId> controlHosts;
+    /** At most one: the host's log, for an entry that needs its state. */
+    std::vector<LogReport> logReport;
     MSGPACK_DEFINE(confirmed, applied, routes, carriesState, dataCentresOut, upstreams, heard, carriesHosts, entries,
-                   controlHosts)
+                   controlHosts, logReport)
 };
 
 } // namespace hickoryspur
--- a/include/hickoryspur/process/GroupNode.h
+++ b/include/hickoryspur/process/GroupNode.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "hickoryspur/process/ControlState.h"
+#include "hickoryspur/process/LogQuorum.h"
 #include "hickoryspur/process/LogStorage.h"
 
 #include <deque>
@@ -67,6 +68,8 @@
     std::optional<NodeId> leader() const { return m_log.leader(); }
     const ControlState &state() const { return m_state; }
     const ReplicatedLog &log() const { return m_log; }
+    /** Where this host's whole log leads to, committed or not. */
+    LogReport report() const;
     /** Every control host that this one knows of, itself left out. */
     std::vector<NodeId> knownHosts() const;
 
--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -49,6 +49,7 @@
     SessionLost = 1803,
     RoutesApplied = 1804,
     RoutesUnreadable = 1805,
+    StateFromLogs = 1806,
     RequestFailed = 1900,
     RequestPartial = 1901,
     RequestRefused = 1902,
--- a/include/hickoryspur/process/ReplicatedLog.h
+++ b/include/hickoryspur/process/ReplicatedLog.h
@@ -176,6 +176,10 @@
     bool membershipChangePending() const;
     /** The learner's log holds all that the leader's does. */
     bool isCaughtUp(const MemberId &member) const;
+    /** Entries that are not known to be committed. */
+    std::vector<LogEntry> uncommitted() const;
+    /** Term of the last entry. */
+    Term lastTerm() const { return termAt(lastIndex()); }
     /** How long this leader has had no answer from the member; zero on a host that does not lead. */
     Duration silence(TimePoint now, const MemberId &member) const;
     /** Whom to ask while this member belongs to no membership; replaces what was given before. */
--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -161,6 +161,8 @@
     session.status = status;
     if (isNew)
         sendUpdate(session, fullUpdate(now));
+    if (status.needsState)
+        sendLog(link);
     if (!isNew && offeredBefore == status.offered)
         return;
     HS_LOG(INFO, LogEvent::SessionOpened)
@@ -168,6 +170,20 @@
     refreshSessions(now);
 }
 
+void ControlHost::sendLog(const std::shared_ptr<FrameLink> &link)
+{
+    m_group->readLog([this, link](LogReport report) {
+        asio::post(m_context, [this, link, report = std::move(report)]() mutable {
+            const auto session = m_sessions.find(link.get());
+            if (session == m_sessions.end())
+                return;
+            EntryUpdate update = stateUpdate(monotonicNow());
+            update.logReport.push_back(std::move(report));
+            sendUpdate(session->second, std::move(update));
+        });
+    });
+}
+
 void ControlHost::closed(const std::shared_ptr<FrameLink> &link)
 {
     const auto session = m_sessions.find(link.get());
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -41,6 +41,7 @@
     void received(const std::shared_ptr<FrameLink> &link, PeerMessage message);
     void closed(const std::shared_ptr<FrameLink> &link);
     void noteEntry(const std::shared_ptr<FrameLink> &link, const EntryStatus &status);
+    void sendLog(const std::shared_ptr<FrameLink> &link);
     void noteStatus(GroupStatus status);
     void onTimer();
     void startTimer();
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -132,6 +132,8 @@
             m_traffic.setDataCentresOut(update.dataCentresOut);
         }
     }
+    if (!update.logReport.empty() && !m_confirmed)
+        noteLog(update.logReport.front());
     for (const Announcement &announcement : update.upstreams)
         m_traffic.accept(now, announcement);
     for (const UpstreamId &upstream : update.heard)
@@ -151,6 +153,20 @@
     }
 }
 
+void EntryHost::noteLog(const LogReport &report)
+{
+    m_logs.note(report);
+    const LogReport *newest = m_logs.newest();
+    if (!newest || newest->routes.number == 0)
+        return;
+    if (newest->routes.number > m_traffic.routesNumber())
+        applyRoutes(newest->routes);
+    m_traffic.setDataCentresOut(newest->dataCentresOut);
+    m_confirmed = true;
+    HS_LOG(INFO, LogEvent::StateFromLogs)
+        << "routes=" << newest->routes.number << " log=" << newest->lastIndex << " voters=" << newest->voters.size();
+}
+
 void EntryHost::applyRoutes(const AcceptedRoutes &routes)
 {
     Result<RouteTable> table = m_dialect.parseRoutes(routes.text);
@@ -178,6 +194,7 @@
     status.callerAddress = m_settings.callerAddress->text();
     status.dataCentre = m_settings.dataCentre;
     status.offered = isReady();
+    status.needsState = !m_confirmed;
     m_links->sendToAll(PeerMessageType::EntryStatus, pack(status));
 }
 
@@ -185,7 +202,7 @@
 {
     EntryPlaces places;
     places.validity = std::min(kDirectoryValidity, m_settings.mostDirectoryValidity);
-    places.addresses = m_entries.addresses(now);
+    places.addresses = m_entries.addresses(now, m_hosts.hosts(now).size());
     if (m_closing)
         std::erase(places.addresses, m_settings.callerAddress->text());
     if (places.addresses.empty())
@@ -209,7 +226,7 @@
     const TimePoint now = monotonicNow();
     m_links->tick(now);
     m_traffic.tick(now);
-    if (now >= m_nextStatus) {
+    if (now >= m_nextStatus || !m_confirmed) {
         m_nextStatus = now + kStatusInterval;
         tellStatus();
     }
--- a/src/app/EntryHost.h
+++ b/src/app/EntryHost.h
@@ -2,7 +2,8 @@
 // the entries are, and keeps a
 // session with every control host, from which it learns the routes in force, the upstreams and the
 // data centres that are out. It serves callers once a leader that a majority confirms has told it
-// the routes, and goes on serving by them when it loses all control hosts.
+// the routes, or a majority of the control hosts' logs has, and goes on serving by them when it loses
+// all control hosts.
 #pragma once
 
 #include "app/HostDialect.h"
@@ -41,6 +42,7 @@
     void received(const NodeId &from, const PeerMessage &message);
     void apply(TimePoint now, const NodeId &from, const EntryUpdate &update);
     void applyRoutes(const AcceptedRoutes &routes);
+    void noteLog(const LogReport &report);
     void tellStatus();
     void dialControlHosts();
     void onTimer();
@@ -58,6 +60,7 @@
     std::unique_ptr<HttpCallerServer> m_directoryServer;
     ControlHostBook m_hosts;
     EntryBook m_entries;
+    LogQuorum m_logs;
     std::mt19937_64 m_random;
     uint64_t m_applied = 0;
     bool m_confirmed = false;
--- a/src/process/EntryBook.cpp
+++ b/src/process/EntryBook.cpp
@@ -17,31 +17,30 @@
         found->second.heard = now;
 }
 
-std::vector<const EntryBook::Source *> EntryBook::counting(TimePoint now) const
+std::vector<std::string> EntryBook::addresses(TimePoint now, size_t controlHosts) const
 {
-    std::vector<const Source *> fresh;
-    std::vector<const Source *> all;
+    std::set<std::string> near;
+    std::set<std::string> lastKnown;
+    size_t heard = 0;
     for (const auto &[id, source] : m_sources) {
-        all.push_back(&source);
-        if (now - source.heard <= kFresh)
-            fresh.push_back(&source);
+        const bool fresh = now - source.heard <= kFresh;
+        heard += fresh ? 1 : 0;
+        (fresh ? near : lastKnown).insert(source.addresses.begin(), source.addresses.end());
     }
-    return fresh.empty() ? all : fresh;
-}
-
-std::vector<std::string> EntryBook::addresses(TimePoint now) const
-{
-    std::set<std::string> all;
-    for (const Source *source : counting(now))
-        all.insert(source->addresses.begin(), source->addresses.end());
-    return {all.begin(), all.end()};
+    if (heard > controlHosts / 2)
+        return {near.begin(), near.end()};
+    std::vector<std::string> others;
+    std::set_difference(lastKnown.begin(), lastKnown.end(), near.begin(), near.end(), std::back_inserter(others));
+    return others.empty() ? std::vector<std::string>(near.begin(), near.end()) : others;
 }
 
 uint32_t EntryBook::count(TimePoint now) const
 {
     size_t most = 0;
-    for (const Source *source : counting(now))
-        most = std::max(most, source->addresses.size());
+    for (const auto &[id, source] : m_sources)
+        most = std::max(most, now - source.heard <= kFresh ? source.addresses.size() : 0);
+    for (const auto &[id, source] : m_sources)
+        most = most > 0 ? most : source.addresses.size();
     return static_cast<uint32_t>(most);
 }
 
--- a/src/process/GroupNode.cpp
+++ b/src/process/GroupNode.cpp
@@ -37,6 +37,25 @@
     return {hosts.begin(), hosts.end()};
 }
 
+LogReport GroupNode::report() const
+{
+    ControlState state = m_state;
+    for (const LogEntry &entry : m_log.uncommitted()) {
+        if (entry.kind != static_cast<uint8_t>(EntryKind::Command))
+            continue;
+        if (const std::optional<Command> command = unpack<Command>(entry.data))
+            state.apply(entry.index, *command);
+    }
+    LogReport report;
+    report.member = m_log.self();
+    report.voters = m_log.membership().voters;
+    report.lastTerm = m_log.lastTerm();
+    report.lastIndex = m_log.lastIndex();
+    report.routes = state.routes();
+    report.dataCentresOut.assign(state.dataCentresOut().begin(), state.dataCentresOut().end());
+    return report;
+}
+
 GroupActions GroupNode::tick(TimePoint now)
 {
     GroupActions result;
--- a/src/process/GroupThread.cpp
+++ b/src/process/GroupThread.cpp
@@ -268,6 +268,15 @@
     });
 }
 
+void GroupThread::readLog(std::function<void(LogReport)> read)
+{
+    asio::post(m_state->context, [state = m_state.get(), read = std::move(read)] {
+        // What is not on this host's disk yet does not count for it.
+        if (state->node && state->pending.empty())
+            read(state->node->report());
+    });
+}
+
 void GroupThread::saveNotes(std::string bytes)
 {
     asio::post(m_state->context, [state = m_state.get(), bytes = std::move(bytes)] {
--- a/src/process/GroupThread.h
+++ b/src/process/GroupThread.h
@@ -60,6 +60,8 @@
     void receive(LogMessage message);
     void submit(Command command, Done done);
     void read(Read read);
+    /** Not called while the log is closed. */
+    void readLog(std::function<void(LogReport)> read);
     void setSeeds(std::vector<NodeId> seeds);
     /** Keeps soft state that spares the first seconds after a restart; a failure costs no more than that. */
     void saveNotes(std::string bytes);
--- a/src/process/ReplicatedLog.cpp
+++ b/src/process/ReplicatedLog.cpp
@@ -580,6 +580,12 @@
     return isLeader() && found != m_progress.end() && found->second.match >= m_commit && m_commit >= m_termStart;
 }
 
+std::vector<LogEntry> ReplicatedLog::uncommitted() const
+{
+    const auto committed = static_cast<std::ptrdiff_t>(m_commit.value() - m_checkpoint.index.value());
+    return {m_entries.begin() + committed, m_entries.end()};
+}
+
 Duration ReplicatedLog::silence(TimePoint now, const MemberId &member) const
 {
     if (!isLeader() || member == m_self)
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -36,6 +36,8 @@
 /** What runs when its caller has gone may take this much longer before its connection is closed. */
 constexpr Duration kGoneLinger = 250ms;
 constexpr Duration kGoneCheck = 100ms;
+/** An entry that has just started knows what is in force after about this long. */
+constexpr Duration kStarting = 250ms;
 /** Callers turned away come back after this, spread so that they do not come together. */
 constexpr Duration kComeBack = 60ms;
 constexpr Duration kComeBackSpread = 120ms;
@@ -325,7 +327,7 @@
 CallerAnswer EntryTraffic::refuse(RefusalKind kind)
 {
     const Duration spread(static_cast<int64_t>(draw() * kComeBackSpread.count()));
-    return m_dialect.refusal(kind, kComeBack + spread);
+    return m_dialect.refusal(kind, (m_routes ? kComeBack : kStarting) + spread);
 }
 
 CallerAnswer EntryTraffic::serve(const CarriedRequest &request, const std::function<bool()> &gone)
