Log lines to standard output that never block; counters at the metrics address

A full pipe would have held up requests; log_nobodyReads_returnsAndCounts blocks for ever with a plain write.

--- a/include/hickoryspur/process/HostSettings.h
+++ b/include/hickoryspur/process/HostSettings.h
@@ -28,6 +28,8 @@
     /** A control host's address for upstreams and operators, and for callers who look for entries. */
     std::optional<HostAddress> controlAddress;
     std::optional<HostAddress> directoryAddress;
+    /** Where counters are read at /metrics; none are served where it is left out. */
+    std::optional<HostAddress> metricsAddress;
     /** Control addresses of some control hosts; the only hosts that a process is told of. */
     std::vector<HostAddress> seeds;
     std::string dataFolder;
--- a/src/app/HostProcess.cpp
+++ b/src/app/HostProcess.cpp
@@ -4,6 +4,8 @@
 #include "app/EntryHost.h"
 #include "connection/AsioScheduler.h"
 #include "hickoryspur/process/LogEvent.h"
+#include "hickoryspur/process/Metrics.h"
+#include "process/LineLog.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/fiber/all.hpp>
@@ -51,6 +53,7 @@
 
 private:
     Result<void> start();
+    Result<void> startMetrics();
     void waitForSignal();
     void watchSettings();
     void reload();
@@ -65,12 +68,33 @@
     const HostDialect &m_dialect;
     std::unique_ptr<ControlHost> m_control;
     std::unique_ptr<EntryHost> m_entry;
+    std::unique_ptr<HttpCallerServer> m_metricsServer;
     boost::fibers::promise<int> m_stopping;
     bool m_stopAsked = false;
 };
 
+Result<void> HostProcess::startMetrics()
+{
+    if (!m_settings.metricsAddress)
+        return {};
+    auto server = HttpCallerServer::listen(*m_context, *m_settings.metricsAddress, ServerLimits(),
+                                           [](const CallerRequest &request) {
+                                               CallerResponse response;
+                                               response.status = request.path == "/metrics" ? 200 : 404;
+                                               response.contentType = "text/plain; version=0.0.4";
+                                               response.body = response.status == 200 ? Metrics::prometheusText() : "";
+                                               return response;
+                                           });
+    if (!server)
+        return tl::unexpected(server.error());
+    m_metricsServer = std::move(*server);
+    return {};
+}
+
 Result<void> HostProcess::start()
 {
+    if (Result<void> metrics = startMetrics(); !metrics)
+        return metrics;
     const uint64_t incarnation = drawIncarnation();
     if (m_settings.role == HostRole::Control) {
         m_control = std::make_unique<ControlHost>(*m_context, m_settings, m_dialect, incarnation);
@@ -172,6 +196,7 @@
 int runHost(const std::string &settingsPath, const HostDialect &dialect)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    LineLog::install();
     const Result<std::string> text = readFile(settingsPath);
     const Result<HostSettings> settings = text ? parseHostSettings(*text, settingsPath) : tl::unexpected(text.error());
     if (!settings) {
--- a/src/process/HostSettings.cpp
+++ b/src/process/HostSettings.cpp
@@ -77,6 +77,7 @@
     settings.readinessAddress = readOptionalAddress(section, "readiness-address");
     settings.controlAddress = readOptionalAddress(section, "control-address");
     settings.directoryAddress = readOptionalAddress(section, "directory-address");
+    settings.metricsAddress = readOptionalAddress(section, "metrics-address");
     settings.seeds = readSeeds(section);
     settings.dataFolder = section.text("data-folder", "");
     settings.firstStart = section.boolean("first-start", false);
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -8,6 +8,7 @@
 #include <boost/fiber/future.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace hickoryspur {
@@ -59,6 +60,23 @@
     return "unknown";
 }
 
+/** Upper bounds of the request time histogram, in milliseconds. */
+constexpr std::array<int64_t, 9> kRequestBounds = {10, 20, 40, 80, 160, 320, 640, 1280, 2560};
+
+/** Counts a request's time in every bucket that holds it, as Prometheus histograms do. */
+void observeRequest(Duration took)
+{
+    static const std::vector<Counter *> kBuckets = [] {
+        std::vector<Counter *> buckets;
+        for (const int64_t bound : kRequestBounds)
+            buckets.push_back(&Metrics::counter("hickoryspur_request_ms_bucket{le=\"" + std::to_string(bound) + "\"}"));
+        return buckets;
+    }();
+    for (size_t i = 0; i < kRequestBounds.size(); ++i)
+        if (toMilliseconds(took) <= static_cast<double>(kRequestBounds[i]))
+            kBuckets[i]->add();
+}
+
 double millis(Duration duration)
 {
     return toMilliseconds(duration);
@@ -268,6 +286,7 @@
     static Counter &failed = Metrics::counter("hickoryspur_requests_failed_total");
     m_finished = true;
     requests.add();
+    observeRequest(monotonicNow() - m_started);
     if (end == ScatterEnd::Partial)
         partial.add();
     else if (end != ScatterEnd::Complete)
--- /dev/null
+++ b/test/failure/LineLogFailureTest.cpp
@@ -0,0 +1,66 @@
+#include "process/LineLog.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <fcntl.h>
+#include <unistd.h>
+
+using namespace hickoryspur;
+
+class LineLogFailureTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LineLogFailureTest);
+    CPPUNIT_TEST(log_nobodyReads_returnsAndCounts);
+    CPPUNIT_TEST(log_longLine_isCut);
+    CPPUNIT_TEST_SUITE_END();
+
+    void write(LineLog &log, const std::string &text) const
+    {
+        log.send(google::GLOG_INFO, "f.cpp", "f.cpp", 1, google::LogMessageTime(), text.data(), text.size());
+    }
+
+    std::string readAll() const
+    {
+        ::fcntl(m_pipe[0], F_SETFL, O_NONBLOCK);
+        std::string all;
+        std::array<char, 65536> buffer{};
+        for (ssize_t got = 0; (got = ::read(m_pipe[0], buffer.data(), buffer.size())) > 0;)
+            all.append(buffer.data(), static_cast<size_t>(got));
+        return all;
+    }
+
+public:
+    void setUp() override { CPPUNIT_ASSERT_EQUAL(0, ::pipe(m_pipe.data())); }
+
+    void tearDown() override
+    {
+        ::close(m_pipe[0]);
+        ::close(m_pipe[1]);
+    }
+
+    void log_nobodyReads_returnsAndCounts()
+    {
+        LineLog log(m_pipe[1]);
+        // Many times what a pipe holds: a write that blocks would never come back.
+        for (int i = 0; i < 10000; ++i)
+            write(log, std::string(100, 'x'));
+        readAll();
+        write(log, "after");
+        const std::string last = readAll();
+        CPPUNIT_ASSERT(last.find("left-out=") != std::string::npos);
+        CPPUNIT_ASSERT(last.find("after") != std::string::npos);
+    }
+
+    void log_longLine_isCut()
+    {
+        LineLog log(m_pipe[1]);
+        write(log, std::string(100000, 'x'));
+        CPPUNIT_ASSERT_EQUAL(LineLog::kLongestLine, readAll().size());
+    }
+
+private:
+    std::array<int, 2> m_pipe{};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LineLogFailureTest);
