--- a/include/hickoryspur/process/GroupNode.h
+++ b/include/hickoryspur/process/GroupNode.h
@@ -53,7 +53,8 @@
 class GroupNode
 {
 public:
-    GroupNode(RecoveredStorage recovered, std::vector<NodeId> seeds, GroupTiming timing, uint64_t seed, TimePoint now);
+    GroupNode(const RecoveredStorage &recovered, std::vector<NodeId> seeds, GroupTiming timing, uint64_t seed,
+              TimePoint now);
 
     GroupActions tick(TimePoint now);
     GroupActions receive(TimePoint now, const LogMessage &message);
@@ -84,7 +85,7 @@
 
     void take(LogActions actions, GroupActions &result);
     void apply(const LogEntry &entry, GroupActions &result);
-    void answerUnknown(std::deque<Waiting>::const_iterator end, GroupActions &result);
+    void answerUnknown(const std::deque<Waiting>::const_iterator &end, GroupActions &result);
     void repair(TimePoint now, GroupActions &result);
     void checkpointIfDue(GroupActions &result);
     /** A host that asks to join, or whose own membership is out of date. */
--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -58,7 +58,7 @@
     dialControlHosts();
     auto listener = FrameListener::listen(m_context, m_settings.internalAddress, [this](asio::ip::tcp::socket socket) {
         auto link = std::make_shared<FrameLink>(
-            std::move(socket), [this](const auto &from, PeerMessage message) { received(from, std::move(message)); },
+            std::move(socket), [this](const auto &from, const PeerMessage &message) { received(from, message); },
             [this](const auto &from) { closed(from); });
         m_inbound.push_back(link);
         link->start();
@@ -121,7 +121,7 @@
     m_links->setHosts(m_hosts.hosts(monotonicNow()));
 }
 
-void ControlHost::received(const std::shared_ptr<FrameLink> &link, PeerMessage message)
+void ControlHost::received(const std::shared_ptr<FrameLink> &link, const PeerMessage &message)
 {
     switch (message.kind()) {
     case PeerMessageType::Ping: {
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -38,7 +38,7 @@
         uint64_t toldHosts = 0;
     };
 
-    void received(const std::shared_ptr<FrameLink> &link, PeerMessage message);
+    void received(const std::shared_ptr<FrameLink> &link, const PeerMessage &message);
     void closed(const std::shared_ptr<FrameLink> &link);
     void noteEntry(const std::shared_ptr<FrameLink> &link, const EntryStatus &status);
     void sendLog(const std::shared_ptr<FrameLink> &link);
--- a/src/process/GroupNode.cpp
+++ b/src/process/GroupNode.cpp
@@ -9,7 +9,7 @@
 
 namespace hickoryspur {
 
-GroupNode::GroupNode(RecoveredStorage recovered, std::vector<NodeId> seeds, GroupTiming timing, uint64_t seed,
+GroupNode::GroupNode(const RecoveredStorage &recovered, std::vector<NodeId> seeds, GroupTiming timing, uint64_t seed,
                      TimePoint now)
     : m_timing(timing)
     , m_seeds(std::move(seeds))
@@ -176,7 +176,7 @@
     }
 }
 
-void GroupNode::answerUnknown(std::deque<Waiting>::const_iterator end, GroupActions &result)
+void GroupNode::answerUnknown(const std::deque<Waiting>::const_iterator &end, GroupActions &result)
 {
     for (auto waiting = m_waiting.cbegin(); waiting != end; ++waiting)
         result.answers.push_back({waiting->ticket,
--- a/src/process/GroupThread.cpp
+++ b/src/process/GroupThread.cpp
@@ -91,8 +91,8 @@
     HS_LOG(INFO, LogEvent::LogRecovered) << "checkpoint " << recovered.log.checkpoint.index << " and "
                                          << recovered.log.entries.size() << " entries after it, " << recovered.cutBytes
                                          << " bytes of an unfinished record cut";
-    node = std::make_unique<GroupNode>(std::move(recovered), config.seeds, config.timing, config.incarnation + lives,
-                                       monotonicNow());
+    node =
+        std::make_unique<GroupNode>(recovered, config.seeds, config.timing, config.incarnation + lives, monotonicNow());
     statusDue = true;
     if (std::optional<std::string> notes = loadRecordFile(config.dataFolder, kNotesFile))
         hooks.notes(std::move(*notes));
--- a/tools/hickoryspur-standin.cpp
+++ b/tools/hickoryspur-standin.cpp
@@ -1,7 +1,8 @@
 // Stand-in upstreams: one process that plays any number of them, each on a port of its own, as
-// docs/UPSTREAM-INTERFACE.md describes. It announces them, answers sub-requests with made-up data
-// after a drawn delay, counts what it is given beyond its slots, and misbehaves on request through
-// POST /v1/behaviour.
+// docs/UPSTREAM-INTERFACE.md describes, or with `wire: platform` as the platform's pages do. It announces them, answers
+// sub-requests with made-up data after a drawn delay, counts what it is given beyond its slots, and misbehaves on
+// request through POST /v1/behaviour.
+#include "UpstreamSide.h"
 #include "connection/AsioScheduler.h"
 #include "hickoryspur/process/TokenFile.h"
 #include "process/CheckedYaml.h"
@@ -64,6 +65,8 @@
     std::string address = "127.0.0.1";
     uint16_t firstPort = 20000;
     std::vector<HostAddress> entries;
+    /** Announce by the platform's heartbeats, to control hosts; requests of its kind are always answered. */
+    bool speaksPlatform = false;
     std::vector<Group> groups;
 };
 
@@ -90,11 +93,13 @@
 
     CallerResponse handle(const CallerRequest &request);
     std::string announcement();
+    CallerRequest heartbeat();
     HostAddress address() const { return {m_address, m_port}; }
     const std::string &name() const { return m_name; }
 
 private:
     CallerResponse subRequest(const CallerRequest &request);
+    CallerResponse carried(const CallerRequest &request);
     CallerResponse changeBehaviour(const CallerRequest &request);
     CallerResponse counters() const;
     CallerResponse outcome(unsigned status, const std::string &word, const CallerRequest &request) const;
@@ -234,9 +239,56 @@
         return counters();
     if (request.path == "/v1/ping")
         return {200, "{}", "application/json", {}};
+    if (!request.header("hickoryspur-request-id").empty())
+        return carried(request);
     return {404, "{}", "application/json", {}};
 }
 
+CallerResponse Upstream::carried(const CallerRequest &request)
+{
+    const bool forAnother = platform::isForAnother(request, UpstreamId(m_name));
+    if (forAnother || m_running >= m_group.slots) {
+        m_shed += forAnother ? 0 : 1;
+        return platform::makeNotRun(request, forAnother);
+    }
+    ++m_running;
+    ++m_actions[request.body];
+    m_mostRunning = std::max<uint64_t>(m_mostRunning, m_running);
+    boost::this_fiber::sleep_for(std::chrono::microseconds(static_cast<int64_t>(drawDelayMs() * 1000)));
+    while (m_behaviour.silent)
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(10));
+    --m_running;
+    ++m_served;
+    // Two records a part; the first is the same for every upstream of a service.
+    std::string body = m_group.service + std::string(16, '.');
+    body.resize(16);
+    std::string second = m_name + std::string(16, '.');
+    second.resize(16);
+    const std::string signature = m_name + '.' + std::to_string(m_served);
+    CallerResponse response = platform::makeAnswer(request, signature, body + second);
+    std::uniform_real_distribution<double> unit(0, 1);
+    if (unit(m_random) < m_behaviour.failShare)
+        response.status = 500;
+    return response;
+}
+
+CallerRequest Upstream::heartbeat()
+{
+    Announcement announcement;
+    announcement.id = UpstreamId(m_name);
+    announcement.service = ServiceName(m_group.service);
+    announcement.version = VersionName(m_group.version);
+    announcement.incarnation = m_incarnation;
+    announcement.sequence = ++m_sequence;
+    announcement.address = m_address;
+    announcement.port = m_port;
+    announcement.dataCentre = DataCentreName(m_dataCentre);
+    announcement.slots = m_group.slots;
+    const bool leaving = m_behaviour.state == "leaving";
+    announcement.state = static_cast<uint8_t>(leaving ? UpstreamState::Leaving : UpstreamState::Ready);
+    return platform::makeHeartbeat(announcement);
+}
+
 std::string Upstream::announcement()
 {
     const nlohmann::json body = {{"id", m_name},
@@ -303,6 +355,7 @@
         YamlSection section(root, "plan", errors);
         plan.address = section.text("address", plan.address);
         plan.firstPort = static_cast<uint16_t>(section.integer("first-port", 1024, 65000, plan.firstPort));
+        plan.speaksPlatform = section.text("wire", "own") == "platform";
         for (const std::string &text : section.texts("entries")) {
             const Result<HostAddress> entry = parseHostAddress(text);
             if (entry)
@@ -326,9 +379,13 @@
     while (true) {
         for (const std::unique_ptr<Upstream> &upstream : upstreams) {
             CallerRequest request;
-            request.method = "POST";
-            request.path = "/v1/announce";
-            request.body = upstream->announcement();
+            if (plan.speaksPlatform) {
+                request = upstream->heartbeat();
+            } else {
+                request.method = "POST";
+                request.path = "/v1/announce";
+                request.body = upstream->announcement();
+            }
             if (!httpExchange(plan.entries[entry], request, kAnnouncePatience))
                 entry = (entry + 1) % plan.entries.size();
         }
