--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -66,10 +66,11 @@
 /** Counts a request's time in every bucket that holds it, as Prometheus histograms do. */
 void observeRequest(Duration took)
 {
-    static const std::vector<Counter *> kBuckets = [] {
-        std::vector<Counter *> buckets;
-        for (const int64_t bound : kRequestBounds)
-            buckets.push_back(&Metrics::counter("hickoryspur_request_ms_bucket{le=\"" + std::to_string(bound) + "\"}"));
+    static const std::array<Counter *, kRequestBounds.size()> kBuckets = [] {
+        std::array<Counter *, kRequestBounds.size()> buckets{};
+        for (size_t i = 0; i < kRequestBounds.size(); ++i)
+            buckets[i] =
+                &Metrics::counter("hickoryspur_request_ms_bucket{le=\"" + std::to_string(kRequestBounds[i]) + "\"}");
         return buckets;
     }();
     for (size_t i = 0; i < kRequestBounds.size(); ++i)
