Let directory answers hold as long as a stopping entry can serve on

Cause: a caller whose answer has run out looks up first, on a new connection: 12 ms of the 40 ms that a status answer has. The life now follows from the grace (1.6 s for 6 s) in place of 1.2 s. Ruled out: the margin before the target latency (trial).

--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -14,8 +14,6 @@
 constexpr Duration kTick = 50ms;
 /** Control hosts name an entry to callers while it tells of itself this often. */
 constexpr Duration kStatusInterval = 150ms;
-/** Some callers keep an answer three times as long, and a stopping entry serves for that time. */
-constexpr Duration kDirectoryValidity = 1200ms;
 /** Callers use no more addresses than this. */
 constexpr size_t kMostPlaces = 64;
 /** Added to the idle time that callers count on, for the way between. */
@@ -201,7 +199,7 @@
 std::optional<EntryPlaces> EntryHost::places(TimePoint now)
 {
     EntryPlaces places;
-    places.validity = std::min(kDirectoryValidity, m_settings.mostDirectoryValidity);
+    places.validity = m_settings.directoryAnswerLife();
     places.addresses = m_entries.addresses(now, m_hosts.hosts(now).size());
     if (m_closing)
         std::erase(places.addresses, m_settings.callerAddress->text());
--- a/src/app/HostProcess.cpp
+++ b/src/app/HostProcess.cpp
@@ -22,8 +22,6 @@
 /** How often the settings file is looked at for a change without a signal. */
 constexpr Duration kSettingsCheck = 1s;
 constexpr Duration kStopCheck = 20ms;
-/** Callers keep an address up to three times the directory's validity; an entry serves for that long. */
-constexpr Duration kCallersLeave = 3900ms;
 /** Part of the grace that is left when a stopping process ends whatever still runs. */
 constexpr Duration kStopMargin = 250ms;
 /** A control host answers what it has read, and others answer what comes next. */
@@ -166,7 +164,7 @@
         return;
     }
     m_entry->setClosing();
-    sleepUntil(std::min(last, asked + kCallersLeave));
+    sleepUntil(std::min(last, asked + m_settings.callersLeave()));
     m_entry->stopAccepting();
     while (m_entry->openRequests() > 0 && monotonicNow() < last)
         boost::this_fiber::sleep_for(kStopCheck);
--- a/src/process/HostSettings.cpp
+++ b/src/process/HostSettings.cpp
@@ -2,11 +2,20 @@
 
 #include "process/CheckedYaml.h"
 
+#include <algorithm>
+
 namespace hickoryspur {
 
 namespace {
 
 constexpr Duration kLongestGrace = 1h;
+/** Some callers keep a directory answer this many times as long as it says. */
+constexpr int kLongestKeeping = 3;
+/** Part of the grace in which a stopping entry ends what the last callers have sent. */
+constexpr Duration kLastRequests = 1200ms;
+constexpr Duration kShortestAnswerLife = 200ms;
+/** Until every entry's directory has left it out. */
+constexpr Duration kStopSpreads = 100ms;
 
 std::optional<HostAddress> readOptionalAddress(YamlSection &section, const std::string &field)
 {
@@ -50,6 +59,17 @@
 
 } // namespace
 
+Duration HostSettings::directoryAnswerLife() const
+{
+    const Duration servedOn = (grace - kLastRequests) / kLongestKeeping;
+    return std::min(mostDirectoryValidity, std::max(servedOn, kShortestAnswerLife));
+}
+
+Duration HostSettings::callersLeave() const
+{
+    return kLongestKeeping * directoryAnswerLife() + kStopSpreads;
+}
+
 std::vector<NodeId> HostSettings::seedIds() const
 {
     std::vector<NodeId> ids;
--- /dev/null
+++ b/test/correctness/HostSettingsTest.cpp
@@ -0,0 +1,54 @@
+#include "hickoryspur/process/HostSettings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace hickoryspur;
+
+class HostSettingsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HostSettingsTest);
+    CPPUNIT_TEST(settings_anyGrace_lastCallersLeaveInsideIt);
+    CPPUNIT_TEST(settings_entryWithoutAddresses_namesEachError);
+    CPPUNIT_TEST(settings_seeds_areNamedByInternalPort);
+    CPPUNIT_TEST_SUITE_END();
+
+    /** Settings of an entry with these lines besides. */
+    static Result<HostSettings> parseWith(const std::string &rest)
+    {
+        std::string text = "name: e\nrole: entry\ndata-centre: a\ninternal-address: \"10.0.0.1:7000\"\n";
+        text.append(rest);
+        return parseHostSettings(text, "f");
+    }
+
+public:
+    void settings_anyGrace_lastCallersLeaveInsideIt()
+    {
+        for (const Duration grace : {Duration(3s), Duration(6s), Duration(30s)}) {
+            HostSettings settings;
+            settings.grace = grace;
+            CPPUNIT_ASSERT(settings.directoryAnswerLife() > Duration::zero());
+            CPPUNIT_ASSERT(settings.directoryAnswerLife() <= settings.mostDirectoryValidity);
+            // Who keeps an answer three times as long has left, and a second is left to end its requests.
+            CPPUNIT_ASSERT(3 * settings.directoryAnswerLife() <= settings.callersLeave());
+            CPPUNIT_ASSERT(settings.callersLeave() + 1s <= grace);
+        }
+    }
+
+    void settings_entryWithoutAddresses_namesEachError()
+    {
+        const Result<HostSettings> settings = parseWith("seeds: [nowhere]\nextra: 1\n");
+        CPPUNIT_ASSERT(!settings);
+        for (const char *part : {"caller-address", "nowhere", "no field extra"})
+            CPPUNIT_ASSERT(settings.error().message.find(part) != std::string::npos);
+    }
+
+    void settings_seeds_areNamedByInternalPort()
+    {
+        const Result<HostSettings> settings = parseWith(
+            "seeds: [\"10.0.0.2:8224\"]\ncaller-address: \"10.0.0.1:80\"\nreadiness-address: \"10.0.0.1:81\"\n");
+        CPPUNIT_ASSERT(settings);
+        CPPUNIT_ASSERT_EQUAL(NodeId("10.0.0.2:7000"), settings->seedIds().front());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HostSettingsTest);
