Remove what nothing calls, and keep two rules in one place each

Found by reading the change again; behaviour is as it was. When a connection is too old to use stood twice in UpstreamConnections (isStale), and an entry's part of the shared budget twice in EntryTraffic (slackPerEntry).

--- a/include/hickoryspur/process/HostSettings.h
+++ b/include/hickoryspur/process/HostSettings.h
@@ -53,6 +53,5 @@
 };
 
 Result<HostSettings> parseHostSettings(const std::string &text, const std::string &source);
-Result<HostSettings> loadHostSettings(const std::string &path);
 
 } // namespace hickoryspur
--- a/include/hickoryspur/request/ReplicaBook.h
+++ b/include/hickoryspur/request/ReplicaBook.h
@@ -59,7 +59,6 @@
     double cost(TimePoint now, const Candidate &candidate) const;
     /** An answer in time is unlikely: it could not be reached lately, or a request to it is overdue already. */
     bool isDoubtful(TimePoint now, const UpstreamId &id) const;
-    void forget(const UpstreamId &id) { m_scores.erase(id); }
 
 private:
     struct Score
--- a/include/hickoryspur/request/ScatterRun.h
+++ b/include/hickoryspur/request/ScatterRun.h
@@ -102,7 +102,6 @@
     bool surelyNotRun() const { return m_runs == 0; }
     /** The attempt was slow; its end tells how slow. */
     bool wasOverdue(AttemptKey key) const { return m_shards[key.shard].attempts[key.attempt].overdue; }
-    bool isFinished() const { return m_finished; }
     /** For the log: each shard without an answer, with the replicas that were asked and how long ago. */
     std::string unanswered(TimePoint now) const;
 
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -101,11 +101,10 @@
 {
     if (!m_confirmed)
         return respond(m_traffic.refuse(RefusalKind::NotRunTryLater));
-    const std::function<bool()> gone = request.gone;
     const Result<CarriedRequest> carried = m_dialect.carry(request);
     if (!carried)
         return respond(m_traffic.refuse(RefusalKind::Malformed));
-    return respond(m_traffic.serve(*carried, gone));
+    return respond(m_traffic.serve(*carried, request.gone));
 }
 
 void EntryHost::received(const NodeId &from, const PeerMessage &message)
--- a/src/connection/UpstreamConnections.cpp
+++ b/src/connection/UpstreamConnections.cpp
@@ -95,7 +95,8 @@
     UpstreamConnections::Handle handle() const { return m_exchange ? m_exchange->handle : 0; }
     TimePoint giveUpAt() const { return m_exchange ? m_exchange->request.giveUpAt : TimePoint::max(); }
     TimePoint since() const { return m_since; }
-    Duration mostIdle() const { return m_mostIdle; }
+    /** Idle for so long that the upstream may be about to close it. */
+    bool isStale(TimePoint now) const { return isIdle() && now - m_since + kIdleMargin > m_mostIdle; }
 
 private:
     enum class State { New, Connecting, Settling, Idle, Busy, Closed };
@@ -138,7 +139,7 @@
     void open();
     void becameIdle();
     void becameUnreachable(const std::string &reason);
-    bool abandon(UpstreamConnections::Handle handle);
+    void abandon(UpstreamConnections::Handle handle);
     void tick(TimePoint now);
     void closeIdle();
     bool hasRoom() const;
@@ -290,10 +291,7 @@
     // The one used last is the least likely to have been closed, and lets the others run out.
     std::shared_ptr<Connection> latest;
     for (const std::shared_ptr<Connection> &connection : m_connections) {
-        if (!connection->isIdle())
-            continue;
-        const Duration idle = now - connection->since();
-        if (idle + kIdleMargin > connection->mostIdle() || (fresh && idle > kFreshIdle))
+        if (!connection->isIdle() || connection->isStale(now) || (fresh && now - connection->since() > kFreshIdle))
             continue;
         if (!latest || connection->since() > latest->since())
             latest = connection;
@@ -337,9 +335,8 @@
     if (m_connections.size() >= m_target.connections) {
         // An idle one that is too old to use makes room for a new one.
         const TimePoint now = monotonicNow();
-        const auto stale = std::find_if(m_connections.begin(), m_connections.end(), [now](const auto &connection) {
-            return connection->isIdle() && now - connection->since() + kIdleMargin > connection->mostIdle();
-        });
+        const auto stale = std::find_if(m_connections.begin(), m_connections.end(),
+                                        [now](const auto &connection) { return connection->isStale(now); });
         if (stale == m_connections.end())
             return;
         (*stale)->close();
@@ -382,7 +379,7 @@
         exchange.done({AttemptOutcome::Unsent, {}, reason});
 }
 
-bool Pool::abandon(UpstreamConnections::Handle handle)
+void Pool::abandon(UpstreamConnections::Handle handle)
 {
     const auto waiting = std::find_if(m_waiting.begin(), m_waiting.end(),
                                       [handle](const Exchange &exchange) { return exchange.handle == handle; });
@@ -390,15 +387,14 @@
         const UpstreamConnections::Done done = std::move(waiting->done);
         m_waiting.erase(waiting);
         done({AttemptOutcome::Unsent, {}, "abandoned before it was sent"});
-        return true;
+        return;
     }
     const auto running = std::find_if(m_connections.begin(), m_connections.end(),
                                       [handle](const auto &connection) { return connection->handle() == handle; });
     if (running == m_connections.end())
-        return false;
+        return;
     const std::shared_ptr<Connection> connection = *running;
     connection->finish({AttemptOutcome::Abandoned, {}, "abandoned"}, false);
-    return true;
 }
 
 void Pool::tick(TimePoint now)
--- a/src/process/FrameLink.cpp
+++ b/src/process/FrameLink.cpp
@@ -274,10 +274,4 @@
         send(host, type, payload);
 }
 
-size_t OutgoingLinks::openCount() const
-{
-    return static_cast<size_t>(std::count_if(m_links.begin(), m_links.end(),
-                                             [](const auto &item) { return item.second && item.second->isOpen(); }));
-}
-
 } // namespace hickoryspur
--- a/src/process/FrameLink.h
+++ b/src/process/FrameLink.h
@@ -104,7 +104,6 @@
     /** False where there is no open connection; the message is dropped then. */
     bool send(const NodeId &to, PeerMessageType type, std::string payload);
     void sendToAll(PeerMessageType type, const std::string &payload);
-    size_t openCount() const;
     const std::map<NodeId, std::shared_ptr<FrameLink>> &links() const { return m_links; }
 
 private:
--- a/src/process/HostSettings.cpp
+++ b/src/process/HostSettings.cpp
@@ -113,9 +113,4 @@
     return settings;
 }
 
-Result<HostSettings> loadHostSettings(const std::string &path)
-{
-    return readFile(path).and_then([&](const std::string &text) { return parseHostSettings(text, path); });
-}
-
 } // namespace hickoryspur
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -423,8 +423,12 @@
     const auto found = m_budgets.find(service);
     if (found != m_budgets.end())
         return found->second;
-    const double slack = m_config.extraSlack * kBudgetUsed / m_entries;
-    return m_budgets.emplace(service, ExtraBudget(m_config.extraShare * kBudgetUsed, slack)).first->second;
+    return m_budgets.emplace(service, ExtraBudget(m_config.extraShare * kBudgetUsed, slackPerEntry())).first->second;
+}
+
+double EntryTraffic::slackPerEntry() const
+{
+    return m_config.extraSlack * kBudgetUsed / m_entries;
 }
 
 RouteLatency &EntryTraffic::latency(const Route &route)
@@ -471,7 +475,7 @@
         return;
     m_entries = entries;
     for (auto &[service, budget] : m_budgets)
-        budget.setSlack(m_config.extraSlack * kBudgetUsed / m_entries);
+        budget.setSlack(slackPerEntry());
 }
 
 void EntryTraffic::accept(TimePoint now, const Announcement &announcement)
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -71,6 +71,8 @@
     std::optional<ReplicaChoice> choose(const ServiceName &service, const std::vector<UpstreamId> &tried);
     bool takeExtra(const ServiceName &service);
     ExtraBudget &budget(const ServiceName &service);
+    /** This entry's part of the extra sub-requests that all entries share. */
+    double slackPerEntry() const;
     RouteLatency &latency(const Route &route);
     std::optional<UpstreamTarget> target(const UpstreamId &upstream) const;
     uint32_t connectionsFor(const ServiceName &service) const;
