Publish changes of the group's members, so that entries hear of every control host

Cause: a membership entry changed no command state, so a control host did not publish its new list of control hosts until the next configuration.

A control host without a connected entry now answers heartbeats with 503 (result code 207): it could tell nobody, so the upstream turns to another host instead of being acknowledged for nothing.

--- a/include/hickoryspur/process/GroupNode.h
+++ b/include/hickoryspur/process/GroupNode.h
@@ -46,7 +46,7 @@
     std::optional<Checkpoint> checkpoint;
     std::vector<LogEnvelope> messages;
     std::vector<CommandAnswer> answers;
-    /** The committed state is another one than before. */
+    /** The committed state or the members of the group are others than before. */
     bool stateChanged = false;
 };
 
--- a/include/hickoryspur/process/ResultCode.h
+++ b/include/hickoryspur/process/ResultCode.h
@@ -29,6 +29,7 @@
     EntryWithoutLease = 204,
     NoUpstream = 205,
     ShuttingDown = 206,
+    NoEntryConnected = 207,
     // 3xx: the request was started.
     CoverageTooLow = 300,
     OutcomeUnknown = 301,
--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -371,27 +371,38 @@
         sendUpdate(session, update);
 }
 
-void ControlHost::announce(const Announcement &announcement)
+Result<void> ControlHost::announce(const Announcement &announcement)
 {
     const RegistryChange change = m_registry.accept(monotonicNow(), announcement);
     if (change == RegistryChange::Refreshed)
         for (auto &[link, session] : m_sessions)
             session.heard.push_back(announcement.id);
     if (change != RegistryChange::Changed)
-        return;
+        return entriesHear();
     HS_LOG(INFO, announcement.isLeaving() ? LogEvent::UpstreamLeaving : LogEvent::UpstreamArrived)
         << "upstream=" << announcement.id << " service=" << announcement.service << " at=" << announcement.address
         << ':' << announcement.port << " born=" << announcement.incarnation << " seq=" << announcement.sequence
         << " version=" << announcement.version << " cold-ms=" << announcement.coldForMillis;
     tellEntries(announcement);
+    return entriesHear();
 }
 
-void ControlHost::remove(const UpstreamId &id, uint64_t incarnation)
+Result<void> ControlHost::remove(const UpstreamId &id, uint64_t incarnation)
 {
     if (m_registry.remove(monotonicNow(), id, incarnation) != RegistryChange::Changed)
-        return;
+        return entriesHear();
     HS_LOG(INFO, LogEvent::UpstreamLost) << "upstream=" << id << " born=" << incarnation << " it says that it ends";
     tellEntries(m_registry.find(id)->announcement);
+    return entriesHear();
+}
+
+Result<void> ControlHost::entriesHear() const
+{
+    const bool any = std::any_of(m_sessions.begin(), m_sessions.end(),
+                                 [](const auto &item) { return !item.second.link->isClosed(); });
+    if (any)
+        return {};
+    return failure(ResultCode::NoEntryConnected, "no entry is connected to this control host", true);
 }
 
 Result<void> ControlHost::submit(Command command)
@@ -424,8 +435,8 @@
 ControlApi ControlHost::makeApi()
 {
     ControlApi api;
-    api.announce = [this](const Announcement &announcement) { announce(announcement); };
-    api.remove = [this](const UpstreamId &id, uint64_t incarnation) { remove(id, incarnation); };
+    api.announce = [this](const Announcement &announcement) { return announce(announcement); };
+    api.remove = [this](const UpstreamId &id, uint64_t incarnation) { return remove(id, incarnation); };
     api.replaceRoutes = [this](uint64_t number, const std::string &text) {
         Command command;
         command.type = static_cast<uint8_t>(CommandType::ReplaceRoutes);
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -57,8 +57,10 @@
     void dialControlHosts();
 
     ControlApi makeApi();
-    void announce(const Announcement &announcement);
-    void remove(const UpstreamId &id, uint64_t incarnation);
+    Result<void> announce(const Announcement &announcement);
+    Result<void> remove(const UpstreamId &id, uint64_t incarnation);
+    /** Fails where news of upstreams reaches nobody from here. */
+    Result<void> entriesHear() const;
     void tellEntries(const Announcement &announcement);
     void saveUpstreamsIfDue(TimePoint now);
     void recallUpstreams(const std::string &bytes);
--- a/src/app/HostDialect.h
+++ b/src/app/HostDialect.h
@@ -19,10 +19,13 @@
 /** What a control host does for upstreams and operators. All of it may be called on a fiber only. */
 struct ControlApi
 {
-    /** An upstream's heartbeat; every entry with a session has been told when it returns. */
-    std::function<void(const Announcement &)> announce;
-    /** An upstream ends; incarnation 0 means the life that is known. */
-    std::function<void(const UpstreamId &, uint64_t incarnation)> remove;
+    /**
+     * An upstream's heartbeat; every entry with a session has been told when it returns. Fails with NoEntryConnected
+     * where there is none to tell: the upstream then turns to another control host.
+     */
+    std::function<Result<void>(const Announcement &)> announce;
+    /** An upstream ends; incarnation 0 means the life that is known. Fails as announce does. */
+    std::function<Result<void>(const UpstreamId &, uint64_t incarnation)> remove;
     /** Has routes accepted; NoLeader and OutcomeUnknown are for the caller to try again. */
     std::function<Result<void>(uint64_t number, const std::string &text)> replaceRoutes;
     /** The newest accepted routes; fails where this host cannot be sure which are. */
--- a/src/process/GroupNode.cpp
+++ b/src/process/GroupNode.cpp
@@ -153,8 +153,10 @@
 void GroupNode::apply(const LogEntry &entry, GroupActions &result)
 {
     m_bytesSinceCheckpoint += entry.data.size();
-    if (entry.kind == static_cast<uint8_t>(EntryKind::Membership))
+    if (entry.kind == static_cast<uint8_t>(EntryKind::Membership)) {
         m_log.setControlNodes(knownHosts());
+        result.stateChanged = true;
+    }
     ApplyOutcome outcome;
     if (entry.kind == static_cast<uint8_t>(EntryKind::Command)) {
         const std::optional<Command> command = unpack<Command>(entry.data);
--- a/src/process/ResultCode.cpp
+++ b/src/process/ResultCode.cpp
@@ -37,6 +37,8 @@
         return "entry-without-lease";
     case ResultCode::NoUpstream:
         return "no-upstream";
+    case ResultCode::NoEntryConnected:
+        return "no-entry-connected";
     case ResultCode::ShuttingDown:
         return "shutting-down";
     case ResultCode::CoverageTooLow:
--- a/test/failure/GroupNodeFailureTest.cpp
+++ b/test/failure/GroupNodeFailureTest.cpp
@@ -3,6 +3,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 using namespace hickoryspur;
 
 class GroupNodeFailureTest : public CppUnit::TestFixture
@@ -10,6 +12,7 @@
     CPPUNIT_TEST_SUITE(GroupNodeFailureTest);
     CPPUNIT_TEST(group_hostThatIsNoSeed_joinsAndVotes);
     CPPUNIT_TEST(group_hostThatKnowsOneFollower_isTakenInByTheLeader);
+    CPPUNIT_TEST(group_hostJoinsAfterTheLastCommand_everyHostTellsOfIt);
     CPPUNIT_TEST(group_diskLost_comesBackAsAnotherMember);
     CPPUNIT_TEST(group_allLosePower_whatWasAcknowledgedIsThere);
     CPPUNIT_TEST(group_hostGoneForGood_itsSuccessorTakesItsPlace);
@@ -70,6 +73,22 @@
         CPPUNIT_ASSERT(settle(fleet, 4));
     }
 
+    void group_hostJoinsAfterTheLastCommand_everyHostTellsOfIt()
+    {
+        GroupFleet fleet(3, {}, kSeed);
+        CPPUNIT_ASSERT(accept(fleet, 1));
+        fleet.run(2s);
+        const size_t joined = fleet.add();
+        const NodeId name = fleet.node(joined).log().self().node;
+        CPPUNIT_ASSERT(settle(fleet, 4));
+        fleet.run(1s);
+        // Entries dial the control hosts that are named to them; one that is not gets heartbeats that nobody hears of.
+        for (size_t i = 0; i < 3; ++i) {
+            const std::vector<NodeId> &told = fleet.toldHosts(i);
+            CPPUNIT_ASSERT(std::find(told.begin(), told.end(), name) != told.end());
+        }
+    }
+
     void group_diskLost_comesBackAsAnotherMember()
     {
         GroupFleet fleet(3, {}, kSeed);
--- a/test/fakes/GroupFleet.cpp
+++ b/test/fakes/GroupFleet.cpp
@@ -94,6 +94,8 @@
         m_links.send(m_now, host.name, envelope.to, envelope.message);
     for (const CommandAnswer &answer : actions.answers)
         m_outcomes[answer.ticket] = answer.outcome;
+    if (actions.stateChanged)
+        host.told = host.node->knownHosts();
     if (!actions.log.empty())
         carryOut(index, host.node->persisted(m_now));
 }
--- a/test/fakes/GroupFleet.h
+++ b/test/fakes/GroupFleet.h
@@ -34,6 +34,8 @@
     uint64_t replaceRoutes(size_t index, uint64_t number);
     std::optional<ApplyOutcome> outcome(uint64_t ticket) const;
     std::optional<size_t> leader() const;
+    /** The control hosts that the host named when it last had news to publish. */
+    const std::vector<NodeId> &toldHosts(size_t index) const { return m_hosts[index].told; }
     bool isUp(size_t index) const { return m_hosts[index].node != nullptr; }
     GroupNode &node(size_t index) { return *m_hosts[index].node; }
     size_t size() const { return m_hosts.size(); }
@@ -47,6 +49,7 @@
         std::unique_ptr<MemoryDisk> disk;
         std::unique_ptr<GroupNode> node;
         TimePoint frozenUntil;
+        std::vector<NodeId> told;
     };
 
     void start(size_t index);
