--- a/src/connection/UpstreamConnections.cpp
+++ b/src/connection/UpstreamConnections.cpp
@@ -140,6 +140,8 @@
     void becameIdle();
     void becameUnreachable(const std::string &reason);
     void abandon(UpstreamConnections::Handle handle);
+    /** False where the exchange does not wait. */
+    bool withdraw(UpstreamConnections::Handle handle);
     void tick(TimePoint now);
     void closeIdle();
     bool hasRoom() const;
@@ -379,16 +381,22 @@
         exchange.done({AttemptOutcome::Unsent, {}, reason});
 }
 
-void Pool::abandon(UpstreamConnections::Handle handle)
+bool Pool::withdraw(UpstreamConnections::Handle handle)
 {
     const auto waiting = std::find_if(m_waiting.begin(), m_waiting.end(),
                                       [handle](const Exchange &exchange) { return exchange.handle == handle; });
-    if (waiting != m_waiting.end()) {
-        const UpstreamConnections::Done done = std::move(waiting->done);
-        m_waiting.erase(waiting);
-        done({AttemptOutcome::Unsent, {}, "abandoned before it was sent"});
+    if (waiting == m_waiting.end())
+        return false;
+    const UpstreamConnections::Done done = std::move(waiting->done);
+    m_waiting.erase(waiting);
+    done({AttemptOutcome::Abandoned, {}, "withdrawn before it was sent"});
+    return true;
+}
+
+void Pool::abandon(UpstreamConnections::Handle handle)
+{
+    if (withdraw(handle))
         return;
-    }
     const auto running = std::find_if(m_connections.begin(), m_connections.end(),
                                       [handle](const auto &connection) { return connection->handle() == handle; });
     if (running == m_connections.end())
@@ -479,6 +487,15 @@
         pool->abandon(handle);
 }
 
+void UpstreamConnections::withdraw(Handle handle)
+{
+    const auto found = m_state->running.find(handle);
+    if (found == m_state->running.end())
+        return;
+    if (const std::shared_ptr<Pool> pool = found->second.lock())
+        pool->withdraw(handle);
+}
+
 void UpstreamConnections::warm(const UpstreamTarget &target)
 {
     const std::shared_ptr<Pool> pool = m_state->pool(target);
--- a/src/connection/UpstreamConnections.h
+++ b/src/connection/UpstreamConnections.h
@@ -60,6 +60,8 @@
     Handle send(const UpstreamTarget &target, ExchangeRequest request, Done done);
     /** Closes the connection of an exchange that still runs; nobody waits for it any more. */
     void abandon(Handle handle);
+    /** Ends an exchange that still waits for a connection; one that has been sent runs on. */
+    void withdraw(Handle handle);
     /** Opens a first connection, so that the first request need not wait for it. */
     void warm(const UpstreamTarget &target);
     /** An exchange could start at once, on an idle connection or a new one. */
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -119,6 +119,9 @@
     void arm();
     void onTimer();
     void leaveBehind();
+    /** Nobody waits for the attempts that have not been sent yet. */
+    void withdrawUnsent();
+    std::vector<UpstreamConnections::Handle> runningHandles() const;
     void finish(ScatterEnd end);
     CallerAnswer mergedAnswer() const;
     CallerAnswer singleAnswer(ScatterEnd end) const;
@@ -267,17 +270,29 @@
     m_finished = true;
     m_leaveAt = m_running.empty() ? TimePoint::max() : monotonicNow() + kGoneLinger;
     m_promise.set_value(m_traffic.m_dialect.refusal(RefusalKind::TimedOut, Duration::zero()));
+    withdrawUnsent();
     arm();
 }
 
 void EntryTraffic::Run::leaveBehind()
 {
     m_leaveAt = TimePoint::max();
+    for (const UpstreamConnections::Handle handle : runningHandles())
+        m_traffic.m_connections.abandon(handle);
+}
+
+void EntryTraffic::Run::withdrawUnsent()
+{
+    for (const UpstreamConnections::Handle handle : runningHandles())
+        m_traffic.m_connections.withdraw(handle);
+}
+
+std::vector<UpstreamConnections::Handle> EntryTraffic::Run::runningHandles() const
+{
     std::vector<UpstreamConnections::Handle> handles;
     for (const auto &[key, sent] : m_running)
         handles.push_back(sent.handle);
-    for (const UpstreamConnections::Handle handle : handles)
-        m_traffic.m_connections.abandon(handle);
+    return handles;
 }
 
 void EntryTraffic::Run::finish(ScatterEnd end)
@@ -297,6 +312,7 @@
     m_promise.set_value(m_route.isScattered() && (end == ScatterEnd::Complete || end == ScatterEnd::Partial)
                             ? mergedAnswer()
                             : singleAnswer(end));
+    withdrawUnsent();
 }
 
 CallerAnswer EntryTraffic::Run::mergedAnswer() const
--- /dev/null
+++ b/test/failure/PlatformDialectFailureTest.cpp
@@ -0,0 +1,82 @@
+#include "PlatformDialect.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <cctype>
+
+using namespace hickoryspur;
+
+class PlatformDialectFailureTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlatformDialectFailureTest);
+    CPPUNIT_TEST(request_callersDeadlineInAnyCase_isReplacedByWhatIsLeft);
+    CPPUNIT_TEST(request_callerNamesAnUpstream_onlyOursIsNamed);
+    CPPUNIT_TEST(request_fieldsOfOneConnection_areNotPassedOn);
+    CPPUNIT_TEST_SUITE_END();
+
+    static CallerRequest request(std::vector<std::pair<std::string, std::string>> fields)
+    {
+        CallerRequest request;
+        request.method = "GET";
+        request.target = request.path = "/rolls/7";
+        fields.emplace_back("Host", "lab.example");
+        fields.emplace_back("Hickoryspur-Request-Id", "r1");
+        request.fields = std::move(fields);
+        for (const auto &[name, value] : request.fields) {
+            std::string lower = name;
+            std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) { return std::tolower(c); });
+            request.headers[lower] = value;
+        }
+        return request;
+    }
+
+    /** The request as an upstream gets it, in lower case. */
+    std::string sent(const CallerRequest &request, Duration left) const
+    {
+        const Result<CarriedRequest> carried = m_dialect.carry(request);
+        CPPUNIT_ASSERT(carried.has_value());
+        std::string bytes = m_dialect.traffic.encode(*carried, UpstreamId("u-1"), left);
+        std::transform(bytes.begin(), bytes.end(), bytes.begin(), [](unsigned char c) { return std::tolower(c); });
+        return bytes;
+    }
+
+    static size_t count(const std::string &text, const std::string &word)
+    {
+        size_t found = 0;
+        for (size_t at = text.find(word); at != std::string::npos; at = text.find(word, at + 1))
+            ++found;
+        return found;
+    }
+
+public:
+    void request_callersDeadlineInAnyCase_isReplacedByWhatIsLeft()
+    {
+        for (const char *name : {"Hickoryspur-Deadline-Ms", "hickoryspur-deadline-ms", "HICKORYSPUR-DEADLINE-MS"}) {
+            const std::string bytes = sent(request({{name, "1000"}}), 430ms);
+            CPPUNIT_ASSERT_EQUAL(size_t(1), count(bytes, "hickoryspur-deadline-ms:"));
+            CPPUNIT_ASSERT_EQUAL(size_t(1), count(bytes, "hickoryspur-deadline-ms: 430\r\n"));
+        }
+    }
+
+    void request_callerNamesAnUpstream_onlyOursIsNamed()
+    {
+        const std::string bytes = sent(request({{"Hickoryspur-Target-Instance", "other"}}), 100ms);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), count(bytes, "hickoryspur-target-instance:"));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), count(bytes, "hickoryspur-target-instance: u-1\r\n"));
+    }
+
+    void request_fieldsOfOneConnection_areNotPassedOn()
+    {
+        const std::string bytes =
+            sent(request({{"Connection", "X-Hop, Keep-Alive"}, {"x-hop", "1"}, {"X-Kept", "2"}}), 100ms);
+        CPPUNIT_ASSERT_EQUAL(size_t(0), count(bytes, "x-hop"));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), count(bytes, "x-kept: 2\r\n"));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), count(bytes, "hickoryspur-request-id: r1\r\n"));
+    }
+
+private:
+    HostDialect m_dialect = platform::makeDialect();
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformDialectFailureTest);
--- a/test/failure/UpstreamConnectionsFailureTest.cpp
+++ b/test/failure/UpstreamConnectionsFailureTest.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(connections_answerCutShort_isNoAnswer);
     CPPUNIT_TEST(connections_newOneIsReset_nothingWasSent);
     CPPUNIT_TEST(connections_nobodyListens_nothingWasSent);
+    CPPUNIT_TEST(connections_withdrawnWhileItWaits_isNeverSent);
+    CPPUNIT_TEST(connections_withdrawnWhileItRuns_runsOn);
     CPPUNIT_TEST_SUITE_END();
 
     using tcp = boost::asio::ip::tcp;
@@ -40,13 +42,13 @@
         return {UpstreamId(id), {"127.0.0.1", upstream.acceptor.local_endpoint().port()}, 2};
     }
 
-    void send(const UpstreamTarget &to, const std::string &id, UpstreamConnections::Done done)
+    UpstreamConnections::Handle send(const UpstreamTarget &to, const std::string &id, UpstreamConnections::Done done)
     {
         ExchangeRequest request;
         request.encode = [id](TimePoint) { return "GET /" + id + " HTTP/1.1\r\nHost: h\r\n\r\n"; };
         request.requestId = id;
         request.giveUpAt = monotonicNow() + 5s;
-        m_connections.send(to, std::move(request), std::move(done));
+        return m_connections.send(to, std::move(request), std::move(done));
     }
 
     /** Runs what is due until the condition holds. */
@@ -179,6 +181,40 @@
         CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Unsent);
     }
 
+    void connections_withdrawnWhileItWaits_isNeverSent()
+    {
+        Upstream upstream(m_context);
+        UpstreamTarget to = target(upstream, "u");
+        to.connections = 1;
+        std::vector<std::string> ends;
+        send(to, "r1", [&](const ExchangeResult &) { ends.emplace_back("r1"); });
+        awaitRequest(upstream);
+        const auto second = send(to, "r2", [&](const ExchangeResult &ended) {
+            // It says nothing of the upstream.
+            CPPUNIT_ASSERT(ended.outcome == AttemptOutcome::Abandoned);
+            ends.emplace_back("r2");
+        });
+        m_context.poll();
+        m_connections.withdraw(second);
+        reply(upstream, answer("r1"));
+        runUntil([&] { return ends.size() == 2; });
+        m_context.poll();
+        std::this_thread::sleep_for(5ms);
+        CPPUNIT_ASSERT_EQUAL(size_t(0), upstream.socket.available());
+    }
+
+    void connections_withdrawnWhileItRuns_runsOn()
+    {
+        Upstream upstream(m_context);
+        std::optional<ExchangeResult> result;
+        const auto handle = send(target(upstream, "u"), "r", [&](ExchangeResult ended) { result = std::move(ended); });
+        awaitRequest(upstream);
+        m_connections.withdraw(handle);
+        reply(upstream, answer("r"));
+        runUntil([&] { return result.has_value(); });
+        CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Answered);
+    }
+
 private:
     boost::asio::io_context m_context;
     UpstreamConnections m_connections{
