--- a/src/connection/UpstreamConnections.cpp
+++ b/src/connection/UpstreamConnections.cpp
@@ -1,5 +1,6 @@
 #include "connection/UpstreamConnections.h"
 
+#include "hickoryspur/connection/ReconnectBackoff.h"
 #include "hickoryspur/process/Metrics.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -126,10 +127,12 @@
 class Pool : public std::enable_shared_from_this<Pool>
 {
 public:
-    Pool(asio::io_context &context, const UpstreamTarget &target, UpstreamConnections::BelongsTo belongsTo)
+    Pool(asio::io_context &context, const UpstreamTarget &target, UpstreamConnections::BelongsTo belongsTo,
+         uint64_t seed)
         : m_context(context)
         , m_target(target)
         , m_belongsTo(std::move(belongsTo))
+        , m_backoff(seed)
     {
     }
 
@@ -137,6 +140,9 @@
     const HostAddress &address() const { return m_target.address; }
     void send(Exchange exchange);
     void open();
+    /** Opens a first connection where there is none and the upstream may be tried again. */
+    void warm();
+    void reached() { m_backoff.reached(); }
     void becameIdle();
     void becameUnreachable(const std::string &reason);
     void abandon(UpstreamConnections::Handle handle);
@@ -158,6 +164,7 @@
     UpstreamConnections::BelongsTo m_belongsTo;
     std::vector<std::shared_ptr<Connection>> m_connections;
     std::deque<Exchange> m_waiting;
+    ReconnectBackoff m_backoff;
 };
 
 void Connection::open(TimePoint now, const HostAddress &address)
@@ -195,8 +202,10 @@
         return;
     m_state = State::Idle;
     m_since = monotonicNow();
-    if (const std::shared_ptr<Pool> pool = m_pool.lock())
+    if (const std::shared_ptr<Pool> pool = m_pool.lock()) {
+        pool->reached();
         pool->becameIdle();
+    }
 }
 
 void Connection::watch()
@@ -348,6 +357,12 @@
     m_connections.back()->open(monotonicNow(), m_target.address);
 }
 
+void Pool::warm()
+{
+    if (m_connections.empty() && m_backoff.mayTry(monotonicNow()))
+        open();
+}
+
 void Pool::becameIdle()
 {
     dropClosed();
@@ -370,6 +385,7 @@
 
 void Pool::becameUnreachable(const std::string &reason)
 {
+    m_backoff.failed(monotonicNow());
     dropClosed();
     const bool othersOpen = std::any_of(m_connections.begin(), m_connections.end(),
                                         [](const auto &connection) { return !connection->isClosed(); });
@@ -441,6 +457,7 @@
     std::unordered_map<UpstreamId, std::shared_ptr<Pool>> pools;
     std::unordered_map<Handle, std::weak_ptr<Pool>> running;
     Handle nextHandle = 1;
+    std::mt19937_64 random;
 
     std::shared_ptr<Pool> pool(const UpstreamTarget &target);
 };
@@ -449,13 +466,13 @@
 {
     std::shared_ptr<Pool> &pool = pools[target.id];
     if (!pool || pool->address().text() != target.address.text())
-        pool = std::make_shared<Pool>(context, target, belongsTo);
+        pool = std::make_shared<Pool>(context, target, belongsTo, random());
     pool->setLimit(target.connections);
     return pool;
 }
 
-UpstreamConnections::UpstreamConnections(asio::io_context &context, BelongsTo belongsTo)
-    : m_state(new State{context, std::move(belongsTo), {}, {}, 1})
+UpstreamConnections::UpstreamConnections(asio::io_context &context, BelongsTo belongsTo, uint64_t seed)
+    : m_state(new State{context, std::move(belongsTo), {}, {}, 1, std::mt19937_64(seed)})
 {
 }
 
@@ -498,9 +515,7 @@
 
 void UpstreamConnections::warm(const UpstreamTarget &target)
 {
-    const std::shared_ptr<Pool> pool = m_state->pool(target);
-    if (pool->size() == 0)
-        pool->open();
+    m_state->pool(target)->warm();
 }
 
 bool UpstreamConnections::hasRoom(const UpstreamTarget &target) const
--- a/src/connection/UpstreamConnections.h
+++ b/src/connection/UpstreamConnections.h
@@ -51,7 +51,8 @@
     using BelongsTo = std::function<bool(const UpstreamAnswer &, const std::string &)>;
     using Handle = uint64_t;
 
-    UpstreamConnections(boost::asio::io_context &context, BelongsTo belongsTo);
+    /** The seed spreads the times at which several entries try again to reach an upstream. */
+    UpstreamConnections(boost::asio::io_context &context, BelongsTo belongsTo, uint64_t seed);
     ~UpstreamConnections();
     UpstreamConnections(const UpstreamConnections &) = delete;
     UpstreamConnections &operator=(const UpstreamConnections &) = delete;
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -355,7 +355,7 @@
     , m_dialect(std::move(dialect))
     , m_entries(kEntriesAtFirst)
     , m_book(m_config.seed)
-    , m_connections(context, m_dialect.belongsTo)
+    , m_connections(context, m_dialect.belongsTo, m_config.seed + 2)
     , m_random(m_config.seed + 1)
 {
 }
--- a/test/failure/UpstreamConnectionsFailureTest.cpp
+++ b/test/failure/UpstreamConnectionsFailureTest.cpp
@@ -1,4 +1,5 @@
 #include "connection/UpstreamConnections.h"
+#include "hickoryspur/process/Metrics.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -20,6 +21,7 @@
     CPPUNIT_TEST(connections_answerCutShort_isNoAnswer);
     CPPUNIT_TEST(connections_newOneIsReset_nothingWasSent);
     CPPUNIT_TEST(connections_nobodyListens_nothingWasSent);
+    CPPUNIT_TEST(connections_warmedWhileNobodyListens_pauseBetweenTries);
     CPPUNIT_TEST(connections_withdrawnWhileItWaits_isNeverSent);
     CPPUNIT_TEST(connections_withdrawnWhileItRuns_runsOn);
     CPPUNIT_TEST_SUITE_END();
@@ -181,6 +183,25 @@
         CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Unsent);
     }
 
+    void connections_warmedWhileNobodyListens_pauseBetweenTries()
+    {
+        Upstream upstream(m_context);
+        const UpstreamTarget to = target(upstream, "u");
+        upstream.acceptor.close();
+        Counter &opened = Metrics::counter("hickoryspur_upstream_connections_opened_total");
+        const int64_t before = opened.value();
+        const TimePoint end = monotonicNow() + 400ms;
+        while (monotonicNow() < end) {
+            m_connections.warm(to);
+            m_context.poll();
+            m_context.restart();
+            std::this_thread::sleep_for(1ms);
+        }
+        // At once, then after 50 ms, 100 ms and 200 ms at the least.
+        CPPUNIT_ASSERT(opened.value() > before);
+        CPPUNIT_ASSERT(opened.value() - before <= 4);
+    }
+
     void connections_withdrawnWhileItWaits_isNeverSent()
     {
         Upstream upstream(m_context);
@@ -218,7 +239,8 @@
 private:
     boost::asio::io_context m_context;
     UpstreamConnections m_connections{
-        m_context, [](const UpstreamAnswer &answer, const std::string &id) { return answer.field("Request") == id; }};
+        m_context, [](const UpstreamAnswer &answer, const std::string &id) { return answer.field("Request") == id; },
+        1};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamConnectionsFailureTest);
