--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -37,6 +37,8 @@
     UpstreamEjected = 1504,
     IdentityConflict = 1505,
     UpstreamsRecalled = 1506,
+    ServiceWithoutUpstreams = 1507,
+    ServiceHasUpstreams = 1508,
     ConnectionSilent = 1600,
     ReplyMismatch = 1601,
     MoveStarted = 1700,
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -37,6 +37,8 @@
 /** What runs when its caller has gone may take this much longer before its connection is closed. */
 constexpr Duration kGoneLinger = 250ms;
 constexpr Duration kGoneCheck = 100ms;
+/** How often the services are looked at for the log; a loss shorter than this is seen by requests alone. */
+constexpr Duration kServiceLook = 500ms;
 /** An entry that has just started knows what is in force after about this long. */
 constexpr Duration kStarting = 250ms;
 /** Callers turned away come back after this, spread so that they do not come together. */
@@ -526,6 +528,32 @@
     m_connections.forget(announcement.id);
 }
 
+void EntryTraffic::noteServices(TimePoint now)
+{
+    static Counter &upstreams = Metrics::counter("hickoryspur_upstreams_known");
+    static Counter &unserved = Metrics::counter("hickoryspur_services_without_upstreams");
+    static Counter &routes = Metrics::counter("hickoryspur_routes_number");
+    static Counter &entries = Metrics::counter("hickoryspur_entries_known");
+    if (now < m_nextServiceLook)
+        return;
+    m_nextServiceLook = now + kServiceLook;
+    int64_t replicas = 0;
+    int64_t without = 0;
+    for (const auto &[service, spec] : m_routes->services) {
+        const size_t count = m_registry.replicas(service).size();
+        replicas += static_cast<int64_t>(count);
+        without += count == 0 ? 1 : 0;
+        if (count == 0 && m_servedServices.erase(service) > 0)
+            HS_LOG(WARNING, LogEvent::ServiceWithoutUpstreams) << "service=" << service << " routes=" << routesNumber();
+        else if (count > 0 && m_servedServices.insert(service).second)
+            HS_LOG(INFO, LogEvent::ServiceHasUpstreams) << "service=" << service << " upstreams=" << count;
+    }
+    upstreams.set(replicas);
+    unserved.set(without);
+    routes.set(static_cast<int64_t>(routesNumber()));
+    entries.set(m_entries);
+}
+
 void EntryTraffic::tick(TimePoint now)
 {
     m_connections.tick(now);
@@ -533,6 +561,7 @@
     // A first connection to every upstream that a route may lead to spares the first request its wait.
     if (!m_routes)
         return;
+    noteServices(now);
     for (const auto &[id, known] : m_registry.all())
         if (known.takesWork() && m_routes->services.contains(known.announcement.service)
             && holdsConnections(known.announcement))
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -81,6 +81,8 @@
     double slackPerEntry() const;
     RouteLatency &latency(const Route &route);
     std::optional<UpstreamTarget> target(const UpstreamId &upstream) const;
+    /** Tells of services that have lost or regained their upstreams, and counts what is known. */
+    void noteServices(TimePoint now);
     uint32_t connectionsFor(const ServiceName &service) const;
     /** False where other entries hold the connections that the upstream accepts. */
     bool holdsConnections(const Announcement &announcement) const;
@@ -98,6 +100,9 @@
     ReplicaSubset m_subset;
     std::map<ServiceName, ExtraBudget> m_budgets;
     std::map<std::string, RouteLatency> m_latencies;
+    /** Services of which an upstream was known when they were last looked at. */
+    std::set<ServiceName> m_servedServices;
+    TimePoint m_nextServiceLook;
     std::mt19937_64 m_random;
 };
 
