--- a/src/connection/UpstreamConnections.cpp
+++ b/src/connection/UpstreamConnections.cpp
@@ -463,6 +463,8 @@
     std::mt19937_64 random;
 
     std::shared_ptr<Pool> pool(const UpstreamTarget &target);
+    /** Null where the exchange has ended. */
+    std::shared_ptr<Pool> poolOf(Handle handle) const;
 };
 
 std::shared_ptr<Pool> UpstreamConnections::State::pool(const UpstreamTarget &target)
@@ -474,6 +476,12 @@
     return pool;
 }
 
+std::shared_ptr<Pool> UpstreamConnections::State::poolOf(Handle handle) const
+{
+    const auto found = running.find(handle);
+    return found == running.end() ? nullptr : found->second.lock();
+}
+
 UpstreamConnections::UpstreamConnections(asio::io_context &context, BelongsTo belongsTo, uint64_t seed)
     : m_state(new State{context, std::move(belongsTo), {}, {}, 1, std::mt19937_64(seed)})
 {
@@ -500,19 +508,13 @@
 
 void UpstreamConnections::abandon(Handle handle)
 {
-    const auto found = m_state->running.find(handle);
-    if (found == m_state->running.end())
-        return;
-    if (const std::shared_ptr<Pool> pool = found->second.lock())
+    if (const std::shared_ptr<Pool> pool = m_state->poolOf(handle))
         pool->abandon(handle);
 }
 
 void UpstreamConnections::withdraw(Handle handle)
 {
-    const auto found = m_state->running.find(handle);
-    if (found == m_state->running.end())
-        return;
-    if (const std::shared_ptr<Pool> pool = found->second.lock())
+    if (const std::shared_ptr<Pool> pool = m_state->poolOf(handle))
         pool->withdraw(handle);
 }
 
