Judge moves between versions on hosts, and keep the rates of cold upstreams

Rates of cold upstreams were read from the routes and not used. Change: VersionSplit lets an entry split requests between the old and the new version by the share in the log, and collects observations; entries send these to the leader, whose MoveCoordinator (the one of serve) evaluates both versions over the same second and appends each step to the log. A step or an order names the state that it was decided on, so two at the same time cannot undo each other. A repeated order changes nothing. An entry without a confirmed leader for 2 s sends to the old version only. The last stage sends everything to the new version before the move is done, since the old upstreams are stopped then. ColdUpstreamLimit: only the home entry of a cold upstream sends to it, at 0.7 of its rate.

--- a/include/hickoryspur/connection/ReplicaSubset.h
+++ b/include/hickoryspur/connection/ReplicaSubset.h
@@ -27,7 +27,11 @@
      */
     bool holds(const UpstreamId &upstream, uint32_t connectionLimit) const;
 
+    /** Whether this entry ranks first for the upstream, which the lists of all entries agree on unless they differ. */
+    bool isHome(const UpstreamId &upstream) const { return cachedRank(upstream) == 0; }
+
 private:
+    size_t cachedRank(const UpstreamId &upstream) const;
     size_t rankOf(const UpstreamId &upstream) const;
 
     std::string m_self;
--- a/include/hickoryspur/process/ControlState.h
+++ b/include/hickoryspur/process/ControlState.h
@@ -180,6 +180,8 @@
     ApplyOutcome accept(Environment environment, const Command &command, const std::string &text);
     ApplyOutcome setDataCentre(const Command &command, bool out);
     ApplyOutcome setShardMap(const Command &command);
+    /** Stores the move if expectedDigest is empty or is the digest of the stored one. */
+    ApplyOutcome setMove(const Command &command);
     ApplyOutcome claimKey(const Command &command);
     ApplyOutcome finishClaim(const Command &command);
     ApplyOutcome revive(const Command &command);
--- a/include/hickoryspur/process/LogQuorum.h
+++ b/include/hickoryspur/process/LogQuorum.h
@@ -24,7 +24,8 @@
     LogIndex lastIndex;
     AcceptedRoutes routes;
     std::vector<std::string> dataCentresOut;
-    MSGPACK_DEFINE(member, voters, lastTerm, lastIndex, routes, dataCentresOut)
+    std::map<std::string, std::string> moves;
+    MSGPACK_DEFINE(member, voters, lastTerm, lastIndex, routes, dataCentresOut, moves)
 };
 
 class LogQuorum
--- a/include/hickoryspur/process/SessionMessage.h
+++ b/include/hickoryspur/process/SessionMessage.h
@@ -7,6 +7,7 @@
 #include "hickoryspur/process/ControlState.h"
 #include "hickoryspur/process/LogQuorum.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -31,13 +32,15 @@
 {
     /** True if the sender leads and a majority has confirmed that, so no newer state is acknowledged anywhere. */
     bool confirmed = false;
-    /** Log index of the state that `routes` and `dataCentresOut` come from. */
+    /** Log index of the state that `routes`, `dataCentresOut` and `moves` come from. */
     uint64_t applied = 0;
     /** Has number 0 if the routes have not changed since they were last sent. */
     AcceptedRoutes routes;
-    /** True if `dataCentresOut` is set, and `routes` unless its number is 0. */
+    /** True if `dataCentresOut` and `moves` are set, and `routes` unless its number is 0. */
     bool carriesState = false;
     std::vector<std::string> dataCentresOut;
+    /** The packed state of each service's move between versions. */
+    std::map<std::string, std::string> moves;
     std::vector<Announcement> upstreams;
     /** Upstreams that sent a heartbeat whose contents are unchanged. */
     std::vector<UpstreamId> heartbeats;
@@ -48,7 +51,7 @@
     std::vector<NodeId> controlHosts;
     /** The report on the sender's log, for an entry with needsState set; otherwise empty. */
     std::vector<LogReport> logReport;
-    MSGPACK_DEFINE(confirmed, applied, routes, carriesState, dataCentresOut, upstreams, heartbeats, carriesHosts,
+    MSGPACK_DEFINE(confirmed, applied, routes, carriesState, dataCentresOut, moves, upstreams, heartbeats, carriesHosts,
                    entries, controlHosts, logReport)
 };
 
--- a/include/hickoryspur/request/VersionPicker.h
+++ b/include/hickoryspur/request/VersionPicker.h
@@ -12,9 +12,16 @@
 class VersionPicker
 {
 public:
+    /** initialCredit is in [0, 1); random credits keep the share of many pickers with few queries each. */
+    explicit VersionPicker(double initialCredit = 0)
+        : m_initialCredit(initialCredit)
+    {
+    }
+
     const VersionName &pick(const VersionShare &share);
 
 private:
+    double m_initialCredit;
     std::string m_to;
     double m_credit = 0;
     double m_allowed = 0;
--- a/include/hickoryspur/version/MoveCoordinator.h
+++ b/include/hickoryspur/version/MoveCoordinator.h
@@ -32,6 +32,12 @@
     /** The next state to append to the log, with its service. Only the leader may call this. */
     std::optional<std::pair<std::string, MoveState>> nextChange(TimePoint now, int64_t wallSeconds,
                                                                 const Document &document, uint64_t documentNumber);
+    /**
+     * Like nextChange(), for moves that operators order one by one instead of by a document.
+     * @param firstShare The new version's share of the queries in the first stage.
+     */
+    std::optional<std::pair<std::string, MoveState>> nextOrderedChange(TimePoint now, int64_t wallSeconds,
+                                                                       double firstShare);
     /** Evidence against a service's new version, as a share of the threshold. */
     double suspicion(const std::string &service) const;
     /** Requests of the new version in the current stage. */
@@ -39,6 +45,7 @@
 
 private:
     void closeWindow(TimePoint now);
+    std::optional<std::pair<std::string, MoveState>> nextStep(TimePoint now, int64_t wallSeconds);
 
     MoveTiming m_timing;
     /** The packed states of the last update. */
@@ -49,6 +56,13 @@
     TimePoint m_windowEnd;
 };
 
+/**
+ * The state that follows when an operator orders a version, or nothing if that version is the target already: a
+ * repeated order does not restart its move.
+ */
+std::optional<MoveState> orderMove(const std::optional<MoveState> &current, const WantedVersion &wanted,
+                                   int64_t wallSeconds);
+
 /** Unpacks a state from the log or a view; returns nothing if it cannot be decoded. */
 std::optional<MoveState> unpackMoveState(const std::string &packed);
 
--- a/include/hickoryspur/version/Observation.h
+++ b/include/hickoryspur/version/Observation.h
@@ -18,6 +18,7 @@
     uint64_t failures = 0;
     /** Refused for load by the upstream or by its queue; not counted as evidence against a version. */
     uint64_t refused = 0;
+    /** Latencies of the requests, except those of upstreams that are still cold. */
     LatencyHistogram latency;
     MSGPACK_DEFINE(requests, failures, refused, latency)
 
--- a/include/hickoryspur/version/TrafficMove.h
+++ b/include/hickoryspur/version/TrafficMove.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace hickoryspur {
 
@@ -69,8 +70,17 @@
     double holdThreshold = 0.3;
     /** A larger share of requests refused for load means that the new upstreams are still warming up. */
     double maxRefusedShare = 0.02;
+    /** Shares of the stages after the first. The move is done after the last one. */
+    std::vector<double> stageShares = {0.05, 0.15, 0.4, 0.75};
+    /** Part of the time until the move is due that the first stage takes; zero if the stages are equally long. */
+    double firstStageTimeShare = 0;
+    /** The old version's upstreams still run after the move is done, so a suspicion can be confirmed against them. */
+    bool keepsOldVersion = true;
 };
 
+/** Timing of a move that is ordered with a due time of seconds, after which the old upstreams are stopped. */
+MoveTiming shortMoveTiming();
+
 class TrafficMove
 {
 public:
@@ -87,16 +97,13 @@
     double suspicion() const { return m_evaluator.suspicion(); }
     uint64_t stageRequests() const { return m_evaluator.stageRequests(); }
 
-    /** Shares of the stages after the first. The move is done after the last one. */
-    static const std::vector<double> &stageShares();
-
 private:
     MoveState takeBack(const std::string &reason) const;
     std::optional<MoveState> advance(TimePoint now, int64_t wallSeconds) const;
     std::optional<MoveState> confirmIfSuspicious() const;
     Duration stageLength(int64_t wallSeconds) const;
     double stageShare(uint32_t stage) const;
-    size_t stageCount() const { return stageShares().size() + 1; }
+    size_t stageCount() const { return m_timing.stageShares.size() + 1; }
 
     MoveState m_state;
     double m_firstShare;
--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -1,5 +1,6 @@
 #include "app/ControlHost.h"
 
+#include "hickoryspur/process/Digest.h"
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/MessageCodec.h"
 #include "hickoryspur/process/Metrics.h"
@@ -29,6 +30,9 @@
 /** How long a confirmation by the control group that this host leads is valid. */
 constexpr Duration kConfirmationValidity = 400ms;
 
+/** Share of a service's requests that a new version gets until it has been compared with the old one. */
+constexpr double kFirstMoveShare = 0.06;
+
 ServerLimits controlLimits()
 {
     ServerLimits limits;
@@ -149,6 +153,13 @@
         if (const std::optional<EntryStatus> status = unpack<EntryStatus>(message.payload))
             updateEntryStatus(link, *status);
         return;
+    case PeerMessageType::Observations:
+        if (const std::optional<ObservationBatch> batch = unpack<ObservationBatch>(message.payload); !batch)
+            HS_LOG(WARNING, LogEvent::MessageUndecodable)
+                << "observations from " << message.from << " cannot be decoded; dropped";
+        else if (m_status.leads)
+            m_moves.addObservations(*batch);
+        return;
     default:
         HS_LOG(WARNING, LogEvent::MessageUndecodable)
             << "message of unexpected type " << int(message.type) << " from " << message.from << "; dropped";
@@ -239,6 +250,7 @@
     update.carriesState = true;
     update.routes = m_status.routes;
     update.dataCentresOut = m_status.dataCentresOut;
+    update.moves = m_status.moves;
     for (const auto &[id, known] : m_registry.all())
         update.upstreams.push_back(known.announcement);
     return update;
@@ -272,6 +284,7 @@
     if (status.leads)
         m_confirmedAt = std::max(m_confirmedAt, status.at);
     m_status = std::move(status);
+    m_moves.updateStates(monotonicNow(), m_status.moves);
     if (m_hosts.updateReportedHosts(m_settings.id(), m_status.controlHosts))
         dialControlHosts();
     if (!stateChanged) {
@@ -282,6 +295,7 @@
     EntryUpdate update = makeStateUpdate(monotonicNow());
     update.carriesState = true;
     update.dataCentresOut = m_status.dataCentresOut;
+    update.moves = m_status.moves;
     if (routesChanged)
         update.routes = m_status.routes;
     for (auto &[link, session] : m_sessions)
@@ -303,6 +317,7 @@
     m_links->tick(now);
     m_registry.removeExpired(now);
     saveUpstreamsIfDue(now);
+    advanceMoves(now);
     if (now >= m_nextRefresh) {
         m_nextRefresh = now + kRefreshInterval;
         m_links->sendToAll(PeerMessageType::Ping, "");
@@ -423,6 +438,61 @@
     return tl::unexpected(toFailure(outcome));
 }
 
+Command ControlHost::makeMoveCommand(const std::string &service, const MoveState &state, const std::string &previous)
+{
+    Command command;
+    command.type = static_cast<uint8_t>(CommandType::SetMove);
+    command.subject = service;
+    command.text = pack(state);
+    command.expectedDigest = sha256Hex(previous);
+    command.wallSeconds = wallClockSeconds();
+    return command;
+}
+
+Result<void> ControlHost::orderMove(const ServiceName &service, const VersionName &version, Duration within)
+{
+    const auto stored = read<std::string>([service](const ControlState &state) {
+        const auto found = state.moves().find(service.value());
+        return found == state.moves().end() ? std::string() : found->second;
+    });
+    if (!stored)
+        return tl::unexpected(stored.error());
+    WantedVersion wanted;
+    wanted.name = version;
+    wanted.within = within;
+    wanted.firstShare = kFirstMoveShare;
+    const std::optional<MoveState> next = hickoryspur::orderMove(unpackMoveState(*stored), wanted, wallClockSeconds());
+    if (!next)
+        return {};
+    HS_LOG(INFO, LogEvent::MoveStarted) << "service=" << service << " from=\"" << next->from << "\" to=" << next->to
+                                        << " due-s=" << next->dueSeconds - next->startedSeconds;
+    return submit(makeMoveCommand(service.value(), *next, *stored));
+}
+
+void ControlHost::advanceMoves(TimePoint now)
+{
+    if (!m_status.leads || m_moveStepPending || m_status.moves.empty())
+        return;
+    const auto next = m_moves.nextOrderedChange(now, wallClockSeconds(), kFirstMoveShare);
+    if (!next)
+        return;
+    const auto &[service, state] = *next;
+    const LogEvent event = state.kind() == MoveStatus::TakenBack ? LogEvent::MoveTakenBack
+        : state.kind() == MoveStatus::Done                       ? LogEvent::MoveDone
+                                                                 : LogEvent::MoveStarted;
+    HS_LOG(INFO, event) << "service=" << service << " to=" << state.to << " stage=" << state.stage
+                        << " share=" << state.share() << " requests=" << m_moves.stageRequests(service)
+                        << " suspicion=" << m_moves.suspicion(service) << " reason=\"" << state.reason << '"';
+    m_moveStepPending = true;
+    m_group->submit(makeMoveCommand(service, state, m_status.moves.at(service)), [this](const ApplyOutcome &outcome) {
+        asio::post(m_context, [this, outcome] {
+            m_moveStepPending = false;
+            LOG_IF(WARNING, !outcome.ok())
+                << "a step of a move was not stored, it is decided again: " << outcome.message;
+        });
+    });
+}
+
 template <typename Value> Result<Value> ControlHost::read(std::function<Value(const ControlState &)> selector)
 {
     const auto promise = std::make_shared<boost::fibers::promise<Result<Value>>>();
@@ -458,17 +528,13 @@
         command.subject = dataCentre.value();
         return submit(std::move(command));
     };
-    api.setMove = [this](const ServiceName &service, const std::string &state) {
-        Command command;
-        command.type = static_cast<uint8_t>(CommandType::SetMove);
-        command.subject = service.value();
-        command.text = state;
-        return submit(std::move(command));
+    api.orderMove = [this](const ServiceName &service, const VersionName &version, Duration within) {
+        return orderMove(service, version, within);
     };
     api.move = [this](const ServiceName &service) {
-        return read<std::string>([service](const ControlState &state) {
+        return read<std::optional<MoveState>>([service](const ControlState &state) {
             const auto found = state.moves().find(service.value());
-            return found == state.moves().end() ? std::string() : found->second;
+            return found == state.moves().end() ? std::optional<MoveState>() : unpackMoveState(found->second);
         });
     };
     api.leader = [this] { return leaderAddress(); };
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -8,6 +8,7 @@
 #include "hickoryspur/process/ControlHostDirectory.h"
 #include "hickoryspur/process/HostSettings.h"
 #include "hickoryspur/process/SessionMessage.h"
+#include "hickoryspur/version/MoveCoordinator.h"
 #include "process/FrameLink.h"
 #include "process/GroupThread.h"
 
@@ -67,6 +68,11 @@
     void saveUpstreamsIfDue(TimePoint now);
     void restoreUpstreams(const std::string &bytes);
     Result<void> submit(Command command);
+    Result<void> orderMove(const ServiceName &service, const VersionName &version, Duration within);
+    /** On the leader: appends the next step of a move to the log, one at a time. */
+    void advanceMoves(TimePoint now);
+    /** Stores a move that was decided on the given packed state; refused if that state has changed meanwhile. */
+    static Command makeMoveCommand(const std::string &service, const MoveState &state, const std::string &previous);
     template <typename Value> Result<Value> read(std::function<Value(const ControlState &)> selector);
     std::optional<HostAddress> leaderAddress() const;
 
@@ -82,6 +88,8 @@
     std::vector<std::shared_ptr<FrameLink>> m_inbound;
     std::map<FrameLink *, Session> m_sessions;
     UpstreamRegistry m_registry;
+    MoveCoordinator m_moves{shortMoveTiming()};
+    bool m_moveStepPending = false;
     GroupStatus m_status;
     ControlHostDirectory m_hosts;
     TimePoint m_confirmedAt;
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -128,8 +128,13 @@
         if (update.applied >= m_applied) {
             m_applied = update.applied;
             m_traffic.setDataCentresOut(update.dataCentresOut);
+            m_traffic.versions().setMoves(update.moves);
         }
     }
+    if (update.confirmed) {
+        m_leader = from;
+        m_traffic.versions().recordLeaderContact(now);
+    }
     if (!update.logReport.empty() && !m_confirmed)
         recordLogReport(update.logReport.front());
     for (const Announcement &announcement : update.upstreams)
@@ -161,6 +166,7 @@
     if (newest->routes.number > m_traffic.routesNumber())
         applyRoutes(newest->routes);
     m_traffic.setDataCentresOut(newest->dataCentresOut);
+    m_traffic.versions().setMoves(newest->moves);
     m_confirmed = true;
     HS_LOG(INFO, LogEvent::StateFromLogs)
         << "routes=" << newest->routes.number << " log=" << newest->lastIndex << " voters=" << newest->voters.size();
@@ -199,6 +205,14 @@
     m_links->sendToAll(PeerMessageType::EntryStatus, pack(status));
 }
 
+void EntryHost::sendObservations()
+{
+    const ObservationBatch batch = m_traffic.versions().drainObservations();
+    // The leader alone evaluates versions; without one the observations would be outdated when the next is elected.
+    if (m_leader && !batch.empty())
+        m_links->send(*m_leader, PeerMessageType::Observations, pack(batch));
+}
+
 std::optional<EntryAddresses> EntryHost::entryAddresses(TimePoint now)
 {
     EntryAddresses result;
@@ -230,6 +244,7 @@
     if (now >= m_nextStatus || !m_confirmed) {
         m_nextStatus = now + kStatusInterval;
         sendStatus();
+        sendObservations();
     }
     startTimer();
 }
--- a/src/app/EntryHost.h
+++ b/src/app/EntryHost.h
@@ -45,6 +45,8 @@
     /** Applies the newest log state once a majority of its voters has reported. */
     void recordLogReport(const LogReport &report);
     void sendStatus();
+    /** Sends what was observed of versions between which a service moves to the leading control host. */
+    void sendObservations();
     void dialControlHosts();
     void onTimer();
     void startTimer();
@@ -64,6 +66,8 @@
     LogQuorum m_logs;
     std::mt19937_64 m_random;
     uint64_t m_applied = 0;
+    /** The control host that last sent a confirmed update. */
+    std::optional<NodeId> m_leader;
     bool m_confirmed = false;
     bool m_closing = false;
     bool m_wasReady = false;
--- a/src/app/HostCodec.h
+++ b/src/app/HostCodec.h
@@ -8,6 +8,7 @@
 #include "hickoryspur/process/Settings.h"
 #include "hickoryspur/request/RequestCodec.h"
 #include "hickoryspur/version/RouteTable.h"
+#include "hickoryspur/version/TrafficMove.h"
 #include "request/HttpCallerServer.h"
 
 #include <functional>
@@ -33,10 +34,13 @@
     /** The newest accepted routes; fails with NoLeader if no majority confirms this host's state. */
     std::function<Result<AcceptedRoutes>()> currentRoutes;
     std::function<Result<void>(const DataCentreName &, bool out)> setDataCentreOut;
-    /** Stores the encoded state of a service's move between versions. */
-    std::function<Result<void>(const ServiceName &, const std::string &state)> setMove;
-    /** The state stored by setMove; empty if there is none. */
-    std::function<Result<std::string>(const ServiceName &)> move;
+    /**
+     * Orders the move of a service's traffic to a version, which is to be done within the given time. A repeated
+     * order is accepted and changes nothing.
+     */
+    std::function<Result<void>(const ServiceName &, const VersionName &, Duration within)> orderMove;
+    /** The state of a service's move; nullopt if none was ordered. */
+    std::function<Result<std::optional<MoveState>>(const ServiceName &)> move;
     /** Control address of the leader; nullopt if this host leads or the leader is unknown. */
     std::function<std::optional<HostAddress>()> leader;
 };
--- a/src/connection/ReplicaSubset.cpp
+++ b/src/connection/ReplicaSubset.cpp
@@ -22,10 +22,13 @@
     const auto holders = std::max<size_t>(1, static_cast<size_t>(kUsableShare * connectionLimit));
     if (m_others.size() < holders)
         return true;
+    return cachedRank(upstream) < holders;
+}
+
+size_t ReplicaSubset::cachedRank(const UpstreamId &upstream) const
+{
     const auto found = m_ranks.find(upstream);
-    const size_t rank =
-        found == m_ranks.end() ? m_ranks.emplace(upstream, rankOf(upstream)).first->second : found->second;
-    return rank < holders;
+    return found == m_ranks.end() ? m_ranks.emplace(upstream, rankOf(upstream)).first->second : found->second;
 }
 
 size_t ReplicaSubset::rankOf(const UpstreamId &upstream) const
--- a/src/process/ControlState.cpp
+++ b/src/process/ControlState.cpp
@@ -108,8 +108,7 @@
     case CommandType::ClaimOutcome:
         return finishClaim(command);
     case CommandType::SetMove:
-        m_moves[command.subject] = command.text;
-        return {};
+        return setMove(command);
     case CommandType::ReviveVersion:
         return revive(command);
     case CommandType::EntryUp:
@@ -185,6 +184,17 @@
     return {0, "accepted", command.number, ""};
 }
 
+ApplyOutcome ControlState::setMove(const Command &command)
+{
+    std::string &stored = m_moves[command.subject];
+    // An operator's order and a step of the leader may be proposed at the same time; the later one was decided on
+    // a state that is no longer current.
+    if (!command.expectedDigest.empty() && command.expectedDigest != sha256Hex(stored))
+        return refuse(ResultCode::PredecessorMismatch, "the move of " + command.subject + " has changed meanwhile");
+    stored = command.text;
+    return {};
+}
+
 ApplyOutcome ControlState::setDataCentre(const Command &command, bool out)
 {
     const bool changed = m_dataCentresOut.contains(command.subject) != out;
--- a/src/process/GroupNode.cpp
+++ b/src/process/GroupNode.cpp
@@ -53,6 +53,7 @@
     report.lastIndex = m_log.lastIndex();
     report.routes = state.routes();
     report.dataCentresOut.assign(state.dataCentresOut().begin(), state.dataCentresOut().end());
+    report.moves = state.moves();
     return report;
 }
 
--- a/src/process/GroupThread.cpp
+++ b/src/process/GroupThread.cpp
@@ -196,6 +196,7 @@
         status.applied = state.appliedIndex().value();
         status.routes = state.routes();
         status.dataCentresOut.assign(state.dataCentresOut().begin(), state.dataCentresOut().end());
+        status.moves = state.moves();
         status.controlHosts = node->knownHosts();
     }
     status.leader = leader;
--- a/src/process/GroupThread.h
+++ b/src/process/GroupThread.h
@@ -6,6 +6,7 @@
 #include "hickoryspur/process/GroupNode.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -29,6 +30,8 @@
     uint64_t applied = 0;
     AcceptedRoutes routes;
     std::vector<std::string> dataCentresOut;
+    /** The packed state of each service's move. */
+    std::map<std::string, std::string> moves;
     std::vector<NodeId> controlHosts;
     std::optional<NodeId> leader;
     bool leads = false;
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -121,6 +121,8 @@
     };
 
     ScatterHooks hooks();
+    /** The versions for an attempt; all first attempts at a service use the same ones. */
+    VersionGroup versionGroup(const ServiceName &service, bool isExtra);
     void execute(const ScatterActions &actions);
     void send(const SendAttempt &attempt);
     void onAttemptEnded(AttemptKey key, ExchangeResult result);
@@ -153,6 +155,7 @@
     std::optional<ScatterGather> m_scatter;
     size_t m_shardCount = 0;
     std::map<AttemptKey, SentAttempt> m_runningAttempts;
+    std::map<ServiceName, VersionGroup> m_versionGroups;
     std::map<uint32_t, UpstreamAnswer> m_answers;
     std::map<uint32_t, std::string> m_signatures;
     std::optional<UpstreamAnswer> m_failure;
@@ -165,13 +168,21 @@
 {
     ScatterHooks hooks;
     hooks.choose = [this](const ServiceName &service, const std::vector<UpstreamId> &tried) {
-        return m_traffic.chooseReplica(service, tried);
+        return m_traffic.chooseReplica(service, tried, versionGroup(service, !tried.empty()));
     };
     hooks.tryConsumeBudget = [this](const ServiceName &service) { return m_traffic.tryConsumeBudget(service); };
     hooks.reportOverdue = [this](const UpstreamId &upstream) { m_traffic.m_replicaTracker.recordOverdue(upstream); };
     return hooks;
 }
 
+VersionGroup EntryTraffic::ActiveRequest::versionGroup(const ServiceName &service, bool isExtra)
+{
+    const auto found = m_versionGroups.find(service);
+    if (found == m_versionGroups.end())
+        return m_versionGroups[service] = m_traffic.m_versions.pick(m_started, service);
+    return isExtra ? m_traffic.m_versions.pickForExtra(service, found->second) : found->second;
+}
+
 CallerAnswer EntryTraffic::ActiveRequest::serve()
 {
     ScatterPlan plan = m_traffic.makePlan(m_started, m_route, m_request);
@@ -208,6 +219,8 @@
     request.deadline = m_deadline;
     request.fresh = !m_route.idempotent;
     m_traffic.m_replicaTracker.recordSent(attempt.upstream);
+    if (m_traffic.m_registry.find(attempt.upstream)->announcement.coldForMillis > 0)
+        m_traffic.m_coldLimit.recordSent(now, attempt.upstream);
     SentAttempt &sent = m_runningAttempts[attempt.key];
     sent = {attempt.upstream, now, 0};
     sent.handle = m_traffic.m_connections.send(*target, std::move(request),
@@ -252,6 +265,7 @@
     } else if (!m_finished && outcome == AttemptOutcome::Failed && result.outcome == AttemptOutcome::Answered) {
         m_failure = std::move(result.answer);
     }
+    m_traffic.recordVersionSample(m_route, sent.upstream, outcome, took);
     const ScatterActions actions = m_scatter->attemptEnded(now, key, outcome);
     // After the caller has been answered or has disconnected, results only update the statistics above.
     if (!m_finished)
@@ -384,6 +398,7 @@
     , m_codec(std::move(codec))
     , m_entryCount(kInitialEntryCount)
     , m_replicaTracker(m_config.seed)
+    , m_versions(m_config.seed + 3)
     , m_connections(context, m_codec.belongsTo, m_config.seed + 2)
     , m_random(m_config.seed + 1)
 {
@@ -430,16 +445,41 @@
     return plan;
 }
 
+std::vector<UpstreamId> EntryTraffic::usableReplicas(const ServiceName &service, VersionGroup group) const
+{
+    const TimePoint now = monotonicNow();
+    std::vector<UpstreamId> usable;
+    std::optional<VersionGroup> next = group;
+    while (usable.empty() && next) {
+        for (const UpstreamId &id : m_registry.replicas(service)) {
+            const Announcement &announcement = m_registry.find(id)->announcement;
+            if (!m_dataCentresOut.contains(announcement.dataCentre.value())
+                && m_versions.isInGroup(service, announcement.version, *next) && isWithinColdLimit(now, announcement))
+                usable.push_back(id);
+        }
+        next = *next == group ? m_versions.fallback(service, group) : std::nullopt;
+    }
+    return usable;
+}
+
+bool EntryTraffic::isWithinColdLimit(TimePoint now, const Announcement &announcement) const
+{
+    if (announcement.coldForMillis <= 0)
+        return true;
+    const auto service = m_routes->services.find(announcement.service);
+    const double rate = service == m_routes->services.end() ? 0 : service->second.coldRequestsPerSecond;
+    return m_coldLimit.maySend(now, announcement.id, m_subset.isHome(announcement.id), rate);
+}
+
 std::optional<ReplicaChoice> EntryTraffic::chooseReplica(const ServiceName &service,
-                                                         const std::vector<UpstreamId> &tried)
+                                                         const std::vector<UpstreamId> &tried, VersionGroup group)
 {
     std::vector<ReplicaTracker::Candidate> all;
     std::vector<ReplicaTracker::Candidate> withRoom;
-    for (const UpstreamId &id : m_registry.replicas(service)) {
-        const Announcement &announcement = m_registry.find(id)->announcement;
-        if (m_dataCentresOut.contains(announcement.dataCentre.value())
-            || std::find(tried.begin(), tried.end(), id) != tried.end())
+    for (const UpstreamId &id : usableReplicas(service, group)) {
+        if (std::find(tried.begin(), tried.end(), id) != tried.end())
             continue;
+        const Announcement &announcement = m_registry.find(id)->announcement;
         ReplicaTracker::Candidate candidate;
         candidate.id = id;
         candidate.sameDataCentre = announcement.dataCentre == m_config.dataCentre;
@@ -457,6 +497,23 @@
     return ReplicaChoice{best, m_replicaTracker.isDegraded(now, best)};
 }
 
+void EntryTraffic::recordVersionSample(const Route &route, const UpstreamId &upstream, AttemptOutcome outcome,
+                                       Duration latency)
+{
+    const KnownUpstream *known = m_registry.find(upstream);
+    if (!known)
+        return;
+    VersionSample sample;
+    sample.service = known->announcement.service;
+    sample.version = known->announcement.version;
+    sample.route = route.name;
+    sample.upstream = upstream;
+    sample.outcome = outcome;
+    sample.latency = latency;
+    sample.cold = known->announcement.coldForMillis > 0;
+    m_versions.record(sample);
+}
+
 bool EntryTraffic::tryConsumeBudget(const ServiceName &service)
 {
     static Counter &taken = Metrics::counter("hickoryspur_extra_sub_requests_total");
@@ -541,6 +598,8 @@
     if (change != RegistryChange::Changed)
         return;
     const KnownUpstream *known = m_registry.find(announcement.id);
+    if (!known || known->announcement.coldForMillis <= 0)
+        m_coldLimit.remove(announcement.id);
     if (known && known->takesWork())
         return;
     m_connections.removeUpstream(announcement.id);
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "connection/UpstreamConnections.h"
+#include "hickoryspur/connection/ColdUpstreamLimit.h"
 #include "hickoryspur/connection/ReplicaSubset.h"
 #include "hickoryspur/connection/UpstreamRegistry.h"
 #include "hickoryspur/request/LatencyQuantile.h"
@@ -12,6 +13,7 @@
 #include "hickoryspur/request/RequestCodec.h"
 #include "hickoryspur/request/RetryBudget.h"
 #include "hickoryspur/request/ScatterGather.h"
+#include "hickoryspur/request/VersionSplit.h"
 #include "hickoryspur/version/RouteTable.h"
 
 #include <boost/asio/io_context.hpp>
@@ -62,6 +64,8 @@
     void setRoutes(RouteTable table);
     /** Replicas in these data centres get no new requests. */
     void setDataCentresOut(std::vector<std::string> out);
+    /** The split of services between two versions of their upstreams, and the observations of both. */
+    VersionSplit &versions() { return m_versions; }
     /** Sets how many entries share the extra sub-requests and the upstreams' connections. */
     void setEntryCount(uint32_t entries);
     /** Sets the entries that share the upstreams' connections, and which of them this one is. */
@@ -83,11 +87,18 @@
     friend class ActiveRequest;
 
     ScatterPlan makePlan(TimePoint now, const Route &route, const ForwardedRequest &request);
-    std::optional<ReplicaChoice> chooseReplica(const ServiceName &service, const std::vector<UpstreamId> &tried);
+    std::optional<ReplicaChoice> chooseReplica(const ServiceName &service, const std::vector<UpstreamId> &tried,
+                                               VersionGroup group);
+    /** The replicas of the group that may get a request, or of its fallback if there are none. */
+    std::vector<UpstreamId> usableReplicas(const ServiceName &service, VersionGroup group) const;
+    /** Reports a finished attempt to the split between versions. */
+    void recordVersionSample(const Route &route, const UpstreamId &upstream, AttemptOutcome outcome, Duration latency);
     bool tryConsumeBudget(const ServiceName &service);
     RetryBudget &budget(const ServiceName &service);
     /** This entry's share of TrafficConfig::extraSlack. */
     double slackPerEntry() const;
+    /** False if the upstream is cold and a request more would exceed the rate that it tolerates. */
+    bool isWithinColdLimit(TimePoint now, const Announcement &announcement) const;
     RouteLatency &latencyOf(const Route &route);
     std::optional<UpstreamTarget> targetOf(const UpstreamId &upstream) const;
     /** Logs which services have lost or regained their upstreams, and updates the metrics. */
@@ -107,8 +118,10 @@
     uint32_t m_entryCount;
     UpstreamRegistry m_registry;
     ReplicaTracker m_replicaTracker;
+    VersionSplit m_versions;
     UpstreamConnections m_connections;
     ReplicaSubset m_subset;
+    ColdUpstreamLimit m_coldLimit;
     std::map<ServiceName, RetryBudget> m_budgets;
     std::map<std::string, RouteLatency> m_latencies;
     /** Services that had an upstream at the last check. */
--- a/src/request/VersionPicker.cpp
+++ b/src/request/VersionPicker.cpp
@@ -12,8 +12,8 @@
         return share.to;
     if (m_to != share.to.value()) {
         m_to = share.to.value();
-        m_credit = 0;
-        m_allowed = 0;
+        m_credit = m_initialCredit;
+        m_allowed = m_initialCredit;
         m_pickedCount = 0;
     }
     m_allowed += share.share;
--- a/src/version/MoveCoordinator.cpp
+++ b/src/version/MoveCoordinator.cpp
@@ -48,6 +48,19 @@
             return std::make_pair(name.value(), *started);
         m_moves.try_emplace(name.value(), *current, config.version->firstShare, m_timing, EvaluatorSettings(), now);
     }
+    return nextStep(now, wallSeconds);
+}
+
+std::optional<std::pair<std::string, MoveState>> MoveCoordinator::nextOrderedChange(TimePoint now, int64_t wallSeconds,
+                                                                                    double firstShare)
+{
+    for (const auto &[service, state] : m_states)
+        m_moves.try_emplace(service, state, firstShare, m_timing, EvaluatorSettings(), now);
+    return nextStep(now, wallSeconds);
+}
+
+std::optional<std::pair<std::string, MoveState>> MoveCoordinator::nextStep(TimePoint now, int64_t wallSeconds)
+{
     if (now < m_windowEnd)
         return std::nullopt;
     m_windowEnd = now + kWindow;
@@ -58,6 +71,16 @@
     return std::nullopt;
 }
 
+std::optional<MoveState> orderMove(const std::optional<MoveState> &current, const WantedVersion &wanted,
+                                   int64_t wallSeconds)
+{
+    const MoveState none;
+    const MoveState &previous = current ? *current : none;
+    if (current && previous.to == wanted.name.value())
+        return std::nullopt;
+    return startMove(previous, wanted, previous.documentNumber + 1, wallSeconds);
+}
+
 double MoveCoordinator::suspicion(const std::string &service) const
 {
     const auto found = m_moves.find(service);
--- a/src/version/TrafficMove.cpp
+++ b/src/version/TrafficMove.cpp
@@ -38,10 +38,18 @@
     return "unknown";
 }
 
-const std::vector<double> &TrafficMove::stageShares()
+MoveTiming shortMoveTiming()
 {
-    static const std::vector<double> shares = {0.05, 0.15, 0.4, 0.75};
-    return shares;
+    MoveTiming timing;
+    timing.minStageDuration = 1200ms;
+    timing.maxStageDuration = 2s;
+    // The entries report no latencies of cold upstreams, so no time has to be left out.
+    timing.warmUpDuration = Duration::zero();
+    timing.minStageRequests = 5;
+    timing.stageShares = {0.3, 1.0};
+    timing.firstStageTimeShare = 0.5;
+    timing.keepsOldVersion = false;
+    return timing;
 }
 
 TrafficMove::TrafficMove(MoveState state, double firstShare, MoveTiming timing, EvaluatorSettings settings,
@@ -59,7 +67,7 @@
 {
     if (stage == 0)
         return m_firstShare;
-    return std::max(m_firstShare, stageShares().at(stage - 1));
+    return std::max(m_firstShare, m_timing.stageShares.at(stage - 1));
 }
 
 void TrafficMove::observe(TimePoint now, const VersionObservation &oldVersion, const VersionObservation &newVersion)
@@ -99,6 +107,12 @@
 
 Duration TrafficMove::stageLength(int64_t wallSeconds) const
 {
+    if (m_state.stage == 0 && m_timing.firstStageTimeShare > 0) {
+        const auto total = static_cast<double>(m_state.dueSeconds - m_state.startedSeconds);
+        const double end = static_cast<double>(m_state.startedSeconds) + m_timing.firstStageTimeShare * total;
+        // Counted from the order, so that a new leader does not start the stage again.
+        return static_cast<double>(wallSeconds) < end ? Duration::max() : m_timing.minStageDuration;
+    }
     const auto secondsLeft = static_cast<double>(std::max<int64_t>(0, m_state.dueSeconds - wallSeconds));
     const auto stagesLeft = static_cast<double>(stageCount() - m_state.stage);
     const Duration equalPart(static_cast<int64_t>(1e6 * kStageTimeShare * secondsLeft / stagesLeft));
@@ -115,7 +129,7 @@
         return std::nullopt;
     const std::optional<std::string> rejection = m_evaluator.rejectionReason();
     if (status == MoveStatus::Done)
-        return confirmIfSuspicious();
+        return m_timing.keepsOldVersion ? confirmIfSuspicious() : std::nullopt;
     if (rejection)
         return takeBack(*rejection);
     return advance(now, wallSeconds);
--- a/src/version/VersionEvaluator.cpp
+++ b/src/version/VersionEvaluator.cpp
@@ -100,7 +100,7 @@
     for (const auto &[upstream, tally] : newRoute.byUpstream) {
         const double failure = logLikelihoodRatio(tally.requests, tally.failures, failing.usual, failing.bad);
         const double slow = scope.countSlow
-            ? logLikelihoodRatio(tally.requests, tally.latency.countAbove(slowLimit), slowing.usual, slowing.bad)
+            ? logLikelihoodRatio(tally.latency.count(), tally.latency.countAbove(slowLimit), slowing.usual, slowing.bad)
             : 0;
         route.failureEvidence.sum += failure;
         route.failureEvidence.byUpstream[upstream] += failure;
@@ -111,8 +111,8 @@
         route.failureEvidence.byShard[shard] +=
             logLikelihoodRatio(tally.requests, tally.failures, failing.usual, failing.bad);
         if (scope.countSlow)
-            route.slowEvidence.byShard[shard] +=
-                logLikelihoodRatio(tally.requests, tally.latency.countAbove(slowLimit), slowing.usual, slowing.bad);
+            route.slowEvidence.byShard[shard] += logLikelihoodRatio(
+                tally.latency.count(), tally.latency.countAbove(slowLimit), slowing.usual, slowing.bad);
     }
     route.failureEvidence.clampAtZero();
     route.slowEvidence.clampAtZero();
--- /dev/null
+++ b/test/failure/OrderedMoveFailureTest.cpp
@@ -0,0 +1,179 @@
+// Guards moves that operators order with a due time of seconds: a bad version is taken back while its share is small,
+// a good one is done before it is due, trouble that hits both versions is not blamed on the new one, a new leader goes
+// on from the log, and a repeated or overtaken order changes nothing.
+#include "hickoryspur/process/ControlState.h"
+#include "hickoryspur/process/Digest.h"
+#include "hickoryspur/process/MessageCodec.h"
+#include "hickoryspur/version/MoveCoordinator.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+using namespace hickoryspur;
+
+namespace {
+
+constexpr int kUpstreamsPerVersion = 3;
+constexpr double kFirstShare = 0.06;
+constexpr int64_t kWithinSeconds = 14;
+/** Requests a second to one service on a small deployment. */
+constexpr int kRequestsPerSecond = 180;
+
+struct Behaviour
+{
+    double failures = 0.001;
+    double slowdown = 1;
+    /** The behaviour starts this long after the order. */
+    Duration from = Duration::zero();
+};
+
+} // namespace
+
+class OrderedMoveFailureTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(OrderedMoveFailureTest);
+    CPPUNIT_TEST(version_failing_isTakenBackWithinCanaryLimit);
+    CPPUNIT_TEST(version_slow_isTakenBackWithinCanaryLimit);
+    CPPUNIT_TEST(version_badAfterSomeSeconds_isTakenBackWithinCanaryLimit);
+    CPPUNIT_TEST(version_good_isDoneBeforeDue);
+    CPPUNIT_TEST(version_goodWhileBothFail_isNotTakenBack);
+    CPPUNIT_TEST(leader_changesDuringMove_isDoneBeforeDue);
+    CPPUNIT_TEST(order_repeated_changesNothing);
+    CPPUNIT_TEST(step_decidedOnOvertakenState_isRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+    struct Run
+    {
+        MoveStatus status = MoveStatus::Moving;
+        Duration ended = Duration::zero();
+        int newRequests = 0;
+        int requests = 0;
+    };
+
+    std::mt19937_64 m_random{7};
+
+    static MoveState ordered()
+    {
+        WantedVersion wanted;
+        wanted.name = VersionName("v2");
+        wanted.within = std::chrono::seconds(kWithinSeconds);
+        wanted.firstShare = kFirstShare;
+        return *orderMove(std::nullopt, wanted, 0);
+    }
+
+    double draw() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
+
+    void addRequest(ObservationBatch &batch, const std::string &version, const Behaviour &behaviour)
+    {
+        const auto upstream = static_cast<int>(draw() * kUpstreamsPerVersion);
+        SubRequestTally &tally =
+            batch.services["rolls"].versions[version]["status"].byUpstream[version + "-" + std::to_string(upstream)];
+        ++tally.requests;
+        tally.failures += draw() < behaviour.failures ? 1 : 0;
+        const double latency =
+            7500 * behaviour.slowdown * std::exp(0.35 * std::normal_distribution<double>()(m_random));
+        tally.latency.add(Duration(static_cast<int64_t>(latency)));
+    }
+
+    /** Plays a move against a service; the leader is replaced at the given time. */
+    Run play(const Behaviour &oldVersion, const Behaviour &newVersion, Duration leaderChange = Duration::max())
+    {
+        MoveState state = ordered();
+        auto coordinator = std::make_unique<MoveCoordinator>(shortMoveTiming());
+        Run run;
+        constexpr Duration kStep = 100ms;
+        const TimePoint start(1000s);
+        for (Duration at = Duration::zero(); at < std::chrono::seconds(kWithinSeconds); at += kStep) {
+            const TimePoint now = start + at;
+            if (at >= leaderChange) {
+                coordinator = std::make_unique<MoveCoordinator>(shortMoveTiming());
+                leaderChange = Duration::max();
+            }
+            coordinator->updateStates(now, {{"rolls", pack(state)}});
+            ObservationBatch batch;
+            for (int i = 0; i < kRequestsPerSecond / 10; ++i) {
+                const bool isNew = draw() < state.share();
+                run.newRequests += isNew ? 1 : 0;
+                ++run.requests;
+                const Behaviour &behaviour = isNew ? newVersion : oldVersion;
+                addRequest(batch, isNew ? "v2" : "", at >= behaviour.from ? behaviour : Behaviour());
+            }
+            coordinator->addObservations(batch);
+            if (const auto next = coordinator->nextOrderedChange(now, at / 1s, kFirstShare))
+                state = next->second;
+            if (state.kind() != MoveStatus::Moving && run.status == MoveStatus::Moving) {
+                run.status = state.kind();
+                run.ended = at;
+            }
+        }
+        return run;
+    }
+
+    static void assertTakenBackInTime(const Run &run)
+    {
+        CPPUNIT_ASSERT(run.status == MoveStatus::TakenBack);
+        CPPUNIT_ASSERT(run.newRequests <= run.requests / 10);
+    }
+
+public:
+    void version_failing_isTakenBackWithinCanaryLimit()
+    {
+        assertTakenBackInTime(play(Behaviour(), {0.5, 1, Duration::zero()}));
+    }
+
+    void version_slow_isTakenBackWithinCanaryLimit()
+    {
+        assertTakenBackInTime(play(Behaviour(), {0.001, 8, Duration::zero()}));
+    }
+
+    void version_badAfterSomeSeconds_isTakenBackWithinCanaryLimit()
+    {
+        assertTakenBackInTime(play(Behaviour(), {0.5, 1, 3s}));
+    }
+
+    void version_good_isDoneBeforeDue()
+    {
+        const Run run = play(Behaviour(), Behaviour());
+        CPPUNIT_ASSERT(run.status == MoveStatus::Done);
+        CPPUNIT_ASSERT(run.ended < 13s);
+    }
+
+    void version_goodWhileBothFail_isNotTakenBack()
+    {
+        const Behaviour troubled{0.05, 3, 4s};
+        CPPUNIT_ASSERT(play(troubled, troubled).status == MoveStatus::Done);
+    }
+
+    void leader_changesDuringMove_isDoneBeforeDue()
+    {
+        CPPUNIT_ASSERT(play(Behaviour(), Behaviour(), 6s).status == MoveStatus::Done);
+        CPPUNIT_ASSERT(play(Behaviour(), {0.5, 1, Duration::zero()}, 500ms).status == MoveStatus::TakenBack);
+    }
+
+    void order_repeated_changesNothing()
+    {
+        WantedVersion wanted;
+        wanted.name = VersionName("v2");
+        MoveState takenBack = ordered();
+        takenBack.status = static_cast<uint8_t>(MoveStatus::TakenBack);
+        CPPUNIT_ASSERT(!orderMove(ordered(), wanted, 20));
+        CPPUNIT_ASSERT(!orderMove(takenBack, wanted, 20));
+    }
+
+    void step_decidedOnOvertakenState_isRefused()
+    {
+        ControlState state;
+        Command step;
+        step.type = static_cast<uint8_t>(CommandType::SetMove);
+        step.subject = "rolls";
+        step.text = "first";
+        step.expectedDigest = sha256Hex("");
+        CPPUNIT_ASSERT(state.apply(LogIndex(1), step).ok());
+        step.text = "second";
+        CPPUNIT_ASSERT(state.apply(LogIndex(2), step).resultCode() == ResultCode::PredecessorMismatch);
+        CPPUNIT_ASSERT_EQUAL(std::string("first"), state.moves().at("rolls"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OrderedMoveFailureTest);
--- a/test/performance/MoveTable.cpp
+++ b/test/performance/MoveTable.cpp
@@ -196,9 +196,10 @@
 public:
     void onWindow(int64_t second, const VersionObservation &oldVersion, const VersionObservation &newVersion) override
     {
-        const size_t stages = TrafficMove::stageShares().size() + 1;
+        const std::vector<double> shares = MoveTiming().stageShares;
+        const size_t stages = shares.size() + 1;
         const auto stage = static_cast<size_t>(second * static_cast<int64_t>(stages) / (kWithinSeconds * 4 / 5));
-        m_share = stage == 0 ? kFirstShare : stage < stages ? TrafficMove::stageShares()[stage - 1] : 1;
+        m_share = stage == 0 ? kFirstShare : stage < stages ? shares[stage - 1] : 1;
         SubRequestTally oldTotal;
         SubRequestTally newTotal;
         for (const auto &[route, observation] : oldVersion)
