Offer callers as many entries as the load needs, and send the fleet's state once

Cause: on 300 hosts most of the work was the system's own. Each of 291 entries opened a connection to each of 270 upstreams, used it every few seconds, and opened it again after its idle timeout. Each change of an entry's status made each control host send the list of all entries to all entries; each control host sent the whole routes to each entry; an entry without state asked each of them 20 times a second and got a log with the routes each time. Change: ActiveEntries selects the entries that callers are sent to, by load, near the upstreams first; the others stay ready. Connections are opened in advance only by an entry that has been on the list for a moment. Updates are encoded once for all sessions, at an interval that grows with their number; arrivals wait for the next tick, departures do not. Routes are sent by the leader, compressed; another host sends them only to an entry that still reports older ones. Requests for the state back off. An entry is confirmed only with the routes that the confirmed state names. The first replica of a shard is chosen once instead of twice a request.

--- a/include/hickoryspur/process/EntryDirectory.h
+++ b/include/hickoryspur/process/EntryDirectory.h
@@ -18,8 +18,8 @@
 class EntryDirectory
 {
 public:
-    /** Control hosts send several updates a second; a report without one for this long is stale. */
-    static constexpr Duration kHeartbeatTimeout = 1s;
+    /** Control hosts send updates more often than once a second; a report without one for this long is stale. */
+    static constexpr Duration kHeartbeatTimeout = 1500ms;
 
     /** Replaces the addresses that a control host reports. */
     void update(TimePoint now, const NodeId &source, std::vector<std::string> addresses);
--- a/include/hickoryspur/process/SessionMessage.h
+++ b/include/hickoryspur/process/SessionMessage.h
@@ -24,7 +24,16 @@
     bool offered = false;
     /** True while the entry doesn't know what is in force; it then asks for the host's log. */
     bool needsState = false;
-    MSGPACK_DEFINE(entry, callerAddress, dataCentre, offered, needsState)
+    /** Number of the routes that the entry has in force; zero if it has none. */
+    uint64_t routesNumber = 0;
+    /** Sub-requests that it sent lately, on average. */
+    double subRequestsPerSecond = 0;
+    /** Until when the next status follows, in milliseconds. */
+    uint32_t intervalMillis = 0;
+    /** The entry reads routes whose text is compressed; one of an earlier release does not. */
+    bool readsCompressed = false;
+    MSGPACK_DEFINE(entry, callerAddress, dataCentre, offered, needsState, routesNumber, subRequestsPerSecond,
+                   intervalMillis, readsCompressed)
 };
 
 /** From a control host to an entry: first its complete state, then the changes. */
@@ -39,8 +48,6 @@
     /** True if `dataCentresOut` and `moves` are set, and `routes` unless its number is 0. */
     bool carriesState = false;
     std::vector<std::string> dataCentresOut;
-    /** The packed state of each service's move between versions. */
-    std::map<std::string, std::string> moves;
     std::vector<Announcement> upstreams;
     /** Upstreams that sent a heartbeat whose contents are unchanged. */
     std::vector<UpstreamId> heartbeats;
@@ -51,8 +58,16 @@
     std::vector<NodeId> controlHosts;
     /** The report on the sender's log, for an entry with needsState set; otherwise empty. */
     std::vector<LogReport> logReport;
-    MSGPACK_DEFINE(confirmed, applied, routes, carriesState, dataCentresOut, moves, upstreams, heartbeats, carriesHosts,
-                   entries, controlHosts, logReport)
+    /** The packed state of each service's move between versions. */
+    std::map<std::string, std::string> moves;
+    /** Number of the routes in the state at `applied`, which may be sent separately. */
+    uint64_t routesNumber = 0;
+    /** Entries with a session at the sender, whether or not callers are sent to them. */
+    uint32_t sessions = 0;
+    /** The text of `routes` is compressed. */
+    bool compressedRoutes = false;
+    MSGPACK_DEFINE(confirmed, applied, routes, carriesState, dataCentresOut, upstreams, heartbeats, carriesHosts,
+                   entries, controlHosts, logReport, moves, routesNumber, sessions, compressedRoutes)
 };
 
 } // namespace hickoryspur
--- a/include/hickoryspur/request/ScatterGather.h
+++ b/include/hickoryspur/request/ScatterGather.h
@@ -125,16 +125,20 @@
         uint32_t possibleRuns = 0;
         bool answered = false;
         bool lost = false;
+        /** The replica for the first attempt; it is used up by that attempt. */
+        std::optional<ReplicaChoice> first;
         /** Nothing was sent to the shard because it is degraded; it counts as lost until its part is needed. */
         bool skipped = false;
     };
 
-    void skipDegraded();
+    /** Chooses the first replica of each shard, and skips shards without a good one as far as that is allowed. */
+    void chooseFirst();
     void sendToSkipped(TimePoint now, ScatterActions &actions);
     bool trySend(TimePoint now, uint32_t index, bool isExtra, ScatterActions &actions);
     void handleFailure(TimePoint now, uint32_t index, AttemptOutcome outcome, ScatterActions &actions);
     void hedgeOverdue(TimePoint now, ScatterActions &actions);
     void finishIfDue(TimePoint now, ScatterActions &actions);
+    std::optional<ReplicaChoice> choose(uint32_t index);
     static bool hasRunning(const Shard &shard);
 
     ScatterPlan m_plan;
--- a/include/hickoryspur/version/MoveCoordinator.h
+++ b/include/hickoryspur/version/MoveCoordinator.h
@@ -22,7 +22,7 @@
     static constexpr Duration kWindow = 1s;
 
     explicit MoveCoordinator(MoveTiming timing = {})
-        : m_timing(timing)
+        : m_timing(std::move(timing))
     {
     }
 
--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -1,5 +1,6 @@
 #include "app/ControlHost.h"
 
+#include "hickoryspur/process/Compression.h"
 #include "hickoryspur/process/Digest.h"
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/MessageCodec.h"
@@ -20,11 +21,16 @@
 constexpr Duration kTickInterval = 100ms;
 /** Interval of updates to every entry, also when nothing has changed, and of pings to control hosts. */
 constexpr Duration kRefreshInterval = 200ms;
+/** With many entries the interval grows, so that refreshes take a constant part of the processor. */
+constexpr Duration kRefreshTimePerEntry = 2ms;
 /**
- * Timeout of inbound links. An entry sends its status several times within it; one that sends none is removed from the
- * addresses given to callers.
+ * Timeout of inbound links: an entry that sends no status is removed from the addresses given to callers. It is at
+ * least this long, and several intervals of the entry's status.
  */
 constexpr Duration kEntryTimeout = 700ms;
+constexpr int kMissedStatusLimit = 3;
+/** How long an entry may have older routes than this host before a host that does not lead sends them. */
+constexpr Duration kRoutesGrace = 600ms;
 /** Minimum time between saves of the registered upstreams to disk; each save costs a disk sync. */
 constexpr Duration kSaveInterval = 1s;
 /** How long a confirmation by the control group that this host leads is valid. */
@@ -176,22 +182,52 @@
     session.status = status;
     if (isNew)
         sendUpdate(session, makeFullUpdate(now));
-    if (status.needsState)
+    if (status.needsState && !isConfirmed(now))
         sendLogReport(link);
+    sendRoutesIfMissing(now, session);
     if (!isNew && offeredBefore == status.offered)
         return;
     HS_LOG(INFO, LogEvent::SessionOpened)
         << "entry=" << status.entry << " callers=" << status.callerAddress << " offered=" << status.offered;
-    refreshSessions(now);
+    const uint64_t hostsVersion = m_hostsVersion;
+    updateHosts();
+    // At the next tick, since many entries may change at the same time.
+    if (m_hostsVersion != hostsVersion)
+        m_nextRefresh = now;
+}
+
+void ControlHost::sendRoutesIfMissing(TimePoint now, Session &session)
+{
+    const uint64_t number = m_status.routes.number;
+    if (session.status.routesNumber >= number)
+        return;
+    const bool sentLately = session.sentRoutes == number && now - session.sentRoutesAt < kRoutesGrace;
+    // The leader sends routes as soon as they are in force; the other hosts only what it could not deliver.
+    if (sentLately || (!m_status.leads && now - m_routesChangedAt < kRoutesGrace))
+        return;
+    session.sentRoutes = number;
+    session.sentRoutesAt = now;
+    EntryUpdate update = makeStateUpdate(now);
+    update.carriesState = true;
+    update.compressedRoutes = session.status.readsCompressed;
+    update.routes = update.compressedRoutes ? m_compressedRoutes : m_status.routes;
+    update.dataCentresOut = m_status.dataCentresOut;
+    update.moves = m_status.moves;
+    sendUpdate(session, std::move(update));
 }
 
 void ControlHost::sendLogReport(const std::shared_ptr<FrameLink> &link)
 {
+    bool &pending = m_sessions.at(link.get()).logReportPending;
+    if (pending)
+        return;
+    pending = true;
     m_group->requestLogReport([this, link](LogReport report) {
         asio::post(m_context, [this, link, report = std::move(report)]() mutable {
             const auto session = m_sessions.find(link.get());
             if (session == m_sessions.end())
                 return;
+            session->second.logReportPending = false;
             EntryUpdate update = makeStateUpdate(monotonicNow());
             update.logReport.push_back(std::move(report));
             sendUpdate(session->second, std::move(update));
@@ -219,22 +255,28 @@
     EntryUpdate update;
     update.confirmed = isConfirmed(now);
     update.applied = m_status.applied;
+    update.routesNumber = m_status.routes.number;
+    update.sessions = static_cast<uint32_t>(m_sessions.size());
     return update;
 }
 
-std::vector<std::string> ControlHost::offeredEntries() const
+std::vector<std::string> ControlHost::selectEntries(TimePoint now)
 {
-    std::vector<std::string> offered;
+    std::vector<OfferedEntry> offered;
     for (const auto &[link, session] : m_sessions)
         if (session.status.offered && !session.link->isClosed())
-            offered.push_back(session.status.callerAddress);
-    std::sort(offered.begin(), offered.end());
-    return offered;
+            offered.push_back(
+                {session.status.callerAddress, session.status.dataCentre, session.status.subRequestsPerSecond});
+    std::map<DataCentreName, size_t> upstreams;
+    for (const auto &[id, known] : m_registry.all())
+        if (known.takesWork())
+            ++upstreams[known.announcement.dataCentre];
+    return m_activeEntries.select(now, offered, upstreams);
 }
 
 void ControlHost::updateHosts()
 {
-    std::vector<std::string> offered = offeredEntries();
+    std::vector<std::string> offered = selectEntries(monotonicNow());
     std::vector<NodeId> controlHosts = m_status.controlHosts;
     controlHosts.push_back(m_settings.id());
     if (m_hostsVersion > 0 && offered == m_offeredEntries && controlHosts == m_controlHosts)
@@ -248,7 +290,6 @@
 {
     EntryUpdate update = makeStateUpdate(now);
     update.carriesState = true;
-    update.routes = m_status.routes;
     update.dataCentresOut = m_status.dataCentresOut;
     update.moves = m_status.moves;
     for (const auto &[id, known] : m_registry.all())
@@ -260,7 +301,6 @@
 {
     if (session.link->isClosed())
         return;
-    updateHosts();
     if (session.sentHostsVersion != m_hostsVersion) {
         session.sentHostsVersion = m_hostsVersion;
         update.carriesHosts = true;
@@ -274,16 +314,34 @@
     session.link->send(message);
 }
 
+void ControlHost::broadcast(const EntryUpdate &update)
+{
+    PeerMessage message;
+    message.type = static_cast<uint8_t>(PeerMessageType::EntryUpdate);
+    message.from = m_settings.id();
+    message.payload = pack(update);
+    for (auto &[link, session] : m_sessions) {
+        if (session.sentHostsVersion != m_hostsVersion)
+            sendUpdate(session, update);
+        else
+            session.link->send(message);
+    }
+}
+
 void ControlHost::updateGroupStatus(GroupStatus status)
 {
     const bool stateChanged = status.applied != m_status.applied;
     const bool routesChanged = status.routes.number != m_status.routes.number;
+    if (routesChanged)
+        m_routesChangedAt = monotonicNow();
     if (routesChanged)
         HS_LOG(INFO, LogEvent::DocumentAccepted) << "routes=" << status.routes.number << " log=" << status.applied;
     const bool becameLeader = status.leads && !m_status.leads;
     if (status.leads)
         m_confirmedAt = std::max(m_confirmedAt, status.at);
     m_status = std::move(status);
+    if (routesChanged)
+        m_compressedRoutes = {m_status.routes.number, compressText(m_status.routes.text)};
     m_moves.updateStates(monotonicNow(), m_status.moves);
     if (m_hosts.updateReportedHosts(m_settings.id(), m_status.controlHosts))
         dialControlHosts();
@@ -296,10 +354,9 @@
     update.carriesState = true;
     update.dataCentresOut = m_status.dataCentresOut;
     update.moves = m_status.moves;
-    if (routesChanged)
-        update.routes = m_status.routes;
+    broadcast(update);
     for (auto &[link, session] : m_sessions)
-        sendUpdate(session, update);
+        sendRoutesIfMissing(monotonicNow(), session);
 }
 
 void ControlHost::startTimer()
@@ -318,8 +375,9 @@
     m_registry.removeExpired(now);
     saveUpstreamsIfDue(now);
     advanceMoves(now);
+    flushAnnouncements();
     if (now >= m_nextRefresh) {
-        m_nextRefresh = now + kRefreshInterval;
+        m_nextRefresh = now + refreshInterval();
         m_links->sendToAll(PeerMessageType::Ping, "");
         requestConfirmation();
         refreshSessions(now);
@@ -327,6 +385,21 @@
     startTimer();
 }
 
+Duration ControlHost::refreshInterval() const
+{
+    return std::max(kRefreshInterval, kRefreshTimePerEntry * static_cast<int64_t>(m_sessions.size()));
+}
+
+void ControlHost::flushAnnouncements()
+{
+    if (m_newAnnouncements.empty())
+        return;
+    EntryUpdate update = makeStateUpdate(monotonicNow());
+    update.upstreams = std::move(m_newAnnouncements);
+    m_newAnnouncements.clear();
+    broadcast(update);
+}
+
 void ControlHost::requestConfirmation()
 {
     m_group->read([this](bool confirmed, const ControlState &, const std::optional<NodeId> &) {
@@ -341,14 +414,24 @@
 {
     const std::vector<std::shared_ptr<FrameLink>> inbound = m_inbound;
     for (const std::shared_ptr<FrameLink> &link : inbound)
-        if (now - link->lastReceiveTime() > kEntryTimeout)
+        if (now - link->lastReceiveTime() > entryTimeout(link.get()))
             link->close();
+    updateHosts();
     EntryUpdate update = makeStateUpdate(now);
-    for (auto &[link, session] : m_sessions) {
-        update.heartbeats = std::move(session.heartbeats);
-        session.heartbeats.clear();
-        sendUpdate(session, update);
-    }
+    update.heartbeats = std::move(m_heartbeats);
+    m_heartbeats.clear();
+    broadcast(update);
+    for (auto &[link, session] : m_sessions)
+        sendRoutesIfMissing(now, session);
+}
+
+Duration ControlHost::entryTimeout(FrameLink *link) const
+{
+    const auto session = m_sessions.find(link);
+    if (session == m_sessions.end())
+        return kEntryTimeout;
+    const std::chrono::milliseconds interval(session->second.status.intervalMillis);
+    return std::max<Duration>(kEntryTimeout, kMissedStatusLimit * interval);
 }
 
 void ControlHost::saveUpstreamsIfDue(TimePoint now)
@@ -385,18 +468,18 @@
 void ControlHost::broadcastAnnouncement(const Announcement &announcement)
 {
     m_upstreamsChanged = true;
-    EntryUpdate update = makeStateUpdate(monotonicNow());
-    update.upstreams.push_back(announcement);
-    for (auto &[link, session] : m_sessions)
-        sendUpdate(session, update);
+    m_newAnnouncements.push_back(announcement);
+    // An upstream that leaves counts on the entries to know it when its announcement is acknowledged. Many arrive at
+    // the same time, and wait for the next tick.
+    if (announcement.upstreamState() == UpstreamState::Leaving || announcement.upstreamState() == UpstreamState::Gone)
+        flushAnnouncements();
 }
 
 Result<void> ControlHost::announce(const Announcement &announcement)
 {
     const RegistryChange change = m_registry.accept(monotonicNow(), announcement);
     if (change == RegistryChange::Refreshed)
-        for (auto &[link, session] : m_sessions)
-            session.heartbeats.push_back(announcement.id);
+        m_heartbeats.push_back(announcement.id);
     if (change != RegistryChange::Changed)
         return requireConnectedEntry();
     HS_LOG(INFO, announcement.isLeaving() ? LogEvent::UpstreamLeaving : LogEvent::UpstreamArrived)
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -5,6 +5,7 @@
 
 #include "app/HostCodec.h"
 #include "hickoryspur/connection/UpstreamRegistry.h"
+#include "hickoryspur/process/ActiveEntries.h"
 #include "hickoryspur/process/ControlHostDirectory.h"
 #include "hickoryspur/process/HostSettings.h"
 #include "hickoryspur/process/SessionMessage.h"
@@ -34,8 +35,10 @@
     {
         std::shared_ptr<FrameLink> link;
         EntryStatus status;
-        /** Upstreams with an unchanged heartbeat since the last refresh of this session. */
-        std::vector<UpstreamId> heartbeats;
+        /** Number of the routes that were last sent, and when: they are large, and several hosts could send them. */
+        uint64_t sentRoutes = 0;
+        TimePoint sentRoutesAt;
+        bool logReportPending = false;
         /** The m_hostsVersion that was last sent. */
         uint64_t sentHostsVersion = 0;
     };
@@ -50,12 +53,21 @@
     void refreshSessions(TimePoint now);
     void requestConfirmation();
     void sendUpdate(Session &session, EntryUpdate update);
+    /** Sends one update, encoded once, to all sessions. */
+    void broadcast(const EntryUpdate &update);
+    /** Sends the routes to an entry that has older ones and was not sent these a moment ago. */
+    void sendRoutesIfMissing(TimePoint now, Session &session);
+    Duration refreshInterval() const;
+    /** How long the peer of an inbound link may be silent. */
+    Duration entryTimeout(FrameLink *link) const;
+    void flushAnnouncements();
     /** An update with the confirmation and the applied index only. */
     EntryUpdate makeStateUpdate(TimePoint now) const;
     EntryUpdate makeFullUpdate(TimePoint now) const;
     /** Increments m_hostsVersion if the offered entries or the control hosts have changed. */
     void updateHosts();
-    std::vector<std::string> offeredEntries() const;
+    /** The addresses that callers may be sent to. */
+    std::vector<std::string> selectEntries(TimePoint now);
     bool isConfirmed(TimePoint now) const;
     void dialControlHosts();
 
@@ -97,7 +109,14 @@
     TimePoint m_nextSave;
     bool m_upstreamsChanged = false;
     uint64_t m_hostsVersion = 0;
+    ActiveEntries m_activeEntries;
     std::vector<std::string> m_offeredEntries;
+    /** Changed announcements, and unchanged heartbeats, that have not been sent to the entries yet. */
+    std::vector<Announcement> m_newAnnouncements;
+    std::vector<UpstreamId> m_heartbeats;
+    TimePoint m_routesChangedAt;
+    /** The routes of m_status with their text compressed. */
+    AcceptedRoutes m_compressedRoutes;
     std::vector<NodeId> m_controlHosts;
 };
 
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -1,5 +1,6 @@
 #include "app/EntryHost.h"
 
+#include "hickoryspur/process/Compression.h"
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/MessageCodec.h"
 
@@ -14,6 +15,12 @@
 constexpr Duration kTickInterval = 50ms;
 /** Control hosts stop offering an entry to callers when several of its status messages are missing. */
 constexpr Duration kStatusInterval = 150ms;
+/** With many entries the interval grows up to the maximum, so that control hosts can read all of them. */
+constexpr Duration kStatusTimePerEntry = 2ms;
+constexpr Duration kMaxStatusInterval = 500ms;
+/** The first interval of an entry without the state in force; each is longer by the factor until the maximum. */
+constexpr Duration kFirstStateRequestInterval = 50ms;
+constexpr double kStateRequestBackoff = 1.3;
 /** Callers use no more addresses than this from one answer. */
 constexpr size_t kMaxDirectoryAddresses = 64;
 /** Added to the idle timeout that callers rely on, to cover the network delay. */
@@ -33,6 +40,7 @@
     , m_timer(context)
     , m_traffic(context, trafficConfig(m_settings, incarnation), m_codec.traffic)
     , m_random(incarnation)
+    , m_stateRequestInterval(kFirstStateRequestInterval)
 {
 }
 
@@ -124,7 +132,7 @@
 {
     if (update.carriesState) {
         if (update.routes.number > m_traffic.routesNumber())
-            applyRoutes(update.routes);
+            applyRoutes(update);
         if (update.applied >= m_applied) {
             m_applied = update.applied;
             m_traffic.setDataCentresOut(update.dataCentresOut);
@@ -144,13 +152,16 @@
     m_entries.recordHeartbeat(now, from);
     if (update.carriesHosts) {
         m_entries.update(now, from, update.entries);
-        m_traffic.setEntries(m_settings.callerAddress->text(), m_entries.mostCompleteList(now));
+        m_traffic.setEntries(now, m_settings.callerAddress->text(), m_entries.mostCompleteList(now));
         if (m_hosts.updateReportedHosts(from, update.controlHosts))
             dialControlHosts();
     }
     m_traffic.setEntryCount(m_entries.count(now));
+    m_sessionsPerHost = update.sessions;
+    m_traffic.setReadyEntries(update.sessions);
     // The state of a confirmed leader is applied at this point, so the entry cannot serve with an older one.
-    m_confirmed = m_confirmed || (update.confirmed && update.applied <= m_applied);
+    m_confirmed = m_confirmed
+        || (update.confirmed && update.applied <= m_applied && update.routesNumber <= m_traffic.routesNumber());
     if (isReady() != m_wasReady) {
         m_wasReady = isReady();
         sendStatus();
@@ -172,6 +183,18 @@
         << "routes=" << newest->routes.number << " log=" << newest->lastIndex << " voters=" << newest->voters.size();
 }
 
+void EntryHost::applyRoutes(const EntryUpdate &update)
+{
+    if (!update.compressedRoutes)
+        return applyRoutes(update.routes);
+    const std::optional<std::string> text = decompressText(update.routes.text);
+    if (text)
+        applyRoutes(AcceptedRoutes{update.routes.number, *text});
+    else
+        HS_LOG(ERROR, LogEvent::RoutesUnreadable)
+            << "routes=" << update.routes.number << " cannot be decompressed, keeping the previous routes";
+}
+
 void EntryHost::applyRoutes(const AcceptedRoutes &routes)
 {
     Result<RouteTable> table = m_codec.parseRoutes(routes.text);
@@ -202,9 +225,21 @@
     status.dataCentre = m_settings.dataCentre;
     status.offered = isReady();
     status.needsState = !m_confirmed;
+    status.readsCompressed = true;
+    status.routesNumber = m_traffic.routesNumber();
+    status.subRequestsPerSecond = m_traffic.subRequestsPerSecond(monotonicNow());
+    status.intervalMillis = static_cast<uint32_t>(statusInterval() / 1ms);
     m_links->sendToAll(PeerMessageType::EntryStatus, pack(status));
 }
 
+Duration EntryHost::statusInterval() const
+{
+    if (!m_confirmed)
+        return m_stateRequestInterval;
+    return std::clamp<Duration>(kStatusTimePerEntry * static_cast<int64_t>(m_sessionsPerHost), kStatusInterval,
+                                kMaxStatusInterval);
+}
+
 void EntryHost::sendObservations()
 {
     const ObservationBatch batch = m_traffic.versions().drainObservations();
@@ -241,8 +276,12 @@
     const TimePoint now = monotonicNow();
     m_links->tick(now);
     m_traffic.tick(now);
-    if (now >= m_nextStatus || !m_confirmed) {
-        m_nextStatus = now + kStatusInterval;
+    if (now >= m_nextStatus) {
+        if (!m_confirmed)
+            m_stateRequestInterval =
+                std::min(kMaxStatusInterval,
+                         Duration(static_cast<int64_t>(kStateRequestBackoff * m_stateRequestInterval.count())));
+        m_nextStatus = now + statusInterval();
         sendStatus();
         sendObservations();
     }
--- a/src/app/EntryHost.h
+++ b/src/app/EntryHost.h
@@ -41,10 +41,13 @@
     std::optional<EntryAddresses> entryAddresses(TimePoint now);
     void onMessage(const NodeId &from, const PeerMessage &message);
     void apply(TimePoint now, const NodeId &from, const EntryUpdate &update);
+    void applyRoutes(const EntryUpdate &update);
     void applyRoutes(const AcceptedRoutes &routes);
     /** Applies the newest log state once a majority of its voters has reported. */
     void recordLogReport(const LogReport &report);
     void sendStatus();
+    /** Time until the next status: shorter while this entry lacks the state, longer with more entries. */
+    Duration statusInterval() const;
     /** Sends what was observed of versions between which a service moves to the leading control host. */
     void sendObservations();
     void dialControlHosts();
@@ -72,6 +75,9 @@
     bool m_closing = false;
     bool m_wasReady = false;
     TimePoint m_nextStatus;
+    /** Entries with a session at a control host, as one last reported it. */
+    uint32_t m_sessionsPerHost = 0;
+    Duration m_stateRequestInterval;
 };
 
 } // namespace hickoryspur
--- a/src/process/ActiveEntries.cpp
+++ b/src/process/ActiveEntries.cpp
@@ -30,6 +30,7 @@
 std::vector<Ranked> rank(const std::vector<OfferedEntry> &entries, const std::map<DataCentreName, size_t> &upstreams)
 {
     std::vector<Ranked> ranked;
+    ranked.reserve(entries.size());
     for (const OfferedEntry &entry : entries)
         ranked.push_back({0, hash64(entry.address), &entry});
     std::sort(ranked.begin(), ranked.end(),
@@ -39,8 +40,8 @@
         total += count;
     std::map<DataCentreName, size_t> places;
     for (Ranked &item : ranked)
-        item.order = static_cast<double>(++places[item.entry->dataCentre])
-            / shareOf(upstreams, item.entry->dataCentre, total);
+        item.order =
+            static_cast<double>(++places[item.entry->dataCentre]) / shareOf(upstreams, item.entry->dataCentre, total);
     std::stable_sort(ranked.begin(), ranked.end(),
                      [](const Ranked &left, const Ranked &right) { return left.order < right.order; });
     return ranked;
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -1,5 +1,6 @@
 #include "request/EntryTraffic.h"
 
+#include "hickoryspur/process/ActiveEntries.h"
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/Metrics.h"
 #include "hickoryspur/request/TopRecords.h"
@@ -49,6 +50,10 @@
 constexpr Duration kCallerGoneCheckInterval = 100ms;
 /** How often services are checked for upstreams; a shorter loss of all upstreams may go unlogged. */
 constexpr Duration kServiceCheckInterval = 500ms;
+/** Over so long the rate of sub-requests is averaged; about one request in this time comes to an entry at low load. */
+constexpr Duration kLoadWindow = 2s;
+/** While many entries start, the list of those that callers are sent to changes; connections wait until it has not. */
+constexpr Duration kOfferedSettleTime = 800ms;
 /** Retry delay while there are no routes: an entry has the routes in force about this long after its start. */
 constexpr Duration kStartupRetryAfter = 250ms;
 /** Retry delay given to refused callers. */
@@ -219,6 +224,7 @@
     request.deadline = m_deadline;
     request.fresh = !m_route.idempotent;
     m_traffic.m_replicaTracker.recordSent(attempt.upstream);
+    ++m_traffic.m_sentSubRequests;
     if (m_traffic.m_registry.find(attempt.upstream)->announcement.coldForMillis > 0)
         m_traffic.m_coldLimit.recordSent(now, attempt.upstream);
     SentAttempt &sent = m_runningAttempts[attempt.key];
@@ -590,6 +596,34 @@
         budget.setSlack(slackPerEntry());
 }
 
+bool EntryTraffic::opensInAdvance(TimePoint now) const
+{
+    // With few entries each one that is ready is offered, and this one may know that before the list says so.
+    if (m_readyEntries < ActiveEntries::kMinEntries)
+        return true;
+    return m_offeredSince && now - *m_offeredSince >= kOfferedSettleTime;
+}
+
+void EntryTraffic::setEntries(TimePoint now, const std::string &self, const std::vector<std::string> &entries)
+{
+    if (std::find(entries.begin(), entries.end(), self) == entries.end())
+        m_offeredSince.reset();
+    else if (!m_offeredSince)
+        m_offeredSince = now;
+    m_subset.setEntries(self, entries);
+}
+
+double EntryTraffic::subRequestsPerSecond(TimePoint now)
+{
+    if (now - m_sentSince < kLoadWindow)
+        return m_subRequestsPerSecond;
+    m_subRequestsPerSecond =
+        static_cast<double>(m_sentSubRequests) / std::chrono::duration<double>(now - m_sentSince).count();
+    m_sentSince = now;
+    m_sentSubRequests = 0;
+    return m_subRequestsPerSecond;
+}
+
 void EntryTraffic::accept(TimePoint now, const Announcement &announcement)
 {
     const RegistryChange change = announcement.upstreamState() == UpstreamState::Gone
@@ -638,6 +672,8 @@
     if (!m_routes)
         return;
     updateServiceStatus(now);
+    if (!opensInAdvance(now))
+        return;
     // Connects to every upstream behind a route in advance, so that the first request need not wait for it.
     for (const auto &[id, known] : m_registry.all())
         if (known.takesWork() && m_routes->services.contains(known.announcement.service)
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -68,11 +68,12 @@
     VersionSplit &versions() { return m_versions; }
     /** Sets how many entries share the extra sub-requests and the upstreams' connections. */
     void setEntryCount(uint32_t entries);
-    /** Sets the entries that share the upstreams' connections, and which of them this one is. */
-    void setEntries(const std::string &self, const std::vector<std::string> &entries)
-    {
-        m_subset.setEntries(self, entries);
-    }
+    /** Sets the entries that callers are sent to, and so share the upstreams' connections, and this entry's address. */
+    void setEntries(TimePoint now, const std::string &self, const std::vector<std::string> &entries);
+    /** Sets how many entries there are, whether or not callers are sent to them. */
+    void setReadyEntries(size_t entries) { m_readyEntries = entries; }
+    /** Rate of sub-requests sent, averaged over the last seconds. */
+    double subRequestsPerSecond(TimePoint now);
     /** Registers or removes the announced upstream; drops idle connections to one that takes no requests. */
     void accept(TimePoint now, const Announcement &announcement);
     void recordHeartbeat(TimePoint now, const UpstreamId &upstream) { m_registry.recordHeartbeat(now, upstream); }
@@ -105,6 +106,8 @@
     void updateServiceStatus(TimePoint now);
     /** Connections that this entry may hold to one upstream of the service. */
     uint32_t connectionsFor(const ServiceName &service) const;
+    /** Whether this entry will get callers, so that connections are worth opening in advance. */
+    bool opensInAdvance(TimePoint now) const;
     /** False if the connections that the upstream accepts are assigned to other entries. */
     bool holdsConnections(const Announcement &announcement) const;
     /** Returns a random number in [0, 1). */
@@ -116,6 +119,12 @@
     std::shared_ptr<const RouteTable> m_routes;
     std::set<std::string> m_dataCentresOut;
     uint32_t m_entryCount;
+    size_t m_readyEntries = 0;
+    /** Since when callers are sent to this entry; nullopt if they are not. */
+    std::optional<TimePoint> m_offeredSince;
+    uint64_t m_sentSubRequests = 0;
+    TimePoint m_sentSince;
+    double m_subRequestsPerSecond = 0;
     UpstreamRegistry m_registry;
     ReplicaTracker m_replicaTracker;
     VersionSplit m_versions;
--- a/src/request/ScatterGather.cpp
+++ b/src/request/ScatterGather.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <utility>
 
 namespace hickoryspur {
 
@@ -27,15 +28,16 @@
                        [](const Attempt &attempt) { return attempt.running; });
 }
 
-void ScatterGather::skipDegraded()
+void ScatterGather::chooseFirst()
 {
     size_t omittable = m_shards.size() - m_plan.minParts;
-    for (uint32_t index = 0; index < m_shards.size() && omittable > 0; ++index) {
-        const std::optional<ReplicaChoice> choice = m_hooks.choose(m_plan.shards[index], {});
-        if (choice && !choice->degraded)
+    for (uint32_t index = 0; index < m_shards.size(); ++index) {
+        Shard &shard = m_shards[index];
+        shard.first = m_hooks.choose(m_plan.shards[index], {});
+        if (omittable == 0 || (shard.first && !shard.first->degraded))
             continue;
-        m_shards[index].lost = true;
-        m_shards[index].skipped = true;
+        shard.lost = true;
+        shard.skipped = true;
         ++m_lost;
         --omittable;
     }
@@ -58,7 +60,7 @@
 ScatterActions ScatterGather::start(TimePoint now)
 {
     ScatterActions actions;
-    skipDegraded();
+    chooseFirst();
     for (uint32_t index = 0; index < m_shards.size(); ++index) {
         if (m_shards[index].skipped || trySend(now, index, false, actions))
             continue;
@@ -78,15 +80,23 @@
     return actions;
 }
 
-bool ScatterGather::trySend(TimePoint now, uint32_t index, bool isExtra, ScatterActions &actions)
+std::optional<ReplicaChoice> ScatterGather::choose(uint32_t index)
 {
     Shard &shard = m_shards[index];
-    if (shard.possibleRuns >= m_plan.maxAttempts || shard.attempts.size() >= m_plan.maxAttempts + kMaxNotRunResends)
-        return false;
+    if (shard.first)
+        return std::exchange(shard.first, std::nullopt);
     std::vector<UpstreamId> tried;
     for (const Attempt &attempt : shard.attempts)
         tried.push_back(attempt.upstream);
-    const std::optional<ReplicaChoice> choice = m_hooks.choose(m_plan.shards[index], tried);
+    return m_hooks.choose(m_plan.shards[index], tried);
+}
+
+bool ScatterGather::trySend(TimePoint now, uint32_t index, bool isExtra, ScatterActions &actions)
+{
+    Shard &shard = m_shards[index];
+    if (shard.possibleRuns >= m_plan.maxAttempts || shard.attempts.size() >= m_plan.maxAttempts + kMaxNotRunResends)
+        return false;
+    const std::optional<ReplicaChoice> choice = choose(index);
     // A degraded replica is unlikely to answer in time, and an extra sub-request adds to its load.
     if (!choice || (isExtra && choice->degraded))
         return false;
--- a/src/version/TrafficMove.cpp
+++ b/src/version/TrafficMove.cpp
@@ -56,7 +56,7 @@
                          TimePoint now)
     : m_state(std::move(state))
     , m_firstShare(firstShare)
-    , m_timing(timing)
+    , m_timing(std::move(timing))
     , m_evaluatorSettings(settings)
     , m_evaluator(settings)
     , m_stageStart(now)
