--- a/src/connection/HttpUpstreamChannel.cpp
+++ b/src/connection/HttpUpstreamChannel.cpp
@@ -4,6 +4,7 @@
 #include "hickoryspur/process/Check.h"
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/Metrics.h"
+#include "process/HttpLimits.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -123,7 +124,7 @@
     }
 
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{kMaxUnparsedBytes};
     http::request<http::string_body> m_request;
     std::optional<http::response_parser<http::string_body>> m_parser;
     Ended m_ended;
--- a/src/connection/UpstreamConnections.cpp
+++ b/src/connection/UpstreamConnections.cpp
@@ -2,6 +2,7 @@
 
 #include "hickoryspur/connection/ReconnectBackoff.h"
 #include "hickoryspur/process/Metrics.h"
+#include "process/HttpLimits.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -125,7 +126,7 @@
     std::string m_requestBytes;
     /** A pending read uses it, also after its exchange has ended. */
     std::optional<ResponseParser> m_parser;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{kMaxUnparsedBytes};
 };
 
 /** The connections to one upstream, and the exchanges that wait for one. */
--- a/src/request/HttpCallerServer.cpp
+++ b/src/request/HttpCallerServer.cpp
@@ -1,6 +1,7 @@
 #include "request/HttpCallerServer.h"
 
 #include "hickoryspur/process/Metrics.h"
+#include "process/HttpLimits.h"
 #include "request/AnswerJson.h"
 #include "request/HttpCallerClient.h"
 
@@ -174,7 +175,7 @@
 void HttpCallerServer::State::serveConnection(const std::shared_ptr<State> &state, beast::tcp_stream stream)
 {
     ++state->connections;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(kMaxUnparsedBytes);
     while (!state->stopping && state->serveRequest(stream, buffer)) { }
     error_code ignored;
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -303,7 +304,7 @@
 };
 
 HttpCallerClient::HttpCallerClient(asio::io_context &context, const HostAddress &address)
-    : m_state(new State{context, address, {}, nullptr})
+    : m_state(new State{context, address, beast::flat_buffer(kMaxUnparsedBytes), nullptr})
 {
 }
 
@@ -346,7 +347,7 @@
     beast::tcp_stream stream(context);
     stream.expires_after(timeout);
     const http::request<http::string_body> message = toHttpRequest(address, request);
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(kMaxUnparsedBytes);
     http::response_parser<http::string_body> parser;
     parser.body_limit(boost::none);
     error_code error;
--- a/test/failure/UpstreamConnectionsFailureTest.cpp
+++ b/test/failure/UpstreamConnectionsFailureTest.cpp
@@ -28,6 +28,11 @@
     CPPUNIT_TEST(connections_warmedWhileRefused_attemptsBackOff);
     CPPUNIT_TEST(connections_cancelledWhileWaiting_requestNotSent);
     CPPUNIT_TEST(connections_cancelIfNotSentWhileRunning_exchangeCompletes);
+    CPPUNIT_TEST(connections_headWithoutEnd_exchangeFailsAndNextIsServed);
+    CPPUNIT_TEST(connections_bodyWithoutEnd_exchangeFailsAndNextIsServed);
+    CPPUNIT_TEST(connections_chunksWithoutEnd_exchangeFailsAndNextIsServed);
+    CPPUNIT_TEST(connections_chunkExtensionWithoutEnd_exchangeFailsAndNextIsServed);
+    CPPUNIT_TEST(connections_answerByteByByte_endsAtDeadline);
     CPPUNIT_TEST_SUITE_END();
 
     using tcp = boost::asio::ip::tcp;
@@ -95,7 +100,85 @@
         std::this_thread::sleep_for(5ms);
     }
 
+    /**
+     * Answers with the given start and then the same bytes over and over, until the exchange ends: it has to fail
+     * after a bounded number of bytes, and the next one has to be served on another connection.
+     */
+    void assertEndlessAnswerIsGivenUp(const std::string &start, const std::string &repeated)
+    {
+        // More than an answer may hold, and than the buffers of both sockets.
+        constexpr size_t kMaxBytes = 32UL * 1024 * 1024;
+        Upstream upstream(m_context);
+        std::optional<ExchangeResult> result;
+        send(target(upstream, "u"), "r1", [&](ExchangeResult ended) { result = std::move(ended); });
+        awaitRequest(upstream);
+        reply(upstream, start);
+        upstream.socket.non_blocking(true);
+        size_t written = 0;
+        runUntil([&] {
+            boost::system::error_code error;
+            while (!error && !result && written < kMaxBytes) {
+                written += upstream.socket.write_some(boost::asio::buffer(repeated), error);
+                m_context.poll();
+                m_context.restart();
+            }
+            return result.has_value() || written >= kMaxBytes;
+        });
+        CPPUNIT_ASSERT(result.has_value());
+        CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Failed);
+        CPPUNIT_ASSERT(result->answer.body.empty());
+        upstream.socket = tcp::socket(m_context);
+        std::string body;
+        send(target(upstream, "u"), "r2", [&](const ExchangeResult &ended) { body = ended.answer.body; });
+        awaitRequest(upstream);
+        reply(upstream, answer("r2", "fresh"));
+        runUntil([&] { return !body.empty(); });
+        CPPUNIT_ASSERT_EQUAL(std::string("fresh"), body);
+    }
+
 public:
+    void connections_headWithoutEnd_exchangeFailsAndNextIsServed()
+    {
+        assertEndlessAnswerIsGivenUp("HTTP/1.1 200 OK\r\nRequest: r1\r\n", "X-Filler: abcdefghijklmnopqrstuvwxyz\r\n");
+    }
+
+    void connections_bodyWithoutEnd_exchangeFailsAndNextIsServed()
+    {
+        assertEndlessAnswerIsGivenUp("HTTP/1.1 200 OK\r\nRequest: r1\r\n\r\n", std::string(65536, 'x'));
+    }
+
+    void connections_chunksWithoutEnd_exchangeFailsAndNextIsServed()
+    {
+        std::string chunks;
+        for (int i = 0; i < 4096; ++i)
+            chunks += "8\r\nabcdefgh\r\n";
+        assertEndlessAnswerIsGivenUp("HTTP/1.1 200 OK\r\nRequest: r1\r\nTransfer-Encoding: chunked\r\n\r\n", chunks);
+    }
+
+    void connections_chunkExtensionWithoutEnd_exchangeFailsAndNextIsServed()
+    {
+        assertEndlessAnswerIsGivenUp("HTTP/1.1 200 OK\r\nRequest: r1\r\nTransfer-Encoding: chunked\r\n\r\n8;a=",
+                                     std::string(65536, 'x'));
+    }
+
+    void connections_answerByteByByte_endsAtDeadline()
+    {
+        Upstream upstream(m_context);
+        std::optional<ExchangeResult> result;
+        send(target(upstream, "u"), "r", [&](ExchangeResult ended) { result = std::move(ended); });
+        awaitRequest(upstream);
+        for (const char byte : std::string("HTTP/1.1 2")) {
+            reply(upstream, std::string(1, byte));
+            m_context.poll();
+            m_context.restart();
+            m_connections.tick(monotonicNow());
+        }
+        CPPUNIT_ASSERT(!result);
+        m_connections.tick(monotonicNow() + 6s);
+        runUntil([&] { return result.has_value(); });
+        CPPUNIT_ASSERT(result->outcome == AttemptOutcome::NoResponse);
+    }
+
     void connections_answerArrivesAtDeadline_exchangeEndsOnce()
     {
         Upstream first(m_context);
