--- /dev/null
+++ b/src/request/ActiveRequest.cpp
@@ -0,0 +1,283 @@
+#include "request/ActiveRequest.h"
+
+#include "hickoryspur/process/LogEvent.h"
+#include "hickoryspur/process/Metrics.h"
+#include "hickoryspur/request/TopRecords.h"
+
+#include <algorithm>
+#include <array>
+
+namespace hickoryspur {
+
+namespace {
+
+/** An attempt may run this long after its caller has disconnected; then its connection is closed. */
+constexpr Duration kCallerGoneGrace = 250ms;
+constexpr Duration kCallerGoneCheckInterval = 100ms;
+const char *outcomeName(ScatterOutcome outcome)
+{
+    switch (outcome) {
+    case ScatterOutcome::Complete:
+        return "complete";
+    case ScatterOutcome::Partial:
+        return "partial";
+    case ScatterOutcome::Failed:
+        return "failed";
+    case ScatterOutcome::NotRun:
+        return "not-run";
+    case ScatterOutcome::TimedOut:
+        return "timed-out";
+    }
+    return "unknown";
+}
+
+/** Upper bounds of the request time histogram, in milliseconds. */
+constexpr std::array<int64_t, 9> kRequestBounds = {10, 20, 40, 80, 160, 320, 640, 1280, 2560};
+
+/** Counts a request in every bucket whose bound it does not exceed: Prometheus buckets are cumulative. */
+void observeRequest(Duration took)
+{
+    static const std::array<Counter *, kRequestBounds.size()> kBuckets = [] {
+        std::array<Counter *, kRequestBounds.size()> buckets{};
+        for (size_t i = 0; i < kRequestBounds.size(); ++i)
+            buckets[i] =
+                &Metrics::counter("hickoryspur_request_ms_bucket{le=\"" + std::to_string(kRequestBounds[i]) + "\"}");
+        return buckets;
+    }();
+    for (size_t i = 0; i < kRequestBounds.size(); ++i)
+        if (toMilliseconds(took) <= static_cast<double>(kRequestBounds[i]))
+            kBuckets[i]->add();
+}
+
+} // namespace
+
+ScatterHooks EntryTraffic::ActiveRequest::hooks()
+{
+    ScatterHooks hooks;
+    hooks.choose = [this](const ServiceName &service, const std::vector<UpstreamId> &tried) {
+        return m_traffic.chooseReplica(service, tried, versionGroup(service, !tried.empty()));
+    };
+    hooks.tryConsumeBudget = [this](const ServiceName &service) { return m_traffic.tryConsumeBudget(service); };
+    hooks.reportOverdue = [this](const UpstreamId &upstream) { m_traffic.m_replicaTracker.recordOverdue(upstream); };
+    return hooks;
+}
+
+VersionGroup EntryTraffic::ActiveRequest::versionGroup(const ServiceName &service, bool isExtra)
+{
+    const auto found = m_versionGroups.find(service);
+    if (found == m_versionGroups.end())
+        return m_versionGroups[service] = m_traffic.m_versions.pick(m_started, service);
+    return isExtra ? m_traffic.m_versions.pickForExtra(service, found->second) : found->second;
+}
+
+CallerAnswer EntryTraffic::ActiveRequest::serve()
+{
+    ScatterPlan plan = m_traffic.makePlan(m_started, m_route, m_request);
+    m_deadline = plan.deadline;
+    m_shardCount = plan.shards.size();
+    for (const ServiceName &service : plan.shards)
+        m_traffic.budget(service).recordFirstSubRequests(m_started, 1);
+    m_scatter.emplace(std::move(plan), hooks());
+    boost::fibers::future<CallerAnswer> answer = m_promise.get_future();
+    execute(m_scatter->start(m_started));
+    return answer.get();
+}
+
+void EntryTraffic::ActiveRequest::execute(const ScatterActions &actions)
+{
+    for (const SendAttempt &attempt : actions.sends)
+        send(attempt);
+    if (actions.outcome && !m_finished)
+        finish(*actions.outcome);
+    scheduleTimer();
+}
+
+void EntryTraffic::ActiveRequest::send(const SendAttempt &attempt)
+{
+    const TimePoint now = monotonicNow();
+    const std::optional<UpstreamTarget> target = m_traffic.targetOf(attempt.upstream);
+    ExchangeRequest request;
+    // The time left is computed when the request is written, since a connection may have to be opened first.
+    request.encode = [self = shared_from_this(), upstream = attempt.upstream](TimePoint at) {
+        const Duration timeout = self->m_request.timeout.value_or(self->m_route.timeout);
+        return self->m_traffic.m_codec.encode(self->m_request, upstream, self->m_started + timeout - at);
+    };
+    request.requestId = m_request.id;
+    request.deadline = m_deadline;
+    request.fresh = !m_route.idempotent;
+    m_traffic.m_replicaTracker.recordSent(attempt.upstream);
+    ++m_traffic.m_sentSubRequests;
+    if (m_traffic.m_registry.find(attempt.upstream)->announcement.coldForMillis > 0)
+        m_traffic.m_coldLimit.recordSent(now, attempt.upstream);
+    SentAttempt &sent = m_runningAttempts[attempt.key];
+    sent = {attempt.upstream, now, 0};
+    sent.handle = m_traffic.m_connections.send(*target, std::move(request),
+                                               [self = shared_from_this(), key = attempt.key](ExchangeResult result) {
+                                                   self->onAttemptEnded(key, std::move(result));
+                                               });
+}
+
+AttemptOutcome EntryTraffic::ActiveRequest::classifyOutcome(const ExchangeResult &result, const AnswerVerdict &verdict)
+{
+    if (result.outcome != AttemptOutcome::Answered)
+        return result.outcome;
+    if (verdict.notRun)
+        return AttemptOutcome::Refused;
+    return verdict.success ? AttemptOutcome::Answered : AttemptOutcome::Failed;
+}
+
+void EntryTraffic::ActiveRequest::onAttemptEnded(AttemptKey key, ExchangeResult result)
+{
+    const TimePoint now = monotonicNow();
+    const SentAttempt sent = m_runningAttempts.at(key);
+    m_runningAttempts.erase(key);
+    AnswerVerdict verdict;
+    if (result.outcome == AttemptOutcome::Answered)
+        verdict = m_traffic.m_codec.read(result.answer);
+    const AttemptOutcome outcome = classifyOutcome(result, verdict);
+    RouteLatency &latency = m_traffic.latencyOf(m_route);
+    const Duration took = now - sent.at;
+    const Duration median = latency.median.value();
+    const double ratio = median > Duration::zero() ? static_cast<double>(took.count()) / median.count() : 1;
+    m_traffic.m_replicaTracker.recordEnd(now, sent.upstream, outcome, ratio, m_scatter->wasOverdue(key));
+    if (outcome == AttemptOutcome::Answered) {
+        latency.median.add(took);
+        latency.hedgeDelay.add(took);
+    } else {
+        m_lastReason = sent.upstream.value() + ": "
+            + (result.reason.empty() ? "status " + std::to_string(result.answer.status) : result.reason);
+    }
+    if (!m_finished && outcome == AttemptOutcome::Answered && !m_answers.contains(key.shard)) {
+        m_signatures[key.shard] = std::move(verdict.signature);
+        m_answers[key.shard] = std::move(result.answer);
+    } else if (!m_finished && outcome == AttemptOutcome::Failed && result.outcome == AttemptOutcome::Answered) {
+        m_failure = std::move(result.answer);
+    }
+    m_traffic.recordVersionSample(m_route, sent.upstream, outcome, took);
+    const ScatterActions actions = m_scatter->attemptEnded(now, key, outcome);
+    // After the caller has been answered or has disconnected, results only update the statistics above.
+    if (!m_finished)
+        execute(actions);
+}
+
+void EntryTraffic::ActiveRequest::scheduleTimer()
+{
+    if (m_finished && m_cancelRunningAt == TimePoint::max()) {
+        m_timer.cancel();
+        return;
+    }
+    const TimePoint now = monotonicNow();
+    const TimePoint wake =
+        m_finished ? m_cancelRunningAt : std::min(m_scatter->nextWake(now), now + kCallerGoneCheckInterval);
+    // This runs after every attempt; resetting the timer costs more than an early expiry.
+    if (m_timerExpiry > now && m_timerExpiry <= wake)
+        return;
+    m_timerExpiry = wake;
+    m_timer.expires_after(std::max<Duration>(wake - now, 100us));
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error)
+            self->onTimer();
+    });
+}
+
+void EntryTraffic::ActiveRequest::onTimer()
+{
+    m_timerExpiry = TimePoint();
+    if (m_finished) {
+        // A timer that expires after the answer was given must not cancel the remaining attempts.
+        if (m_cancelRunningAt != TimePoint::max())
+            cancelRunningAttempts();
+        return;
+    }
+    if (!m_isCallerGone()) {
+        execute(m_scatter->tick(monotonicNow()));
+        return;
+    }
+    // The caller has disconnected: nothing new is sent, and attempts still running are cancelled after a delay.
+    m_finished = true;
+    m_cancelRunningAt = m_runningAttempts.empty() ? TimePoint::max() : monotonicNow() + kCallerGoneGrace;
+    m_promise.set_value(m_traffic.m_codec.refusal(RefusalKind::TimedOut, Duration::zero()));
+    cancelQueuedAttempts();
+    scheduleTimer();
+}
+
+void EntryTraffic::ActiveRequest::cancelRunningAttempts()
+{
+    m_cancelRunningAt = TimePoint::max();
+    for (const UpstreamConnections::Handle handle : runningHandles())
+        m_traffic.m_connections.cancel(handle);
+}
+
+void EntryTraffic::ActiveRequest::cancelQueuedAttempts()
+{
+    for (const UpstreamConnections::Handle handle : runningHandles())
+        m_traffic.m_connections.cancelIfNotSent(handle);
+}
+
+std::vector<UpstreamConnections::Handle> EntryTraffic::ActiveRequest::runningHandles() const
+{
+    std::vector<UpstreamConnections::Handle> handles;
+    for (const auto &[key, sent] : m_runningAttempts)
+        handles.push_back(sent.handle);
+    return handles;
+}
+
+void EntryTraffic::ActiveRequest::finish(ScatterOutcome outcome)
+{
+    static Counter &requests = Metrics::counter("hickoryspur_requests_total");
+    static Counter &partial = Metrics::counter("hickoryspur_requests_partial_total");
+    static Counter &failed = Metrics::counter("hickoryspur_requests_failed_total");
+    m_finished = true;
+    requests.add();
+    observeRequest(monotonicNow() - m_started);
+    if (outcome == ScatterOutcome::Partial)
+        partial.add();
+    else if (outcome != ScatterOutcome::Complete)
+        failed.add();
+    if (outcome != ScatterOutcome::Complete)
+        logOutcome(outcome);
+    m_promise.set_value(m_route.isScattered()
+                                && (outcome == ScatterOutcome::Complete || outcome == ScatterOutcome::Partial)
+                            ? mergedAnswer()
+                            : singleAnswer(outcome));
+    cancelQueuedAttempts();
+}
+
+CallerAnswer EntryTraffic::ActiveRequest::mergedAnswer() const
+{
+    std::vector<std::string> signatures;
+    std::vector<std::string_view> parts;
+    for (const auto &[shard, answer] : m_answers) {
+        signatures.push_back(m_signatures.at(shard));
+        parts.emplace_back(answer.body);
+    }
+    return m_traffic.m_codec.merged(signatures, m_shardCount - parts.size(),
+                                    mergeTopRecords(parts, m_route.topRecords));
+}
+
+CallerAnswer EntryTraffic::ActiveRequest::singleAnswer(ScatterOutcome outcome) const
+{
+    if (outcome == ScatterOutcome::Complete)
+        return m_traffic.m_codec.passThrough(m_answers.begin()->second);
+    if (outcome == ScatterOutcome::NotRun)
+        return m_traffic.makeRefusal(RefusalKind::NotRunTryLater);
+    if (!m_route.isScattered() && m_failure)
+        return m_traffic.m_codec.passThrough(*m_failure);
+    return m_traffic.makeRefusal(outcome == ScatterOutcome::TimedOut ? RefusalKind::TimedOut
+                                                                     : RefusalKind::UpstreamFailed);
+}
+
+void EntryTraffic::ActiveRequest::logOutcome(ScatterOutcome outcome) const
+{
+    const LogEvent event = outcome == ScatterOutcome::Partial ? LogEvent::RequestPartial
+        : outcome == ScatterOutcome::NotRun                   ? LogEvent::RequestRefused
+                                                              : LogEvent::RequestFailed;
+    HS_LOG_REQUEST(event) << "request=" << m_request.id << " route=" << m_route.name
+                          << " outcome=" << outcomeName(outcome) << " parts=" << m_scatter->answeredParts() << '/'
+                          << m_shardCount << " ms=" << toMilliseconds(monotonicNow() - m_started)
+                          << " routes=" << m_routes->number
+                          << " missing=" << m_scatter->describeUnanswered(monotonicNow()) << " last=\"" << m_lastReason
+                          << '"';
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/request/ActiveRequest.h
@@ -0,0 +1,88 @@
+// One caller's request on an entry while its attempts at upstreams run. It executes the actions of its
+// ScatterGather: sends attempts, reads their answers, and gives the final answer to the caller's fiber.
+#pragma once
+
+#include "request/EntryTraffic.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/fiber/future.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hickoryspur {
+
+/** Outlives the caller's fiber while attempts run. */
+class EntryTraffic::ActiveRequest : public std::enable_shared_from_this<ActiveRequest>
+{
+public:
+    ActiveRequest(EntryTraffic &traffic, std::shared_ptr<const RouteTable> routes, const Route &route,
+                  ForwardedRequest request, std::function<bool()> isCallerGone)
+        : m_traffic(traffic)
+        , m_routes(std::move(routes))
+        , m_route(route)
+        , m_request(std::move(request))
+        , m_isCallerGone(std::move(isCallerGone))
+        , m_timer(traffic.m_context)
+        , m_started(monotonicNow())
+    {
+    }
+
+    CallerAnswer serve();
+
+private:
+    struct SentAttempt
+    {
+        UpstreamId upstream;
+        TimePoint at;
+        UpstreamConnections::Handle handle = 0;
+    };
+
+    ScatterHooks hooks();
+    /** The versions for an attempt; all first attempts at a service use the same ones. */
+    VersionGroup versionGroup(const ServiceName &service, bool isExtra);
+    void execute(const ScatterActions &actions);
+    void send(const SendAttempt &attempt);
+    void onAttemptEnded(AttemptKey key, ExchangeResult result);
+    static AttemptOutcome classifyOutcome(const ExchangeResult &result, const AnswerVerdict &verdict);
+    void scheduleTimer();
+    void onTimer();
+    /** Closes the connections of the attempts that still run. */
+    void cancelRunningAttempts();
+    /** Ends the attempts that still wait for a connection. */
+    void cancelQueuedAttempts();
+    std::vector<UpstreamConnections::Handle> runningHandles() const;
+    void finish(ScatterOutcome outcome);
+    CallerAnswer mergedAnswer() const;
+    CallerAnswer singleAnswer(ScatterOutcome outcome) const;
+    void logOutcome(ScatterOutcome outcome) const;
+
+    EntryTraffic &m_traffic;
+    /** Keeps m_route valid when another table replaces this one. */
+    std::shared_ptr<const RouteTable> m_routes;
+    const Route &m_route;
+    ForwardedRequest m_request;
+    std::function<bool()> m_isCallerGone;
+    boost::asio::steady_timer m_timer;
+    TimePoint m_started;
+    TimePoint m_deadline;
+    /** When the attempts that still run after the caller has disconnected are cancelled; max() if they are not. */
+    TimePoint m_cancelRunningAt = TimePoint::max();
+    /** When the timer fires next; in the past while it is not set. */
+    TimePoint m_timerExpiry;
+    std::optional<ScatterGather> m_scatter;
+    size_t m_shardCount = 0;
+    std::map<AttemptKey, SentAttempt> m_runningAttempts;
+    std::map<ServiceName, VersionGroup> m_versionGroups;
+    std::map<uint32_t, UpstreamAnswer> m_answers;
+    std::map<uint32_t, std::string> m_signatures;
+    std::optional<UpstreamAnswer> m_failure;
+    std::string m_lastReason;
+    boost::fibers::promise<CallerAnswer> m_promise;
+    bool m_finished = false;
+};
+
+} // namespace hickoryspur
