Keep a control host running whose move has gone on without it

Cause: a host that led, was frozen or cut off, and then caught up with several steps of a move at once, aborted on the invariant that a move advances by one stage (the new test ended the process). Change: the coordinator drops its evidence of such a move, since another host has led meanwhile; the invariant stays.

--- a/include/hickoryspur/version/TrafficMove.h
+++ b/include/hickoryspur/version/TrafficMove.h
@@ -90,7 +90,9 @@
     void observe(TimePoint now, const VersionObservation &oldVersion, const VersionObservation &newVersion);
     /** The new state to append to the log, or nothing if it is unchanged. */
     std::optional<MoveState> tick(TimePoint now, int64_t wallSeconds);
-    /** Adopts a state that the log has committed. */
+    /** Whether the state is at most one stage further, as each single step of a move is. */
+    bool isNextStep(const MoveState &state) const;
+    /** Adopts a state that the log has committed and that is the next step. */
     void setState(const MoveState &state, TimePoint now);
 
     const MoveState &state() const { return m_state; }
--- a/src/version/MoveCoordinator.cpp
+++ b/src/version/MoveCoordinator.cpp
@@ -19,8 +19,14 @@
         if (!state)
             continue;
         m_states[service] = *state;
-        if (const auto move = m_moves.find(service); move != m_moves.end())
+        const auto move = m_moves.find(service);
+        if (move == m_moves.end())
+            continue;
+        // Another host has led meanwhile: the evidence on this one is of a stage that is long over.
+        if (move->second.isNextStep(*state))
             move->second.setState(*state, now);
+        else
+            m_moves.erase(move);
     }
 }
 
--- a/src/version/TrafficMove.cpp
+++ b/src/version/TrafficMove.cpp
@@ -78,12 +78,17 @@
     m_evaluator.add(oldVersion, newVersion, scope);
 }
 
+bool TrafficMove::isNextStep(const MoveState &state) const
+{
+    const bool restarted = state.to != m_state.to || state.from != m_state.from;
+    return restarted || state.stage <= m_state.stage + 1;
+}
+
 void TrafficMove::setState(const MoveState &state, TimePoint now)
 {
     const bool restarted = state.to != m_state.to || state.from != m_state.from;
     const bool stageChanged = state.stage != m_state.stage || state.status != m_state.status;
-    HS_INVARIANT(ShareWithinCap, !stageChanged || restarted || state.stage <= m_state.stage + 1)
-        << "stage " << state.stage << " after " << m_state.stage;
+    HS_INVARIANT(ShareWithinCap, isNextStep(state)) << "stage " << state.stage << " after " << m_state.stage;
     // The evidence so far was collected without traffic on the old version to compare with, so it is dropped.
     const bool startsConfirming = state.kind() == MoveStatus::Confirming && m_state.kind() != MoveStatus::Confirming;
     m_state = state;
--- a/test/failure/OrderedMoveFailureTest.cpp
+++ b/test/failure/OrderedMoveFailureTest.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(version_good_isDoneBeforeDue);
     CPPUNIT_TEST(version_goodWhileBothFail_isNotTakenBack);
     CPPUNIT_TEST(leader_changesDuringMove_isDoneBeforeDue);
+    CPPUNIT_TEST(leader_deposedMissesSteps_adoptsStateOfTheLog);
     CPPUNIT_TEST(order_repeated_changesNothing);
     CPPUNIT_TEST(step_decidedOnOvertakenState_isRefused);
     CPPUNIT_TEST_SUITE_END();
@@ -151,6 +152,21 @@
         CPPUNIT_ASSERT(play(Behaviour(), {0.5, 1, Duration::zero()}, 500ms).status == MoveStatus::TakenBack);
     }
 
+    void leader_deposedMissesSteps_adoptsStateOfTheLog()
+    {
+        MoveCoordinator coordinator(shortMoveTiming());
+        const TimePoint now(1000s);
+        MoveState state = ordered();
+        coordinator.updateStates(now, {{"rolls", pack(state)}});
+        coordinator.nextOrderedChange(now, 0, kFirstShare);
+        // Another host led meanwhile and advanced the move by two stages.
+        state.stage = 2;
+        state.sharePpm = 1'000'000;
+        coordinator.updateStates(now + 5s, {{"rolls", pack(state)}});
+        CPPUNIT_ASSERT(!coordinator.nextOrderedChange(now + 5s, 5, kFirstShare));
+        CPPUNIT_ASSERT_EQUAL(uint64_t(0), coordinator.stageRequests("rolls"));
+    }
+
     void order_repeated_changesNothing()
     {
         WantedVersion wanted;
