--- a/include/hickoryspur/process/EntryDirectory.h
+++ b/include/hickoryspur/process/EntryDirectory.h
@@ -25,6 +25,10 @@
     void update(TimePoint now, const NodeId &source, std::vector<std::string> addresses);
     /** Records an update of a control host whose addresses are unchanged. */
     void recordHeartbeat(TimePoint now, const NodeId &source);
+    /** Records how many entries have a session with a control host, whether or not callers are sent to them. */
+    void recordSessions(const NodeId &source, uint32_t sessions) { m_sessions[source] = sessions; }
+    /** Number of entries of the deployment: a control host that has just started knows only some of them. */
+    uint32_t deploymentSize() const;
     /**
      * The addresses that callers may be sent to, sorted and unique.
      * @param controlHosts The number of control hosts of the deployment.
@@ -43,6 +47,7 @@
     };
 
     std::map<NodeId, Report> m_reports;
+    std::map<NodeId, uint32_t> m_sessions;
 };
 
 } // namespace hickoryspur
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -157,8 +157,8 @@
             dialControlHosts();
     }
     m_traffic.setEntryCount(m_entries.count(now));
-    m_sessionsPerHost = update.sessions;
-    m_traffic.setReadyEntries(update.sessions);
+    m_entries.recordSessions(from, update.sessions);
+    m_traffic.setDeploymentSize(m_entries.deploymentSize());
     // The state of a confirmed leader is applied at this point, so the entry cannot serve with an older one.
     m_confirmed = m_confirmed
         || (update.confirmed && update.applied <= m_applied && update.routesNumber <= m_traffic.routesNumber());
@@ -236,7 +236,7 @@
 {
     if (!m_confirmed)
         return m_stateRequestInterval;
-    return std::clamp<Duration>(kStatusTimePerEntry * static_cast<int64_t>(m_sessionsPerHost), kStatusInterval,
+    return std::clamp<Duration>(kStatusTimePerEntry * static_cast<int64_t>(m_entries.deploymentSize()), kStatusInterval,
                                 kMaxStatusInterval);
 }
 
--- a/src/app/EntryHost.h
+++ b/src/app/EntryHost.h
@@ -75,8 +75,6 @@
     bool m_closing = false;
     bool m_wasReady = false;
     TimePoint m_nextStatus;
-    /** Entries with a session at a control host, as one last reported it. */
-    uint32_t m_sessionsPerHost = 0;
     Duration m_stateRequestInterval;
 };
 
--- a/src/process/EntryDirectory.cpp
+++ b/src/process/EntryDirectory.cpp
@@ -17,6 +17,14 @@
         found->second.lastHeartbeat = now;
 }
 
+uint32_t EntryDirectory::deploymentSize() const
+{
+    uint32_t largest = 0;
+    for (const auto &[source, sessions] : m_sessions)
+        largest = std::max(largest, sessions);
+    return largest;
+}
+
 std::vector<std::string> EntryDirectory::addresses(TimePoint now, size_t controlHosts) const
 {
     std::set<std::string> currentAddresses;
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -257,7 +257,7 @@
 bool EntryTraffic::opensInAdvance(TimePoint now) const
 {
     // With few entries each one that is ready is offered, and this one may know that before the list says so.
-    if (m_readyEntries < ActiveEntries::kMinEntries)
+    if (m_deploymentSize < ActiveEntries::kMinEntries)
         return true;
     return m_offeredSince && now - *m_offeredSince >= kOfferedSettleTime;
 }
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -71,7 +71,7 @@
     /** Sets the entries that callers are sent to, and so share the upstreams' connections, and this entry's address. */
     void setEntries(TimePoint now, const std::string &self, const std::vector<std::string> &entries);
     /** Sets how many entries there are, whether or not callers are sent to them. */
-    void setReadyEntries(size_t entries) { m_readyEntries = entries; }
+    void setDeploymentSize(size_t entries) { m_deploymentSize = entries; }
     /** Rate of sub-requests sent, averaged over the last seconds. */
     double subRequestsPerSecond(TimePoint now);
     /** Registers or removes the announced upstream; drops idle connections to one that takes no requests. */
@@ -119,7 +119,7 @@
     std::shared_ptr<const RouteTable> m_routes;
     std::set<std::string> m_dataCentresOut;
     uint32_t m_entryCount;
-    size_t m_readyEntries = 0;
+    size_t m_deploymentSize = 0;
     /** Since when callers are sent to this entry; nullopt if they are not. */
     std::optional<TimePoint> m_offeredSince;
     uint64_t m_sentSubRequests = 0;
--- a/test/failure/EntryDirectoryFailureTest.cpp
+++ b/test/failure/EntryDirectoryFailureTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(addresses_entryMissingInOneReport_isIncluded);
     CPPUNIT_TEST(addresses_allReportsStale_returnsLastReport);
     CPPUNIT_TEST(addresses_onlyMinorityOfControlHostsReachable_returnsEntriesTheyDoNotReport);
+    CPPUNIT_TEST(directory_controlHostRestarts_deploymentSizeStays);
     CPPUNIT_TEST_SUITE_END();
 
     using Addresses = std::vector<std::string>;
@@ -20,6 +21,16 @@
     static inline const NodeId kSecond{"10.0.0.2:7000"};
 
 public:
+    void directory_controlHostRestarts_deploymentSizeStays()
+    {
+        EntryDirectory directory;
+        directory.recordSessions(NodeId("c1"), 291);
+        directory.recordSessions(NodeId("c2"), 290);
+        // Hundreds of entries that take the deployment for a small one would each connect to every upstream.
+        directory.recordSessions(NodeId("c1"), 3);
+        CPPUNIT_ASSERT_EQUAL(uint32_t(290), directory.deploymentSize());
+    }
+
     void addresses_oneReportStale_ignoresIt()
     {
         EntryDirectory directory;
