Read the change once more: one lookup a replica, one place for the state in an update

Cause: usableReplicas() copied each replica's id and chooseReplica() looked it up again, for each shard of each request; the version group was looked up also when there is no move. Three updates of a control host filled in the same three fields, and the change of routes was handled in three places of one function. A skipped shard kept the replica chosen at the start for a later attempt, where it had been chosen anew before. Change: replicas are passed as registered upstreams; makeLogStateUpdate(); one block for changed routes; a skipped shard chooses anew. Behaviour is as before otherwise; no test is changed.

--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -207,12 +207,9 @@
         return;
     session.sentRoutes = number;
     session.sentRoutesAt = now;
-    EntryUpdate update = makeStateUpdate(now);
-    update.carriesState = true;
+    EntryUpdate update = makeLogStateUpdate(now);
     update.compressedRoutes = session.status.readsCompressed;
     update.routes = update.compressedRoutes ? m_compressedRoutes : m_status.routes;
-    update.dataCentresOut = m_status.dataCentresOut;
-    update.moves = m_status.moves;
     sendUpdate(session, std::move(update));
 }
 
@@ -286,12 +283,18 @@
     m_controlHosts = std::move(controlHosts);
 }
 
-EntryUpdate ControlHost::makeFullUpdate(TimePoint now) const
+EntryUpdate ControlHost::makeLogStateUpdate(TimePoint now) const
 {
     EntryUpdate update = makeStateUpdate(now);
     update.carriesState = true;
     update.dataCentresOut = m_status.dataCentresOut;
     update.moves = m_status.moves;
+    return update;
+}
+
+EntryUpdate ControlHost::makeFullUpdate(TimePoint now) const
+{
+    EntryUpdate update = makeLogStateUpdate(now);
     for (const auto &[id, known] : m_registry.all())
         update.upstreams.push_back(known.announcement);
     return update;
@@ -332,16 +335,15 @@
 {
     const bool stateChanged = status.applied != m_status.applied;
     const bool routesChanged = status.routes.number != m_status.routes.number;
-    if (routesChanged)
-        m_routesChangedAt = monotonicNow();
-    if (routesChanged)
+    if (routesChanged) {
         HS_LOG(INFO, LogEvent::DocumentAccepted) << "routes=" << status.routes.number << " log=" << status.applied;
+        m_routesChangedAt = monotonicNow();
+        m_compressedRoutes = {status.routes.number, compressText(status.routes.text)};
+    }
     const bool becameLeader = status.leads && !m_status.leads;
     if (status.leads)
         m_confirmedAt = std::max(m_confirmedAt, status.at);
     m_status = std::move(status);
-    if (routesChanged)
-        m_compressedRoutes = {m_status.routes.number, compressText(m_status.routes.text)};
     m_moves.updateStates(monotonicNow(), m_status.moves);
     if (m_hosts.updateReportedHosts(m_settings.id(), m_status.controlHosts))
         dialControlHosts();
@@ -350,11 +352,7 @@
             refreshSessions(monotonicNow());
         return;
     }
-    EntryUpdate update = makeStateUpdate(monotonicNow());
-    update.carriesState = true;
-    update.dataCentresOut = m_status.dataCentresOut;
-    update.moves = m_status.moves;
-    broadcast(update);
+    broadcast(makeLogStateUpdate(monotonicNow()));
     for (auto &[link, session] : m_sessions)
         sendRoutesIfMissing(monotonicNow(), session);
 }
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -63,6 +63,8 @@
     void flushAnnouncements();
     /** An update with the confirmation and the applied index only. */
     EntryUpdate makeStateUpdate(TimePoint now) const;
+    /** Like makeStateUpdate(), with what is in force besides the routes. */
+    EntryUpdate makeLogStateUpdate(TimePoint now) const;
     EntryUpdate makeFullUpdate(TimePoint now) const;
     /** Increments m_hostsVersion if the offered entries or the control hosts have changed. */
     void updateHosts();
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -109,17 +109,18 @@
     return plan;
 }
 
-std::vector<UpstreamId> EntryTraffic::usableReplicas(const ServiceName &service, VersionGroup group) const
+std::vector<const KnownUpstream *> EntryTraffic::usableReplicas(TimePoint now, const ServiceName &service,
+                                                                VersionGroup group) const
 {
-    const TimePoint now = monotonicNow();
-    std::vector<UpstreamId> usable;
+    std::vector<const KnownUpstream *> usable;
     std::optional<VersionGroup> next = group;
     while (usable.empty() && next) {
         for (const UpstreamId &id : m_registry.replicas(service)) {
-            const Announcement &announcement = m_registry.find(id)->announcement;
+            const KnownUpstream *known = m_registry.find(id);
+            const Announcement &announcement = known->announcement;
             if (!m_dataCentresOut.contains(announcement.dataCentre.value())
                 && m_versions.isInGroup(service, announcement.version, *next) && isWithinColdLimit(now, announcement))
-                usable.push_back(id);
+                usable.push_back(known);
         }
         next = *next == group ? m_versions.fallback(service, group) : std::nullopt;
     }
@@ -140,10 +141,12 @@
 {
     std::vector<ReplicaTracker::Candidate> all;
     std::vector<ReplicaTracker::Candidate> withRoom;
-    for (const UpstreamId &id : usableReplicas(service, group)) {
+    const TimePoint now = monotonicNow();
+    for (const KnownUpstream *known : usableReplicas(now, service, group)) {
+        const Announcement &announcement = known->announcement;
+        const UpstreamId &id = announcement.id;
         if (std::find(tried.begin(), tried.end(), id) != tried.end())
             continue;
-        const Announcement &announcement = m_registry.find(id)->announcement;
         ReplicaTracker::Candidate candidate;
         candidate.id = id;
         candidate.sameDataCentre = announcement.dataCentre == m_config.dataCentre;
@@ -156,7 +159,6 @@
     const std::vector<ReplicaTracker::Candidate> &candidates = withRoom.empty() ? all : withRoom;
     if (candidates.empty())
         return std::nullopt;
-    const TimePoint now = monotonicNow();
     const UpstreamId &best = candidates[m_replicaTracker.best(now, candidates)].id;
     return ReplicaChoice{best, m_replicaTracker.isDegraded(now, best)};
 }
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -91,7 +91,8 @@
     std::optional<ReplicaChoice> chooseReplica(const ServiceName &service, const std::vector<UpstreamId> &tried,
                                                VersionGroup group);
     /** The replicas of the group that may get a request, or of its fallback if there are none. */
-    std::vector<UpstreamId> usableReplicas(const ServiceName &service, VersionGroup group) const;
+    std::vector<const KnownUpstream *> usableReplicas(TimePoint now, const ServiceName &service,
+                                                      VersionGroup group) const;
     /** Reports a finished attempt to the split between versions. */
     void recordVersionSample(const Route &route, const UpstreamId &upstream, AttemptOutcome outcome, Duration latency);
     bool tryConsumeBudget(const ServiceName &service);
--- a/src/request/ScatterGather.cpp
+++ b/src/request/ScatterGather.cpp
@@ -36,6 +36,8 @@
         shard.first = m_hooks.choose(m_plan.shards[index], {});
         if (omittable == 0 || (shard.first && !shard.first->degraded))
             continue;
+        // If the shard is needed later, its replica is chosen by what is known then.
+        shard.first.reset();
         shard.lost = true;
         shard.skipped = true;
         ++m_lost;
--- a/src/request/VersionSplit.cpp
+++ b/src/request/VersionSplit.cpp
@@ -55,8 +55,10 @@
 
 bool VersionSplit::isInGroup(const ServiceName &service, const VersionName &version, VersionGroup group) const
 {
+    if (group == VersionGroup::Any)
+        return true;
     const Move *move = findMove(service);
-    if (group == VersionGroup::Any || !move)
+    if (!move)
         return true;
     return (version.value() == move->state.to) == (group == VersionGroup::New);
 }
