Log that a control group has no leader, and whose votes are missing

Cause: nothing in the logs told the three hypotheses about the incident apart. E1202 counted members without naming them, and a group that cannot elect a leader wrote no line at all. Change: E1204 every two seconds without a leader, with each voter as host/disk and whether it granted its vote; E1202 names voters and learners.

--- a/include/hickoryspur/process/GroupNode.h
+++ b/include/hickoryspur/process/GroupNode.h
@@ -89,6 +89,8 @@
     void answerAsUnknown(const std::deque<PendingCommand>::const_iterator &end, GroupActions &result);
     void proposeRepair(TimePoint now, GroupActions &result);
     void checkpointIfDue(GroupActions &result);
+    /** Logs at intervals that there is no leader, and whose votes are missing. */
+    void reportMissingLeader(TimePoint now);
     /** True for a join request and for a vote request from a host that is no longer a member. */
     bool isFromNonMember(const LogMessage &message) const;
     void admitMember(TimePoint now, const LogMessage &message, GroupActions &result);
@@ -100,6 +102,9 @@
     std::deque<PendingCommand> m_pendingCommands;
     LogIndex m_lastCheckpoint;
     size_t m_bytesSinceCheckpoint = 0;
+    /** When this host last knew a leader, or last logged that it knows none. */
+    TimePoint m_leaderKnownAt;
+    TimePoint m_leaderReportedAt;
 };
 
 } // namespace hickoryspur
--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -20,6 +20,7 @@
     LeaderLost = 1201,
     MemberChanged = 1202,
     ClusterIdentityMismatch = 1203,
+    LeaderMissing = 1204,
     PeerSilent = 1300,
     PeerBack = 1301,
     MessageUndecodable = 1302,
--- a/include/hickoryspur/process/ReplicatedLog.h
+++ b/include/hickoryspur/process/ReplicatedLog.h
@@ -184,6 +184,8 @@
      */
     bool isCurrent() const { return isLeader() && m_commit >= m_termStart; }
     std::optional<NodeId> leader() const { return m_leader; }
+    /** Whether the voter has granted this member its vote, or its pre-vote, in the latest round. */
+    bool hasVoteOf(const MemberId &voter) const { return m_votes.contains(voter); }
     const MemberId &self() const { return m_self; }
     Term term() const { return m_hardState.term; }
     LogIndex commitIndex() const { return m_commit; }
--- a/src/process/GroupNode.cpp
+++ b/src/process/GroupNode.cpp
@@ -5,10 +5,29 @@
 #include "hickoryspur/process/MessageCodec.h"
 
 #include <algorithm>
+#include <iomanip>
 #include <set>
+#include <sstream>
 
 namespace hickoryspur {
 
+namespace {
+
+/** Elections take well below a second, so this long without a leader means that voters are missing. */
+constexpr Duration kLeaderReportInterval = 2s;
+
+/** The members as host/disk; `note` may add to each. */
+std::string describe(const std::vector<MemberId> &members,
+                     const std::function<std::string(const MemberId &)> &note = nullptr)
+{
+    std::ostringstream text;
+    for (const MemberId &member : members)
+        text << (text.tellp() > 0 ? "," : "") << member.node << '/' << member.disk << (note ? note(member) : "");
+    return text.str();
+}
+
+} // namespace
+
 GroupNode::GroupNode(const RecoveredStorage &recovered, std::vector<NodeId> seeds, GroupTiming timing, uint64_t seed,
                      TimePoint now)
     : m_timing(timing)
@@ -16,6 +35,8 @@
     , m_log(recovered.self, m_seeds, recovered.log, timing.log, seed, now)
     , m_state(ControlState::deserialize(recovered.log.checkpoint.state).value_or(ControlState()))
     , m_lastCheckpoint(recovered.log.checkpoint.index)
+    , m_leaderKnownAt(now)
+    , m_leaderReportedAt(now)
 {
     m_log.setControlNodes(knownHosts());
 }
@@ -60,6 +81,8 @@
 GroupActions GroupNode::tick(TimePoint now)
 {
     GroupActions result;
+    // Before the log's tick, which may start another round of votes.
+    reportMissingLeader(now);
     processLogActions(m_log.tick(now), result);
     const auto firstUnexpired = std::find_if(m_pendingCommands.begin(), m_pendingCommands.end(),
                                              [now](const PendingCommand &pending) { return now < pending.deadline; });
@@ -69,6 +92,23 @@
     return result;
 }
 
+void GroupNode::reportMissingLeader(TimePoint now)
+{
+    if (m_log.leader() || !m_log.membership().isVoter(m_log.self())) {
+        m_leaderKnownAt = now;
+        m_leaderReportedAt = now;
+        return;
+    }
+    if (now - m_leaderReportedAt < kLeaderReportInterval)
+        return;
+    m_leaderReportedAt = now;
+    const auto note = [this](const MemberId &voter) { return m_log.hasVoteOf(voter) ? "(granted)" : ""; };
+    HS_LOG(WARNING, LogEvent::LeaderMissing)
+        << "no leader for " << std::fixed << std::setprecision(1) << toMilliseconds(now - m_leaderKnownAt) / 1000
+        << " s; term=" << m_log.term() << " last=" << m_log.lastIndex()
+        << " voters=" << describe(m_log.membership().voters, note);
+}
+
 bool GroupNode::isFromNonMember(const LogMessage &message) const
 {
     if (message.kind() == LogMessageType::JoinRequest)
@@ -206,7 +246,8 @@
     LogActions actions;
     if (m_log.proposeMembership(*next, actions))
         HS_LOG(INFO, LogEvent::MemberChanged)
-            << next->voters.size() << " voters, " << next->learners.size() << " learners";
+            << next->voters.size() << " voters, " << next->learners.size()
+            << " learners: voters=" << describe(next->voters) << " learners=" << describe(next->learners);
     processLogActions(std::move(actions), result);
 }
 
