Test: a host replaced, then a disk lost, leaves the group without a leader (known red)

In the simulated group a voter ends for good, its successor joins, and 4 s later another disk is lost while all others lose power: no leader within 12 s, for each of three voters replaced; the same with two of five replaced and two disks lost.

--- a/test/failure/GroupNodeFailureTest.cpp
+++ b/test/failure/GroupNodeFailureTest.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(group_diskLost_hostRejoinsAsANewMember);
     CPPUNIT_TEST(group_allHostsCrash_acknowledgedCommandsSurvive);
     CPPUNIT_TEST(group_hostLostForGood_isReplacedByAnAddedHost);
+    CPPUNIT_TEST(group_hostReplacedThenDiskLost_acknowledgedStateIsServed);
+    CPPUNIT_TEST(group_twoHostsReplacedThenTwoDisksLost_acknowledgedStateIsServed);
     CPPUNIT_TEST(group_removedVoterRestarts_isAdmittedAgain);
     CPPUNIT_TEST(group_leaderFrozen_doesNotLeadWhenItResumes);
     CPPUNIT_TEST(group_onlyAnEmptyDiskIsUp_neverLeads);
@@ -136,6 +138,32 @@
         CPPUNIT_ASSERT(commitRoutes(fleet, 2));
     }
 
+    // Guards against a replaced host that still counts as a voter when the next one is lost: no majority is left.
+    void group_hostReplacedThenDiskLost_acknowledgedStateIsServed()
+    {
+        for (size_t replaced = 0; replaced < 3; ++replaced) {
+            GroupFleet fleet(3, {}, kSeed + replaced);
+            CPPUNIT_ASSERT(commitRoutes(fleet, 1));
+            replaceForGood(fleet, {replaced});
+            CPPUNIT_ASSERT(commitRoutes(fleet, 2));
+            CPPUNIT_ASSERT_EQUAL(uint64_t(2), routesAfterDiskLoss(fleet, {replaced}, 1));
+        }
+    }
+
+    void group_twoHostsReplacedThenTwoDisksLost_acknowledgedStateIsServed()
+    {
+        GroupFleet fleet(3, {}, kSeed);
+        for (int i = 0; i < 3; ++i)
+            fleet.add();
+        CPPUNIT_ASSERT(waitForVoters(fleet, 5));
+        CPPUNIT_ASSERT(commitRoutes(fleet, 1));
+        const size_t leader = *fleet.leader();
+        const std::vector<size_t> replaced = {leader, (leader + 1) % 3};
+        replaceForGood(fleet, replaced);
+        CPPUNIT_ASSERT(commitRoutes(fleet, 2));
+        CPPUNIT_ASSERT_EQUAL(uint64_t(2), routesAfterDiskLoss(fleet, replaced, 2));
+    }
+
     void group_removedVoterRestarts_isAdmittedAgain()
     {
         GroupFleet fleet(3, {}, kSeed);
@@ -190,6 +218,46 @@
     }
 
 private:
+    /** A host that was added counts as one of those that may be lost after this time. */
+    static constexpr Duration kCatchUpTime = 4s;
+    /** After a fault of all hosts, service must be back in this time. */
+    static constexpr Duration kRecoveryTime = 12s;
+
+    /** Ends the hosts for good and starts an empty one for each a second later. */
+    static void replaceForGood(GroupFleet &fleet, const std::vector<size_t> &hosts)
+    {
+        for (const size_t host : hosts)
+            fleet.crash(host);
+        fleet.run(1s);
+        for (size_t i = 0; i < hosts.size(); ++i)
+            fleet.add();
+        fleet.run(kCatchUpTime);
+    }
+
+    /**
+     * Loses the disk of the leader, as many disks in all as given, and power at all other hosts, then starts all but
+     * those that ended for good. Returns the number of the next leader's routes, or zero if there is no leader in time.
+     */
+    static uint64_t routesAfterDiskLoss(GroupFleet &fleet, const std::vector<size_t> &ended, size_t disks)
+    {
+        const size_t leader = *fleet.leader();
+        std::vector<size_t> running;
+        for (size_t i = 0; i < fleet.size(); ++i)
+            if (i != leader && std::find(ended.begin(), ended.end(), i) == ended.end())
+                running.push_back(i);
+        fleet.loseDisk(leader);
+        for (const size_t host : running)
+            fleet.crash(host);
+        for (size_t i = 0; i + 1 < disks; ++i)
+            fleet.loseDisk(running[i]);
+        running.push_back(leader);
+        fleet.run(1s);
+        for (const size_t host : running)
+            fleet.restart(host);
+        const bool recovered = fleet.runUntil(kRecoveryTime, [&] { return fleet.leader().has_value(); });
+        return recovered ? fleet.node(*fleet.leader()).state().routes().number : 0;
+    }
+
     static constexpr uint64_t kRuns = 25;
     static constexpr int kStepsPerRun = 60;
 
