Remove voters that have ended as soon as the group then tolerates more losses

Cause: a voter that had ended kept counting for 10 s, while its successor already voted. Of four voters three must agree; with one ended and one empty only two were left, for good. The class: members that have ended still count towards a majority. With five voters the spare learner waited the same 10 s. Evidence: E1202 named four voters; E1204 on both hosts that were left: two votes of four. Ruled out: a log that cannot be opened (no E1103), refused votes (both granted). Change: a voter that has been silent for a second, on a leader that has led all that time, is removed where the rest then tolerates more: the number of voters is even, or a caught-up learner can take its place. A silent learner is no spare. With three voters and no spare, or an odd number without one, nothing changes and the voter keeps its 10 s.

--- a/include/hickoryspur/process/GroupNode.h
+++ b/include/hickoryspur/process/GroupNode.h
@@ -20,6 +20,8 @@
 struct GroupTiming
 {
     LogTiming log = kGroupLogTiming;
+    /** A member that has not answered for this long is silent: see MemberRepair.h. */
+    Duration memberSilenceTimeout = 1s;
     /** A member that has not answered for this long counts as lost and may be removed; longer than any restart. */
     Duration memberLossTimeout = 10s;
     /** A command that is not committed in this time is answered with OutcomeUnknown; callers retry. */
@@ -88,6 +90,8 @@
     void apply(const LogEntry &entry, GroupActions &result);
     void answerAsUnknown(const std::deque<PendingCommand>::const_iterator &end, GroupActions &result);
     void proposeRepair(TimePoint now, GroupActions &result);
+    /** Whether the member has not answered for so long while this host has led without interruption. */
+    bool isUnanswered(TimePoint now, const MemberId &member, Duration timeout) const;
     void checkpointIfDue(GroupActions &result);
     /** Logs at intervals that there is no leader, and whose votes are missing. */
     void reportMissingLeader(TimePoint now);
@@ -102,6 +106,8 @@
     std::deque<PendingCommand> m_pendingCommands;
     LogIndex m_lastCheckpoint;
     size_t m_bytesSinceCheckpoint = 0;
+    /** Since when this host leads; nullopt while it does not. After a pause, members must have time to answer again. */
+    std::optional<TimePoint> m_leadsSince;
     /** When this host last knew a leader, or last logged that it knows none. */
     TimePoint m_leaderKnownAt;
     TimePoint m_leaderReportedAt;
--- a/src/process/GroupNode.cpp
+++ b/src/process/GroupNode.cpp
@@ -231,12 +231,22 @@
 
 void GroupNode::proposeRepair(TimePoint now, GroupActions &result)
 {
-    if (!leads(now) || m_log.membershipChangePending())
+    if (!leads(now)) {
+        m_leadsSince.reset();
+        return;
+    }
+    m_leadsSince = m_leadsSince.value_or(now);
+    if (m_log.membershipChangePending())
         return;
     RepairInputs inputs;
-    inputs.isCaughtUp = [this](const MemberId &member) { return m_log.isCaughtUp(member); };
+    inputs.isSilent = [this, now](const MemberId &member) {
+        return isUnanswered(now, member, m_timing.memberSilenceTimeout);
+    };
     inputs.isLost = [this, now](const MemberId &member) {
-        return m_log.timeSinceLastReply(now, member) > m_timing.memberLossTimeout;
+        return isUnanswered(now, member, m_timing.memberLossTimeout);
+    };
+    inputs.isCaughtUp = [this, &inputs](const MemberId &member) {
+        return m_log.isCaughtUp(member) && !inputs.isSilent(member);
     };
     inputs.maxVoters = m_timing.maxVoters;
     inputs.minVoters = m_timing.minVoters;
@@ -251,6 +261,11 @@
     processLogActions(std::move(actions), result);
 }
 
+bool GroupNode::isUnanswered(TimePoint now, const MemberId &member, Duration timeout) const
+{
+    return now - *m_leadsSince > timeout && m_log.timeSinceLastReply(now, member) > timeout;
+}
+
 void GroupNode::checkpointIfDue(GroupActions &result)
 {
     const LogIndex applied = m_log.commitIndex();
--- a/test/failure/GroupNodeFailureTest.cpp
+++ b/test/failure/GroupNodeFailureTest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(group_onlyAnEmptyDiskIsUp_neverLeads);
     CPPUNIT_TEST(group_routesNumberNotHigher_changesNothing);
     CPPUNIT_TEST(group_randomFaults_acknowledgedCommandsSurvive);
+    CPPUNIT_TEST(group_randomReplacementsThenDisksLost_acknowledgedStateIsServed);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr uint64_t kSeed = 4711;
@@ -217,6 +218,12 @@
             runRandom(seed);
     }
 
+    void group_randomReplacementsThenDisksLost_acknowledgedStateIsServed()
+    {
+        for (uint64_t seed = 1; seed <= kRuns; ++seed)
+            runReplacements(seed);
+    }
+
 private:
     /** A host that was added counts as one of those that may be lost after this time. */
     static constexpr Duration kCatchUpTime = 4s;
@@ -229,6 +236,7 @@
         for (const size_t host : hosts)
             fleet.crash(host);
         fleet.run(1s);
+        fleet.renewSeeds();
         for (size_t i = 0; i < hosts.size(); ++i)
             fleet.add();
         fleet.run(kCatchUpTime);
@@ -258,6 +266,36 @@
         return recovered ? fleet.node(*fleet.leader()).state().routes().number : 0;
     }
 
+    /** Replaces running hosts one after the other, then loses as many disks as the group tolerates, over and over. */
+    static void runReplacements(uint64_t seed)
+    {
+        LinkFaults faults;
+        faults.lossProbability = 0.02;
+        faults.duplicateProbability = 0.02;
+        GroupFleet fleet(3, faults, seed);
+        const size_t added = fleet.random()() % 4;
+        for (size_t i = 0; i < added; ++i)
+            fleet.add();
+        // Three and four voters tolerate one loss, five tolerate two.
+        const size_t disks = added >= 2 ? 2 : 1;
+        CPPUNIT_ASSERT(waitForVoters(fleet, std::min<size_t>(3 + added, 5)));
+        std::vector<size_t> ended;
+        uint64_t number = 0;
+        for (int round = 0; round < 4; ++round) {
+            std::vector<size_t> running;
+            for (size_t i = 0; i < fleet.size(); ++i)
+                if (fleet.isUp(i))
+                    running.push_back(i);
+            const size_t replaced = running[fleet.random()() % running.size()];
+            ended.push_back(replaced);
+            replaceForGood(fleet, {replaced});
+            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), commitRoutes(fleet, ++number));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), number,
+                                         routesAfterDiskLoss(fleet, ended, disks));
+            fleet.run(kCatchUpTime);
+        }
+    }
+
     static constexpr uint64_t kRuns = 25;
     static constexpr int kStepsPerRun = 60;
 
--- a/test/fakes/GroupFleet.cpp
+++ b/test/fakes/GroupFleet.cpp
@@ -42,6 +42,15 @@
     return m_hosts.size() - 1;
 }
 
+void GroupFleet::renewSeeds()
+{
+    std::vector<NodeId> running;
+    for (size_t i = 0; i < m_hosts.size() && running.size() < m_seeds.size(); ++i)
+        if (isUp(i))
+            running.push_back(m_hosts[i].name);
+    m_seeds = std::move(running);
+}
+
 void GroupFleet::start(size_t index)
 {
     Host &host = m_hosts[index];
--- a/test/fakes/GroupFleet.h
+++ b/test/fakes/GroupFleet.h
@@ -22,6 +22,8 @@
 
     /** Starts a host that knows the seeds and has an empty disk; returns its index. */
     size_t add();
+    /** Makes the first three running hosts the seeds of hosts that start from now on, as their settings would say. */
+    void renewSeeds();
     void crash(size_t index);
     void loseDisk(size_t index);
     void restart(size_t index);
