Name running entries to callers while half of the known control hosts have ended

Callers would see: a directory that names only entries that have ended. The directory compares the control hosts it hears with all that it knows, seeds that were replaced among them; at half or less it takes itself for partitioned and names the entries of the other side, which are those that ended. Change: word from a leader that a majority confirms shows that the entry is not partitioned. Result: the new test fails with the confirmation ignored and passes now.

--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -141,6 +141,7 @@
     }
     if (update.confirmed) {
         m_leader = from;
+        m_entries.recordConfirmation(now);
         m_traffic.versions().recordLeaderContact(now);
     }
     if (!update.logReport.empty() && !m_confirmed)
--- a/src/process/EntryDirectory.cpp
+++ b/src/process/EntryDirectory.cpp
@@ -35,7 +35,8 @@
         currentReports += current ? 1 : 0;
         (current ? currentAddresses : staleAddresses).insert(report.addresses.begin(), report.addresses.end());
     }
-    if (currentReports > controlHosts / 2)
+    const bool isConfirmed = m_confirmedAt && now - *m_confirmedAt <= kHeartbeatTimeout;
+    if (isConfirmed || currentReports > controlHosts / 2)
         return {currentAddresses.begin(), currentAddresses.end()};
     std::vector<std::string> staleOnly;
     std::set_difference(staleAddresses.begin(), staleAddresses.end(), currentAddresses.begin(), currentAddresses.end(),
--- a/test/failure/EntryDirectoryFailureTest.cpp
+++ b/test/failure/EntryDirectoryFailureTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(addresses_entryMissingInOneReport_isIncluded);
     CPPUNIT_TEST(addresses_allReportsStale_returnsLastReport);
     CPPUNIT_TEST(addresses_onlyMinorityOfControlHostsReachable_returnsEntriesTheyDoNotReport);
+    CPPUNIT_TEST(addresses_halfOfTheKnownControlHostsEnded_namesRunningEntries);
     CPPUNIT_TEST(directory_controlHostRestarts_deploymentSizeStays);
     CPPUNIT_TEST_SUITE_END();
 
@@ -66,6 +67,21 @@
         CPPUNIT_ASSERT(directory.addresses(m_now + 5s, 3) == Addresses{"far"});
     }
 
+    // Guards against callers that are sent only to entries which have ended, since replaced hosts count in a majority.
+    void addresses_halfOfTheKnownControlHostsEnded_namesRunningEntries()
+    {
+        EntryDirectory directory;
+        directory.update(m_now, NodeId("ended"), {"gone", "running"});
+        directory.update(m_now + 9s, kFirst, {"running"});
+        directory.update(m_now + 9s, kSecond, {"running"});
+        directory.recordConfirmation(m_now + 9s);
+        CPPUNIT_ASSERT(directory.addresses(m_now + 9s, 4) == Addresses{"running"});
+        // Without word from a leader the reachable half may be the one that is partitioned.
+        directory.recordHeartbeat(m_now + 12s, kFirst);
+        directory.recordHeartbeat(m_now + 12s, kSecond);
+        CPPUNIT_ASSERT(directory.addresses(m_now + 12s, 4) == Addresses{"gone"});
+    }
+
 private:
     TimePoint m_now{1000s};
 };
