Replace what an entry took from logs by what is committed under the same number

Callers would see: an entry that starts while there is no leader serves a configuration that was refused or lost, for as long as nobody sends a higher number; or sends to a data centre that is out. Cause: the newest log of a majority may end in commands that are never committed. Routes were compared by number alone, so another operator's routes of the same number never replaced them. The data centres that are out and the moves were taken without their log index, so the next update of a control host that had applied nothing since its start replaced them by older ones. Change: AppliedState decides: a state from logs is provisional until a confirmed leader's replaces it; routes are told apart by number and digest, which entries report and control hosts compare. Hosts of an earlier release send no digest and are compared by number.

--- a/include/hickoryspur/process/SessionMessage.h
+++ b/include/hickoryspur/process/SessionMessage.h
@@ -32,8 +32,10 @@
     uint32_t intervalMillis = 0;
     /** The entry reads routes whose text is compressed; one of an earlier release does not. */
     bool readsCompressed = false;
+    /** RoutesVersion::digest of the routes that the entry has in force. */
+    uint64_t routesDigest = 0;
     MSGPACK_DEFINE(entry, callerAddress, dataCentre, offered, needsState, routesNumber, subRequestsPerSecond,
-                   intervalMillis, readsCompressed)
+                   intervalMillis, readsCompressed, routesDigest)
 };
 
 /** From a control host to an entry: first its complete state, then the changes. */
@@ -66,8 +68,10 @@
     uint32_t sessions = 0;
     /** The text of `routes` is compressed. */
     bool compressedRoutes = false;
+    /** RoutesVersion::digest of the routes in the state at `applied`. */
+    uint64_t routesDigest = 0;
     MSGPACK_DEFINE(confirmed, applied, routes, carriesState, dataCentresOut, upstreams, heartbeats, carriesHosts,
-                   entries, controlHosts, logReport, moves, routesNumber, sessions, compressedRoutes)
+                   entries, controlHosts, logReport, moves, routesNumber, sessions, compressedRoutes, routesDigest)
 };
 
 } // namespace hickoryspur
--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -199,7 +199,8 @@
 void ControlHost::sendRoutesIfMissing(TimePoint now, Session &session)
 {
     const uint64_t number = m_status.routes.number;
-    if (session.status.routesNumber >= number)
+    const RoutesVersion reported{session.status.routesNumber, session.status.routesDigest};
+    if (reported.number > number || reported.isSameAs(m_routesVersion))
         return;
     const bool sentLately = session.sentRoutes == number && now - session.sentRoutesAt < kRoutesGrace;
     // The leader sends routes as soon as they are in force; the other hosts only what it could not deliver.
@@ -252,7 +253,8 @@
     EntryUpdate update;
     update.confirmed = isConfirmed(now);
     update.applied = m_status.applied;
-    update.routesNumber = m_status.routes.number;
+    update.routesNumber = m_routesVersion.number;
+    update.routesDigest = m_routesVersion.digest;
     update.sessions = static_cast<uint32_t>(m_sessions.size());
     return update;
 }
@@ -339,6 +341,7 @@
         HS_LOG(INFO, LogEvent::DocumentAccepted) << "routes=" << status.routes.number << " log=" << status.applied;
         m_routesChangedAt = monotonicNow();
         m_compressedRoutes = {status.routes.number, compressText(status.routes.text)};
+        m_routesVersion = {status.routes.number, hash64(status.routes.text)};
     }
     const bool becameLeader = status.leads && !m_status.leads;
     if (status.leads)
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -6,6 +6,7 @@
 #include "app/HostCodec.h"
 #include "hickoryspur/connection/UpstreamRegistry.h"
 #include "hickoryspur/process/ActiveEntries.h"
+#include "hickoryspur/process/AppliedState.h"
 #include "hickoryspur/process/ControlHostDirectory.h"
 #include "hickoryspur/process/HostSettings.h"
 #include "hickoryspur/process/SessionMessage.h"
@@ -119,6 +120,7 @@
     TimePoint m_routesChangedAt;
     /** The routes of m_status with their text compressed. */
     AcceptedRoutes m_compressedRoutes;
+    RoutesVersion m_routesVersion;
     std::vector<NodeId> m_controlHosts;
 };
 
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -1,6 +1,7 @@
 #include "app/EntryHost.h"
 
 #include "hickoryspur/process/Compression.h"
+#include "hickoryspur/process/Digest.h"
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/MessageCodec.h"
 
@@ -130,11 +131,14 @@
 
 void EntryHost::apply(TimePoint now, const NodeId &from, const EntryUpdate &update)
 {
+    const RoutesVersion routes{update.routesNumber, update.routesDigest};
     if (update.carriesState) {
-        if (update.routes.number > m_traffic.routesNumber())
+        // A host of an earlier release does not fill in routesNumber.
+        const RoutesVersion sent{update.routes.number, update.routesDigest};
+        if (sent.number > 0 && m_applied.isReplacedBy(sent))
             applyRoutes(update);
-        if (update.applied >= m_applied) {
-            m_applied = update.applied;
+        if (m_applied.isReplacedBy(update.applied, update.confirmed)) {
+            m_applied.recordLogState(update.applied, StateOrigin::Committed);
             m_traffic.setDataCentresOut(update.dataCentresOut);
             m_traffic.versions().setMoves(update.moves);
         }
@@ -161,8 +165,7 @@
     m_entries.recordSessions(from, update.sessions);
     m_traffic.setDeploymentSize(m_entries.deploymentSize());
     // The state of a confirmed leader is applied at this point, so the entry cannot serve with an older one.
-    m_confirmed = m_confirmed
-        || (update.confirmed && update.applied <= m_applied && update.routesNumber <= m_traffic.routesNumber());
+    m_confirmed = m_confirmed || (update.confirmed && m_applied.covers(update.applied, routes));
     if (isReady() != m_wasReady) {
         m_wasReady = isReady();
         sendStatus();
@@ -176,9 +179,12 @@
     if (!newest || newest->routes.number == 0)
         return;
     if (newest->routes.number > m_traffic.routesNumber())
-        applyRoutes(newest->routes);
-    m_traffic.setDataCentresOut(newest->dataCentresOut);
-    m_traffic.versions().setMoves(newest->moves);
+        applyRoutes(newest->routes, StateOrigin::Logs);
+    if (m_applied.isReplacedBy(newest->lastIndex.value(), false)) {
+        m_applied.recordLogState(newest->lastIndex.value(), StateOrigin::Logs);
+        m_traffic.setDataCentresOut(newest->dataCentresOut);
+        m_traffic.versions().setMoves(newest->moves);
+    }
     m_confirmed = true;
     HS_LOG(INFO, LogEvent::StateFromLogs)
         << "routes=" << newest->routes.number << " log=" << newest->lastIndex << " voters=" << newest->voters.size();
@@ -187,16 +193,16 @@
 void EntryHost::applyRoutes(const EntryUpdate &update)
 {
     if (!update.compressedRoutes)
-        return applyRoutes(update.routes);
+        return applyRoutes(update.routes, StateOrigin::Committed);
     const std::optional<std::string> text = decompressText(update.routes.text);
     if (text)
-        applyRoutes(AcceptedRoutes{update.routes.number, *text});
+        applyRoutes(AcceptedRoutes{update.routes.number, *text}, StateOrigin::Committed);
     else
         HS_LOG(ERROR, LogEvent::RoutesUnreadable)
             << "routes=" << update.routes.number << " cannot be decompressed, keeping the previous routes";
 }
 
-void EntryHost::applyRoutes(const AcceptedRoutes &routes)
+void EntryHost::applyRoutes(const AcceptedRoutes &routes, StateOrigin origin)
 {
     Result<RouteTable> table = m_codec.parseRoutes(routes.text);
     if (!table) {
@@ -211,6 +217,7 @@
     limits.idleTimeout = std::chrono::duration_cast<std::chrono::milliseconds>(table->limits.idleTimeout) + kIdleMargin;
     m_callerServer->setLimits(limits);
     m_traffic.setRoutes(std::move(*table));
+    m_applied.recordRoutes({routes.number, hash64(routes.text)}, origin);
 }
 
 void EntryHost::dialControlHosts()
@@ -228,6 +235,7 @@
     status.needsState = !m_confirmed;
     status.readsCompressed = true;
     status.routesNumber = m_traffic.routesNumber();
+    status.routesDigest = m_applied.routes().digest;
     status.subRequestsPerSecond = m_traffic.subRequestsPerSecond(monotonicNow());
     status.intervalMillis = static_cast<uint32_t>(statusInterval() / 1ms);
     m_links->sendToAll(PeerMessageType::EntryStatus, pack(status));
--- a/src/app/EntryHost.h
+++ b/src/app/EntryHost.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "app/HostCodec.h"
+#include "hickoryspur/process/AppliedState.h"
 #include "hickoryspur/process/ControlHostDirectory.h"
 #include "hickoryspur/process/EntryDirectory.h"
 #include "hickoryspur/process/HostSettings.h"
@@ -42,7 +43,7 @@
     void onMessage(const NodeId &from, const PeerMessage &message);
     void apply(TimePoint now, const NodeId &from, const EntryUpdate &update);
     void applyRoutes(const EntryUpdate &update);
-    void applyRoutes(const AcceptedRoutes &routes);
+    void applyRoutes(const AcceptedRoutes &routes, StateOrigin origin);
     /** Applies the newest log state once a majority of its voters has reported. */
     void recordLogReport(const LogReport &report);
     void sendStatus();
@@ -68,7 +69,7 @@
     EntryDirectory m_entries;
     LogQuorum m_logs;
     std::mt19937_64 m_random;
-    uint64_t m_applied = 0;
+    AppliedState m_applied;
     /** The control host that last sent a confirmed update. */
     std::optional<NodeId> m_leader;
     bool m_confirmed = false;
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -235,7 +235,7 @@
 
 void EntryTraffic::setRoutes(RouteTable table)
 {
-    if (m_routes && table.number <= m_routes->number)
+    if (m_routes && table.number < m_routes->number)
         return;
     HS_LOG(INFO, LogEvent::RoutesApplied)
         << "routes=" << table.number << " before=" << routesNumber() << " count=" << table.routes.size();
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -60,7 +60,7 @@
     /** Returns an answer that refuses a request, with a jittered delay after which the caller may retry. */
     CallerAnswer makeRefusal(RefusalKind kind);
 
-    /** Replaces the route table if the given one has a higher number. */
+    /** Replaces the route table unless the given one has a lower number. */
     void setRoutes(RouteTable table);
     /** Replicas in these data centres get no new requests. */
     void setDataCentresOut(std::vector<std::string> out);
