Answer each request for a host's log, also while the log is closed

Callers would see: an entry that starts while there is no leader refuses everything although a majority of the control hosts is up. Cause: the control thread dropped the request while the log was closed or a write was under way; the session kept its mark that an answer was due, and never asked again. Change: the answer says that there is no report; the entry's next status asks again.

--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -220,14 +220,17 @@
     if (pending)
         return;
     pending = true;
-    m_group->requestLogReport([this, link](LogReport report) {
+    m_group->requestLogReport([this, link](std::optional<LogReport> report) {
         asio::post(m_context, [this, link, report = std::move(report)]() mutable {
             const auto session = m_sessions.find(link.get());
             if (session == m_sessions.end())
                 return;
             session->second.logReportPending = false;
+            // The entry asks again with its next status.
+            if (!report)
+                return;
             EntryUpdate update = makeStateUpdate(monotonicNow());
-            update.logReport.push_back(std::move(report));
+            update.logReport.push_back(std::move(*report));
             sendUpdate(session->second, std::move(update));
         });
     });
--- a/src/process/GroupThread.cpp
+++ b/src/process/GroupThread.cpp
@@ -271,12 +271,12 @@
     });
 }
 
-void GroupThread::requestLogReport(std::function<void(LogReport)> callback)
+void GroupThread::requestLogReport(std::function<void(std::optional<LogReport>)> callback)
 {
     asio::post(m_state->context, [state = m_state.get(), callback = std::move(callback)] {
         // A report may only cover what is durable on this host.
-        if (state->node && state->pending.empty())
-            callback(state->node->report());
+        const bool isDurable = state->node && state->pending.empty();
+        callback(isDurable ? std::optional(state->node->report()) : std::nullopt);
     });
 }
 
--- a/src/process/GroupThread.h
+++ b/src/process/GroupThread.h
@@ -66,8 +66,8 @@
     void receive(LogMessage message);
     void submit(Command command, DoneCallback done);
     void read(ReadCallback callback);
-    /** Drops the callback while the log is closed or has changes that are not durable yet. */
-    void requestLogReport(std::function<void(LogReport)> callback);
+    /** Passes nullopt while the log is closed or has changes that are not durable yet. */
+    void requestLogReport(std::function<void(std::optional<LogReport>)> callback);
     void setSeeds(std::vector<NodeId> seeds);
     /** Stores soft state for a faster recovery after a restart. A failed write costs some seconds then, no data. */
     void saveNotes(std::string bytes);
