Sync the log when it is opened, before its entries count as durable

Callers would see: an acknowledged configuration lost after a process was killed, started again, and later lost power. Cause: a process that is killed between writing entries and syncing them leaves them in the file. The next process read them back and counted them as durable, so the leader could acknowledge them with this host in the majority, while a loss of power would remove them. Change: opening the log syncs it; an error there is a failed open, retried like others. Result: two new tests, one with a sync that is counted and one that fails, fail without the sync and pass now.

--- a/include/hickoryspur/process/LogStorage.h
+++ b/include/hickoryspur/process/LogStorage.h
@@ -5,8 +5,10 @@
 
 #include "hickoryspur/process/ReplicatedLog.h"
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <unistd.h>
 
 namespace hickoryspur {
 
@@ -64,9 +66,15 @@
      * host that lost its disk must not format the new one but join the group again.
      */
     static Result<void> format(const std::string &folder, const NodeId &node, const std::vector<NodeId> &voters);
-    /** Opens the folder. An empty one gets newDiskIncarnation and belongs to no membership yet. */
+    /** Makes a file's contents durable; returns 0, or -1 with errno set. */
+    using SyncFile = std::function<int(int file)>;
+    /**
+     * Opens the folder. An empty one gets newDiskIncarnation and belongs to no membership yet. The recovered entries
+     * are durable: an earlier process may have ended between writing them and syncing them.
+     */
     static Result<std::unique_ptr<FileLogStorage>> open(const std::string &folder, const NodeId &node,
-                                                        uint64_t newDiskIncarnation, RecoveredStorage &recovered);
+                                                        uint64_t newDiskIncarnation, RecoveredStorage &recovered,
+                                                        SyncFile syncFile = ::fdatasync);
     ~FileLogStorage() override;
 
     Result<void> saveCheckpoint(const Checkpoint &checkpoint, CheckpointOrigin origin) override;
@@ -76,13 +84,14 @@
     Result<void> sync() override;
 
 private:
-    explicit FileLogStorage(std::string folder);
+    FileLogStorage(std::string folder, SyncFile syncFile);
     Result<void> recoverEntries(RecoveredStorage &recovered);
     Result<void> rewriteEntries();
     Result<void> openLog();
     std::string logPath() const;
 
     std::string m_folder;
+    SyncFile m_syncFile;
     /** Index of the checkpoint before the entries; part of the log file's name. */
     LogIndex m_checkpointIndex;
     int m_logFile = -1;
--- a/src/process/LogStorage.cpp
+++ b/src/process/LogStorage.cpp
@@ -166,8 +166,9 @@
     return bytes ? decodeRecord(*bytes, 0) : std::nullopt;
 }
 
-FileLogStorage::FileLogStorage(std::string folder)
+FileLogStorage::FileLogStorage(std::string folder, SyncFile syncFile)
     : m_folder(std::move(folder))
+    , m_syncFile(std::move(syncFile))
 {
 }
 
@@ -193,11 +194,12 @@
 }
 
 Result<std::unique_ptr<FileLogStorage>> FileLogStorage::open(const std::string &folder, const NodeId &node,
-                                                             uint64_t newDiskIncarnation, RecoveredStorage &recovered)
+                                                             uint64_t newDiskIncarnation, RecoveredStorage &recovered,
+                                                             SyncFile syncFile)
 {
     std::error_code error;
     fs::create_directories(folder, error);
-    std::unique_ptr<FileLogStorage> storage(new FileLogStorage(folder));
+    std::unique_ptr<FileLogStorage> storage(new FileLogStorage(folder, std::move(syncFile)));
     const auto identity = readRecordFile<MemberId>(folder, kIdentityFile);
     if (!identity)
         return tl::unexpected(identity.error());
@@ -261,7 +263,8 @@
     recovered.log.entries = m_entries;
     if (recovered.truncatedBytes > 0 && ::ftruncate(m_logFile, m_logSize) != 0)
         return diskFailure(path);
-    return {};
+    m_needsSync = true;
+    return sync();
 }
 
 Result<void> FileLogStorage::append(const std::vector<LogEntry> &entries)
@@ -338,7 +341,7 @@
     if (!m_needsSync)
         return {};
     m_needsSync = false;
-    return ::fdatasync(m_logFile) == 0 ? Result<void>() : diskFailure(logPath());
+    return m_syncFile(m_logFile) == 0 ? Result<void>() : diskFailure(logPath());
 }
 
 } // namespace hickoryspur
--- a/test/failure/LogStorageFailureTest.cpp
+++ b/test/failure/LogStorageFailureTest.cpp
@@ -14,6 +14,8 @@
     CPPUNIT_TEST_SUITE(LogStorageFailureTest);
     CPPUNIT_TEST(log_reopened_holdsSyncedEntries);
     CPPUNIT_TEST(log_lastRecordTorn_isTruncated);
+    CPPUNIT_TEST(log_endedBeforeItsSync_isSyncedWhenOpened);
+    CPPUNIT_TEST(log_syncFailsWhenOpened_failsToOpen);
     CPPUNIT_TEST(log_damagedInTheMiddle_openFailsNamingFileAndOffset);
     CPPUNIT_TEST(log_checkpointFromLeader_dropsLaterEntries);
     CPPUNIT_TEST(log_localCheckpoint_keepsLaterEntries);
@@ -80,6 +82,28 @@
         CPPUNIT_ASSERT(m_recovered.log.entries == entries(1, 6));
     }
 
+    // Guards against an entry that this host acknowledges again after a restart and loses with the next loss of power.
+    void log_endedBeforeItsSync_isSyncedWhenOpened()
+    {
+        CPPUNIT_ASSERT(open()->append(entries(1, 3)));
+        int syncs = 0;
+        const auto countSync = [&syncs](int) {
+            ++syncs;
+            return 0;
+        };
+        CPPUNIT_ASSERT(FileLogStorage::open(m_folder, NodeId("a"), 77, m_recovered, countSync));
+        CPPUNIT_ASSERT(m_recovered.log.entries == entries(1, 3));
+        CPPUNIT_ASSERT_EQUAL(1, syncs);
+    }
+
+    void log_syncFailsWhenOpened_failsToOpen()
+    {
+        write(1, 3);
+        const auto opened = FileLogStorage::open(m_folder, NodeId("a"), 77, m_recovered, [](int) { return -1; });
+        CPPUNIT_ASSERT(!opened);
+        CPPUNIT_ASSERT_EQUAL(ResultCode::DiskFailed, opened.error().code);
+    }
+
     void log_damagedInTheMiddle_openFailsNamingFileAndOffset()
     {
         write(1, 5);
