Combine only log reports of about the same time

Callers would see: an entry that has waited for a leader serves a configuration older than an acknowledged one until a leader reaches it. Cause: reports of logs were kept for good. One voter's report from before a command and another voter's from before it reached that one look like a majority that lacks it. Result: the new test fails with reports that stay valid and passes now.

--- a/include/hickoryspur/process/LogQuorum.h
+++ b/include/hickoryspur/process/LogQuorum.h
@@ -2,11 +2,13 @@
 // Acknowledged commands are in the logs of a majority of the voters, so any majority includes a log
 // that holds them. The newest log of a majority may also hold commands that are not acknowledged: the
 // entry host then applies them early, or applies one that is never confirmed. A host whose disk was
-// replaced reports as a new member, which is not among the voters and does not count.
+// replaced reports as a new member, which is not among the voters and does not count. Reports count for
+// a limited time: a command may be acknowledged by one voter after its report and by another before its.
 #pragma once
 
 #include "hickoryspur/process/ControlState.h"
 #include "hickoryspur/process/ReplicatedLog.h"
+#include "hickoryspur/process/Time.h"
 
 #include <map>
 #include <optional>
@@ -31,12 +33,21 @@
 class LogQuorum
 {
 public:
-    void recordReport(LogReport report) { m_reports[report.member] = std::move(report); }
+    /** Several intervals at which an entry asks for reports; a state older than this would be in force too late. */
+    static constexpr Duration kReportValidity = 1500ms;
+
+    void recordReport(TimePoint now, LogReport report);
     /** The newest report if a majority of its voters has reported, else null; valid until the next recordReport(). */
     const LogReport *newest() const;
 
 private:
-    std::map<MemberId, LogReport> m_reports;
+    struct Received
+    {
+        LogReport report;
+        TimePoint at;
+    };
+    /** The reports that are still valid. */
+    std::map<MemberId, Received> m_reports;
 };
 
 } // namespace hickoryspur
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -174,7 +174,7 @@
 
 void EntryHost::recordLogReport(const LogReport &report)
 {
-    m_logs.recordReport(report);
+    m_logs.recordReport(monotonicNow(), report);
     const LogReport *newest = m_logs.newest();
     if (!newest || newest->routes.number == 0)
         return;
--- a/test/failure/LogQuorumFailureTest.cpp
+++ b/test/failure/LogQuorumFailureTest.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST_SUITE(LogQuorumFailureTest);
     CPPUNIT_TEST(quorum_oneOfThreeVotersReported_hasNoNewestReport);
     CPPUNIT_TEST(quorum_reportFromReplacedDisk_isNotCounted);
+    CPPUNIT_TEST(quorum_reportsFarApart_areNotCombined);
     CPPUNIT_TEST(quorum_allHostsRestarted_acknowledgedRoutesKnownBeforeElection);
     CPPUNIT_TEST(quorum_everyMajority_holdsAcknowledgedRoutes);
     CPPUNIT_TEST_SUITE_END();
@@ -31,21 +32,32 @@
     void quorum_oneOfThreeVotersReported_hasNoNewestReport()
     {
         LogQuorum quorum;
-        quorum.recordReport(report(1, 1, 9));
-        quorum.recordReport(report(1, 1, 10));
+        quorum.recordReport(m_now, report(1, 1, 9));
+        quorum.recordReport(m_now, report(1, 1, 10));
         CPPUNIT_ASSERT(quorum.newest() == nullptr);
-        quorum.recordReport(report(2, 1, 12));
+        quorum.recordReport(m_now, report(2, 1, 12));
         CPPUNIT_ASSERT_EQUAL(LogIndex(12), quorum.newest()->lastIndex);
     }
 
     void quorum_reportFromReplacedDisk_isNotCounted()
     {
         LogQuorum quorum;
-        quorum.recordReport(report(1, 1, 9));
-        quorum.recordReport(report(2, 77, 0));
+        quorum.recordReport(m_now, report(1, 1, 9));
+        quorum.recordReport(m_now, report(2, 77, 0));
         CPPUNIT_ASSERT(quorum.newest() == nullptr);
     }
 
+    // Guards against an old state that looks acknowledged by a majority: commands between the two reports are missing.
+    void quorum_reportsFarApart_areNotCombined()
+    {
+        LogQuorum quorum;
+        quorum.recordReport(m_now, report(1, 1, 9));
+        quorum.recordReport(m_now + 6s, report(3, 1, 9));
+        CPPUNIT_ASSERT(quorum.newest() == nullptr);
+        quorum.recordReport(m_now + 7s, report(1, 1, 12));
+        CPPUNIT_ASSERT_EQUAL(LogIndex(12), quorum.newest()->lastIndex);
+    }
+
     void quorum_allHostsRestarted_acknowledgedRoutesKnownBeforeElection()
     {
         GroupFleet fleet(3, {}, 11);
@@ -62,7 +74,7 @@
             LogQuorum quorum;
             for (size_t i = 0; i < 3; ++i)
                 if (i != absent)
-                    quorum.recordReport(fleet.node(i).report());
+                    quorum.recordReport(fleet.now(), fleet.node(i).report());
             CPPUNIT_ASSERT_EQUAL(uint64_t(42), quorum.newest()->routes.number);
         }
     }
@@ -87,12 +99,15 @@
             LogQuorum quorum;
             for (size_t i = 0; i < fleet.size(); ++i)
                 if (i != absent)
-                    quorum.recordReport(fleet.node(i).report());
+                    quorum.recordReport(fleet.now(), fleet.node(i).report());
             CPPUNIT_ASSERT(quorum.newest() != nullptr);
             CPPUNIT_ASSERT(quorum.newest()->routes.number >= acknowledged);
         }
         CPPUNIT_ASSERT(acknowledged > 20);
     }
+
+private:
+    TimePoint m_now{1000s};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogQuorumFailureTest);
