Keep to the limit that an upstream names, over all entries together

Cause: nothing read the field in which an upstream names its limit. Each entry paces itself at an equal share on a grid of slots; an unused slot is lost after a second, so hundreds of entries cannot start at once. A replica without a slot is passed over; what no replica may take is refused at once, with the next slot as Retry-After. E1509 to E1511 and a gauge say what is in force. Stand-in upstreams name limits. Evidence: the drill fails with the field unread (44 passed, 1 failed), five tests fail if each entry keeps the whole limit; with the change 237 fixtures and 45 checks with hosts pass.

--- a/include/hickoryspur/request/RequestCodec.h
+++ b/include/hickoryspur/request/RequestCodec.h
@@ -3,6 +3,7 @@
 // are read and written by a RequestCodec, which the platform adapter provides.
 #pragma once
 
+#include "hickoryspur/connection/UpstreamSignals.h"
 #include "hickoryspur/process/Ids.h"
 #include "hickoryspur/process/Time.h"
 
@@ -56,6 +57,8 @@
     bool notRun = false;
     /** The upstream's signature of its part, which the merged answer lists. */
     std::string signature;
+    /** What the upstream says of itself; nullopt if another process answered at its address. */
+    std::optional<UpstreamSignals> signals;
 };
 
 /** An answer to a caller. */
--- a/include/hickoryspur/request/ScatterGather.h
+++ b/include/hickoryspur/request/ScatterGather.h
@@ -99,6 +99,7 @@
     /** The next time at which tick() must be called. */
     TimePoint nextWake(TimePoint now) const;
 
+    const std::vector<ServiceName> &shards() const { return m_plan.shards; }
     size_t answeredParts() const { return m_answered; }
     /** True if no upstream has run the request and no attempt that may still run it is in progress. */
     bool provablyNotRun() const { return m_possibleRuns == 0; }
--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -107,10 +107,10 @@
     request.fresh = !m_route.idempotent;
     m_traffic.m_replicaTracker.recordSent(attempt.upstream);
     ++m_traffic.m_sentSubRequests;
-    if (m_traffic.m_registry.find(attempt.upstream)->announcement.coldForMillis > 0)
-        m_traffic.m_coldLimit.recordSent(now, attempt.upstream);
+    const Announcement &announcement = m_traffic.m_registry.find(attempt.upstream)->announcement;
+    m_traffic.m_admission.recordSent(now, m_traffic.admissionQuery(announcement));
     SentAttempt &sent = m_runningAttempts[attempt.key];
-    sent = {attempt.upstream, now, 0};
+    sent = {attempt.upstream, announcement.incarnation, now, 0};
     sent.handle = m_traffic.m_connections.send(*target, std::move(request),
                                                [self = shared_from_this(), key = attempt.key](ExchangeResult result) {
                                                    self->onAttemptEnded(key, std::move(result));
@@ -134,6 +134,8 @@
     AnswerVerdict verdict;
     if (result.outcome == AttemptOutcome::Answered)
         verdict = m_traffic.m_codec.read(result.answer);
+    if (verdict.signals)
+        m_traffic.recordSignals(now, sent.upstream, sent.incarnation, *verdict.signals);
     const AttemptOutcome outcome = classifyOutcome(result, verdict);
     RouteLatency &latency = m_traffic.latencyOf(m_route);
     const Duration took = now - sent.at;
@@ -260,7 +262,8 @@
     if (outcome == ScatterOutcome::Complete)
         return m_traffic.m_codec.passThrough(m_answers.begin()->second);
     if (outcome == ScatterOutcome::NotRun)
-        return m_traffic.makeRefusal(RefusalKind::NotRunTryLater);
+        return m_traffic.makeRefusal(RefusalKind::NotRunTryLater,
+                                     m_traffic.timeUntilAdmitted(monotonicNow(), m_scatter->shards()));
     if (!m_route.isScattered() && m_failure)
         return m_traffic.m_codec.passThrough(*m_failure);
     return m_traffic.makeRefusal(outcome == ScatterOutcome::TimedOut ? RefusalKind::TimedOut
--- a/src/request/ActiveRequest.h
+++ b/src/request/ActiveRequest.h
@@ -37,6 +37,7 @@
     struct SentAttempt
     {
         UpstreamId upstream;
+        uint64_t incarnation = 0;
         TimePoint at;
         UpstreamConnections::Handle handle = 0;
     };
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -64,14 +64,17 @@
     , m_replicaTracker(m_config.seed)
     , m_versions(m_config.seed + 3)
     , m_connections(context, m_codec.belongsTo, m_config.seed + 2)
+    , m_admission(m_config.seed + 4)
     , m_random(m_config.seed + 1)
 {
+    m_admission.setEntryCount(monotonicNow(), m_entryCount);
 }
 
-CallerAnswer EntryTraffic::makeRefusal(RefusalKind kind)
+CallerAnswer EntryTraffic::makeRefusal(RefusalKind kind, Duration minDelay)
 {
     const Duration jitter(static_cast<int64_t>(randomFraction() * kRetryAfterJitter.count()));
-    return m_codec.refusal(kind, (m_routes ? kRetryAfter : kStartupRetryAfter) + jitter);
+    const Duration delay = std::max(m_routes ? kRetryAfter : kStartupRetryAfter, minDelay);
+    return m_codec.refusal(kind, delay + jitter);
 }
 
 CallerAnswer EntryTraffic::serve(const ForwardedRequest &request, const std::function<bool()> &isCallerGone)
@@ -119,7 +122,7 @@
             const KnownUpstream *known = m_registry.find(id);
             const Announcement &announcement = known->announcement;
             if (!m_dataCentresOut.contains(announcement.dataCentre.value())
-                && m_versions.isInGroup(service, announcement.version, *next) && isWithinColdLimit(now, announcement))
+                && m_versions.isInGroup(service, announcement.version, *next) && mayGetRequest(now, announcement))
                 usable.push_back(known);
         }
         next = *next == group ? m_versions.fallback(service, group) : std::nullopt;
@@ -127,13 +130,55 @@
     return usable;
 }
 
-bool EntryTraffic::isWithinColdLimit(TimePoint now, const Announcement &announcement) const
+bool EntryTraffic::mayGetRequest(TimePoint now, const Announcement &announcement) const
 {
-    if (announcement.coldForMillis <= 0)
+    // This runs for each replica of each shard, and mostly no upstream has a limit.
+    if (announcement.coldForMillis <= 0 && m_admission.empty())
         return true;
+    return m_admission.maySend(now, admissionQuery(announcement));
+}
+
+AdmissionQuery EntryTraffic::admissionQuery(const Announcement &announcement) const
+{
+    AdmissionQuery query{announcement.id, announcement.incarnation};
+    if (announcement.coldForMillis <= 0)
+        return query;
     const auto service = m_routes->services.find(announcement.service);
-    const double rate = service == m_routes->services.end() ? 0 : service->second.coldRequestsPerSecond;
-    return m_coldLimit.maySend(now, announcement.id, m_subset.isHome(announcement.id), rate);
+    query.coldRequestsPerSecond = service == m_routes->services.end() ? 0 : service->second.coldRequestsPerSecond;
+    query.isHome = query.coldRequestsPerSecond <= 0 || m_subset.isHome(announcement.id);
+    return query;
+}
+
+void EntryTraffic::recordSignals(TimePoint now, const UpstreamId &upstream, uint64_t incarnation,
+                                 const UpstreamSignals &signals)
+{
+    static Counter &limited = Metrics::counter("hickoryspur_upstreams_limited");
+    const SignalChange change = m_admission.recordSignals(now, upstream, incarnation, signals);
+    if (change == SignalChange::None)
+        return;
+    limited.set(static_cast<int64_t>(m_admission.limitedCount()));
+    if (change == SignalChange::LimitNamed)
+        HS_LOG_REQUEST(LogEvent::UpstreamLimited)
+            << "upstream=" << upstream << " born=" << incarnation << " per-s=" << *signals.requestsPerSecond
+            << " entries=" << m_entryCount;
+    else
+        HS_LOG_REQUEST(LogEvent::UpstreamLimitEnded) << "upstream=" << upstream << " born=" << incarnation;
+}
+
+Duration EntryTraffic::timeUntilAdmitted(TimePoint now, const std::vector<ServiceName> &services) const
+{
+    TimePoint latest = now;
+    for (const ServiceName &service : services) {
+        TimePoint earliest = TimePoint::max();
+        for (const UpstreamId &id : m_registry.replicas(service)) {
+            const Announcement &announcement = m_registry.find(id)->announcement;
+            if (!m_dataCentresOut.contains(announcement.dataCentre.value()))
+                earliest = std::min(earliest, m_admission.nextSend(now, admissionQuery(announcement)));
+        }
+        if (earliest != TimePoint::max())
+            latest = std::max(latest, earliest);
+    }
+    return latest - now;
 }
 
 std::optional<ReplicaChoice> EntryTraffic::chooseReplica(const ServiceName &service,
@@ -254,6 +299,7 @@
     m_entryCount = entries;
     for (auto &[service, budget] : m_budgets)
         budget.setSlack(slackPerEntry());
+    m_admission.setEntryCount(monotonicNow(), entries);
 }
 
 bool EntryTraffic::opensInAdvance(TimePoint now) const
@@ -293,9 +339,10 @@
         return;
     const KnownUpstream *known = m_registry.find(announcement.id);
     if (!known || known->announcement.coldForMillis <= 0)
-        m_coldLimit.remove(announcement.id);
+        m_admission.endCold(announcement.id);
     if (known && known->takesWork())
         return;
+    m_admission.remove(announcement.id);
     m_connections.removeUpstream(announcement.id);
 }
 
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "connection/UpstreamConnections.h"
-#include "hickoryspur/connection/ColdUpstreamLimit.h"
 #include "hickoryspur/connection/ReplicaSubset.h"
+#include "hickoryspur/connection/UpstreamAdmission.h"
 #include "hickoryspur/connection/UpstreamRegistry.h"
 #include "hickoryspur/request/LatencyQuantile.h"
 #include "hickoryspur/request/ReplicaTracker.h"
@@ -57,8 +57,8 @@
 
     /** Must be called on a fiber; blocks it until the final answer or until isCallerGone returns true. */
     CallerAnswer serve(const ForwardedRequest &request, const std::function<bool()> &isCallerGone);
-    /** Returns an answer that refuses a request, with a jittered delay after which the caller may retry. */
-    CallerAnswer makeRefusal(RefusalKind kind);
+    /** An answer that refuses a request, with a jittered delay after which the caller may retry; at least minDelay. */
+    CallerAnswer makeRefusal(RefusalKind kind, Duration minDelay = Duration::zero());
 
     /** Replaces the route table unless the given one has a lower number. */
     void setRoutes(RouteTable table);
@@ -99,8 +99,13 @@
     RetryBudget &budget(const ServiceName &service);
     /** This entry's share of TrafficConfig::extraSlack. */
     double slackPerEntry() const;
-    /** False if the upstream is cold and a request more would exceed the rate that it tolerates. */
-    bool isWithinColdLimit(TimePoint now, const Announcement &announcement) const;
+    /** False if the upstream would get more requests than it takes. */
+    bool mayGetRequest(TimePoint now, const Announcement &announcement) const;
+    AdmissionQuery admissionQuery(const Announcement &announcement) const;
+    /** Puts in force, and logs, what an upstream says of itself in an answer. */
+    void recordSignals(TimePoint now, const UpstreamId &upstream, uint64_t incarnation, const UpstreamSignals &signals);
+    /** Time until each of the services has a replica that may get a request; zero if that is not known to be later. */
+    Duration timeUntilAdmitted(TimePoint now, const std::vector<ServiceName> &services) const;
     RouteLatency &latencyOf(const Route &route);
     std::optional<UpstreamTarget> targetOf(const UpstreamId &upstream) const;
     /** Logs which services have lost or regained their upstreams, and updates the metrics. */
@@ -131,7 +136,7 @@
     VersionSplit m_versions;
     UpstreamConnections m_connections;
     ReplicaSubset m_subset;
-    ColdUpstreamLimit m_coldLimit;
+    UpstreamAdmission m_admission;
     std::map<ServiceName, RetryBudget> m_budgets;
     std::map<std::string, RouteLatency> m_latencies;
     /** Services that had an upstream at the last check. */
--- a/tools/hickoryspur-standin.cpp
+++ b/tools/hickoryspur-standin.cpp
@@ -44,6 +44,8 @@
     bool stalled = false;
     /** Answers carry a wrong request id. */
     bool echoesWrongId = false;
+    /** Requests a second that platform answers name as the upstream's limit; none if zero. */
+    double limitPerSecond = 0;
     std::string state = "ready";
 };
 
@@ -104,6 +106,7 @@
 private:
     CallerResponse handleSubRequest(const CallerRequest &request);
     CallerResponse handlePlatformRequest(const CallerRequest &request);
+    UpstreamSignals signals() const;
     CallerResponse changeBehaviour(const CallerRequest &request);
     CallerResponse counters() const;
     CallerResponse makeOutcome(unsigned status, const std::string &outcomeName, const CallerRequest &request) const;
@@ -204,6 +207,7 @@
     m_behaviour.stalled = body.value("silent", m_behaviour.stalled);
     m_behaviour.echoesWrongId = body.value("crossed", m_behaviour.echoesWrongId);
     m_behaviour.state = body.value("state", m_behaviour.state);
+    m_behaviour.limitPerSecond = body.value("limit_per_s", m_behaviour.limitPerSecond);
     m_group.snapshots = body.value("snapshots", m_group.snapshots);
     m_group.generation = body.value("map_generation", m_group.generation);
     if (body.contains("cold_bears")) {
@@ -254,7 +258,9 @@
     const bool forAnotherUpstream = platform::isForAnotherUpstream(request, UpstreamId(m_name));
     if (forAnotherUpstream || m_running >= m_group.slots) {
         m_shed += forAnotherUpstream ? 0 : 1;
-        return platform::makeNotRun(request, forAnotherUpstream);
+        CallerResponse response = platform::makeNotRun(request, forAnotherUpstream);
+        platform::setSignals(response, signals());
+        return response;
     }
     ++m_running;
     ++m_actions[request.body];
@@ -271,12 +277,21 @@
     second.resize(16);
     const std::string signature = m_name + '.' + std::to_string(m_served);
     CallerResponse response = platform::makeAnswer(request, signature, body + second);
+    platform::setSignals(response, signals());
     std::uniform_real_distribution<double> unit(0, 1);
     if (unit(m_random) < m_behaviour.failShare)
         response.status = 500;
     return response;
 }
 
+UpstreamSignals Upstream::signals() const
+{
+    UpstreamSignals signals;
+    if (m_behaviour.limitPerSecond > 0)
+        signals.requestsPerSecond = m_behaviour.limitPerSecond;
+    return signals;
+}
+
 CallerRequest Upstream::makeHeartbeat()
 {
     Announcement announcement;
