Heed what an upstream says of itself: leaving, or to come back later

Nothing read Server-Leaving, nor Retry-After in a refusal. Change: UpstreamAdmission keeps both by incarnation beside the limit, and every attempt asks it; connections are not opened in advance to such an upstream, and requests that wait for one there end as Withheld, which costs no attempt, no budget and no mark against the replica. What no replica may take is refused at once with the earliest end as Retry-After. Stand-in upstreams send all three fields.

--- a/include/hickoryspur/process/HostSettings.h
+++ b/include/hickoryspur/process/HostSettings.h
@@ -43,6 +43,8 @@
      */
     double extraShare = 0.2;
     double extraSlack = 50;
+    /** How long an upstream goes on serving after it has said that it is leaving. */
+    Duration upstreamDrainTime = 3s;
     /** Upper bound of directoryValidity(). */
     Duration maxDirectoryValidity = 5s;
 
--- a/include/hickoryspur/request/ReplicaTracker.h
+++ b/include/hickoryspur/request/ReplicaTracker.h
@@ -26,6 +26,8 @@
     Refused,
     /** Nothing was sent to the upstream. */
     NotSent,
+    /** Nothing was sent, since the upstream takes no requests now; says nothing of its speed or reachability. */
+    Withheld,
     /** The request may have run; no complete answer arrived before the deadline. */
     NoResponse,
     /** The entry stopped waiting; the replica's latency and failure averages do not change. */
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -29,7 +29,7 @@
 
 TrafficConfig trafficConfig(const HostSettings &settings, uint64_t incarnation)
 {
-    return {settings.dataCentre, settings.extraShare, settings.extraSlack, incarnation};
+    return {settings.dataCentre, settings.extraShare, settings.extraSlack, settings.upstreamDrainTime, incarnation};
 }
 
 } // namespace
--- a/src/connection/UpstreamAdmission.cpp
+++ b/src/connection/UpstreamAdmission.cpp
@@ -34,31 +34,51 @@
     return found == m_records.end() || found->second.incarnation != query.incarnation ? nullptr : &found->second;
 }
 
-SignalChange UpstreamAdmission::recordSignals(TimePoint now, const UpstreamId &id, uint64_t incarnation,
-                                              const UpstreamSignals &signals)
+SignalChanges UpstreamAdmission::recordSignals(TimePoint now, const UpstreamId &id, uint64_t incarnation,
+                                               const UpstreamSignals &signals)
 {
+    SignalChanges changes;
     const auto known = m_records.find(id);
-    if (!signals.requestsPerSecond) {
-        // An answer of an earlier incarnation says nothing about the present one.
-        if (known == m_records.end() || known->second.incarnation != incarnation || !known->second.limit)
-            return SignalChange::None;
-        known->second.limit.reset();
-        known->second.pace.reset();
-        if (known->second.sentCold.empty())
-            m_records.erase(known);
-        return SignalChange::LimitEnded;
-    }
+    const bool saysSomething = signals.requestsPerSecond || signals.pause || signals.leaving;
+    if (known == m_records.end() && !saysSomething)
+        return changes;
+    // An answer of an earlier incarnation says nothing about the present one.
     if (known != m_records.end() && known->second.incarnation > incarnation)
-        return SignalChange::None;
+        return changes;
     Record &record = recordOf(id, incarnation);
-    const bool isNew = !record.limit;
-    const Duration interval = intervalOf(*signals.requestsPerSecond);
-    if (isNew)
-        record.pace.emplace(now, interval, std::uniform_real_distribution<double>(0, 1)(m_random));
-    else if (record.limit != signals.requestsPerSecond)
-        record.pace->setInterval(now, interval);
-    record.limit = signals.requestsPerSecond;
-    return isNew ? SignalChange::LimitNamed : SignalChange::None;
+    updateLimit(now, record, signals.requestsPerSecond, changes);
+    if (signals.pause)
+        updatePause(now, record, *signals.pause, changes);
+    changes.leavingBegun = signals.leaving && !record.leavingSince;
+    if (changes.leavingBegun)
+        record.leavingSince = now;
+    if (record.empty())
+        m_records.erase(id);
+    return changes;
+}
+
+void UpstreamAdmission::updateLimit(TimePoint now, Record &record, std::optional<double> limit, SignalChanges &changes)
+{
+    changes.limitNamed = limit && !record.limit;
+    changes.limitEnded = !limit && record.limit;
+    if (!limit)
+        record.pace.reset();
+    else if (!record.pace)
+        record.pace.emplace(now, intervalOf(*limit), randomFraction());
+    else if (record.limit != limit)
+        record.pace->setInterval(now, intervalOf(*limit));
+    record.limit = limit;
+}
+
+void UpstreamAdmission::updatePause(TimePoint now, Record &record, Duration pause, SignalChanges &changes)
+{
+    const Duration length = std::min(pause, kMaxPause);
+    // Several requests may have been refused at the same time; the latest end counts.
+    if (record.pausedUntil && *record.pausedUntil >= now + length)
+        return;
+    changes.pauseBegun = !record.pausedUntil;
+    const double ramp = randomFraction() * static_cast<double>(std::min(length, kMaxRamp).count());
+    record.pausedUntil = now + length + Duration(static_cast<int64_t>(ramp));
 }
 
 TimePoint UpstreamAdmission::nextSendToCold(TimePoint now, const AdmissionQuery &query, const Record *record)
@@ -73,12 +93,31 @@
     return std::max(now, record->sentCold[record->sentCold.size() - allowed] + kColdWindow);
 }
 
+TimePoint UpstreamAdmission::nextByRate(TimePoint now, const AdmissionQuery &query, const Record *record)
+{
+    TimePoint next = nextSendToCold(now, query, record);
+    if (record && record->pace)
+        next = std::max(next, record->pace->nextSlot(now));
+    if (record && record->pausedUntil)
+        next = std::max(next, *record->pausedUntil);
+    return next;
+}
+
 TimePoint UpstreamAdmission::nextSend(TimePoint now, const AdmissionQuery &query) const
 {
     const Record *record = find(query);
-    const TimePoint cold = nextSendToCold(now, query, record);
-    const TimePoint paced = record && record->pace ? record->pace->nextSlot(now) : now;
-    return std::max(cold, paced);
+    if (record && record->leavingSince)
+        return TimePoint::max();
+    return nextByRate(now, query, record);
+}
+
+bool UpstreamAdmission::maySendToLastReplica(TimePoint now, const AdmissionQuery &query) const
+{
+    const Record *record = find(query);
+    if (!record || !record->leavingSince)
+        return maySend(now, query);
+    const Duration usable(static_cast<int64_t>(kLastReplicaShare * static_cast<double>(m_drainTime.count())));
+    return now - *record->leavingSince < usable && nextByRate(now, query, record) <= now;
 }
 
 void UpstreamAdmission::recordSent(TimePoint now, const AdmissionQuery &query)
@@ -100,20 +139,52 @@
     if (found == m_records.end())
         return;
     found->second.sentCold.clear();
-    if (!found->second.limit)
+    if (found->second.empty())
         m_records.erase(found);
 }
 
+bool UpstreamAdmission::isWithdrawn(TimePoint now, const UpstreamId &id, uint64_t incarnation) const
+{
+    const Record *record = find({id, incarnation});
+    return record && (record->leavingSince || (record->pausedUntil && now < *record->pausedUntil));
+}
+
+std::vector<UpstreamId> UpstreamAdmission::takeEndedPauses(TimePoint now)
+{
+    std::vector<UpstreamId> ended;
+    for (auto item = m_records.begin(); item != m_records.end();) {
+        const auto current = item++;
+        Record &record = current->second;
+        if (!record.pausedUntil || now < *record.pausedUntil)
+            continue;
+        ended.push_back(current->first);
+        record.pausedUntil.reset();
+        if (record.empty())
+            m_records.erase(current);
+    }
+    return ended;
+}
+
+void UpstreamAdmission::keepOnly(const std::function<bool(const UpstreamId &)> &isKnown)
+{
+    std::erase_if(m_records, [&](const auto &item) { return !isKnown(item.first); });
+}
+
 std::optional<double> UpstreamAdmission::limitOf(const UpstreamId &id) const
 {
     const auto found = m_records.find(id);
     return found == m_records.end() ? std::nullopt : found->second.limit;
 }
 
-size_t UpstreamAdmission::limitedCount() const
+UpstreamAdmission::Counts UpstreamAdmission::counts() const
 {
-    return static_cast<size_t>(std::count_if(m_records.begin(), m_records.end(),
-                                             [](const auto &item) { return item.second.limit.has_value(); }));
+    Counts counts;
+    for (const auto &[id, record] : m_records) {
+        counts.limited += record.limit ? 1 : 0;
+        counts.paused += record.pausedUntil ? 1 : 0;
+        counts.leaving += record.leavingSince ? 1 : 0;
+    }
+    return counts;
 }
 
 } // namespace hickoryspur
--- a/src/connection/UpstreamConnections.cpp
+++ b/src/connection/UpstreamConnections.cpp
@@ -154,6 +154,8 @@
     void cancel(UpstreamConnections::Handle handle);
     /** Returns false if the exchange does not wait for a connection. */
     bool cancelIfNotSent(UpstreamConnections::Handle handle);
+    /** Ends all exchanges that wait for a connection. */
+    void endWaiting(AttemptOutcome outcome, const std::string &reason);
     void tick(TimePoint now);
     void closeIdle();
     bool hasRoom() const;
@@ -399,10 +401,15 @@
                                         [](const auto &connection) { return !connection->isClosed(); });
     if (othersOpen || m_waiting.empty())
         return;
+    endWaiting(AttemptOutcome::NotSent, reason);
+}
+
+void Pool::endWaiting(AttemptOutcome outcome, const std::string &reason)
+{
     std::deque<Exchange> waiting = std::move(m_waiting);
     m_waiting.clear();
     for (Exchange &exchange : waiting)
-        exchange.done({AttemptOutcome::NotSent, {}, reason});
+        exchange.done({outcome, {}, reason});
 }
 
 bool Pool::cancelIfNotSent(UpstreamConnections::Handle handle)
@@ -523,6 +530,15 @@
         pool->cancelIfNotSent(handle);
 }
 
+void UpstreamConnections::withdrawWaiting(const UpstreamId &id)
+{
+    const auto found = m_state->pools.find(id);
+    if (found == m_state->pools.end())
+        return;
+    const std::shared_ptr<Pool> pool = found->second;
+    pool->endWaiting(AttemptOutcome::Withheld, "the upstream takes no requests now");
+}
+
 void UpstreamConnections::warm(const UpstreamTarget &target)
 {
     m_state->pool(target)->warm();
--- a/src/connection/UpstreamConnections.h
+++ b/src/connection/UpstreamConnections.h
@@ -40,7 +40,8 @@
 
 struct ExchangeResult
 {
-    /** Answered, Failed, NotSent, NoResponse or Cancelled; Answered says nothing about the answer's status. */
+    /** Answered, Failed, NotSent, Withheld, NoResponse or Cancelled; Answered says nothing about the answer's status.
+     */
     AttemptOutcome outcome = AttemptOutcome::Failed;
     UpstreamAnswer answer;
     /** Why there is no answer; empty if there is one. */
@@ -67,6 +68,8 @@
     void cancel(Handle handle);
     /** Ends an exchange that still waits for a connection; one whose request has been sent continues. */
     void cancelIfNotSent(Handle handle);
+    /** Ends the exchanges that wait for a connection to this upstream as Withheld; sent ones continue. */
+    void withdrawWaiting(const UpstreamId &id);
     /** Opens a connection if there is none, unless the reconnection backoff forbids it. */
     void warm(const UpstreamTarget &target);
     /** Whether an exchange could start without waiting for another one to end. */
--- a/src/process/HostSettings.cpp
+++ b/src/process/HostSettings.cpp
@@ -104,6 +104,7 @@
     settings.grace = section.duration("grace", 1s, kMaxGrace, settings.grace);
     settings.extraShare = section.fraction("extra-share", settings.extraShare);
     settings.extraSlack = static_cast<double>(section.integer("extra-slack", 0, INT32_MAX, 50));
+    settings.upstreamDrainTime = section.duration("upstream-drain", 100ms, kMaxGrace, settings.upstreamDrainTime);
     settings.maxDirectoryValidity =
         section.duration("directory-validity", 100ms, kMaxGrace, settings.maxDirectoryValidity);
     checkRole(section, settings);
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -4,6 +4,7 @@
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/Metrics.h"
 #include "request/ActiveRequest.h"
+#include "request/SignalReport.h"
 
 #include <algorithm>
 #include <cmath>
@@ -64,7 +65,7 @@
     , m_replicaTracker(m_config.seed)
     , m_versions(m_config.seed + 3)
     , m_connections(context, m_codec.belongsTo, m_config.seed + 2)
-    , m_admission(m_config.seed + 4)
+    , m_admission(m_config.seed + 4, m_config.upstreamDrainTime)
     , m_random(m_config.seed + 1)
 {
     m_admission.setEntryCount(monotonicNow(), m_entryCount);
@@ -115,21 +116,32 @@
 std::vector<const KnownUpstream *> EntryTraffic::usableReplicas(TimePoint now, const ServiceName &service,
                                                                 VersionGroup group) const
 {
-    std::vector<const KnownUpstream *> usable;
-    std::optional<VersionGroup> next = group;
-    while (usable.empty() && next) {
-        for (const UpstreamId &id : m_registry.replicas(service)) {
-            const KnownUpstream *known = m_registry.find(id);
-            const Announcement &announcement = known->announcement;
-            if (!m_dataCentresOut.contains(announcement.dataCentre.value())
-                && m_versions.isInGroup(service, announcement.version, *next) && mayGetRequest(now, announcement))
-                usable.push_back(known);
-        }
-        next = *next == group ? m_versions.fallback(service, group) : std::nullopt;
-    }
+    std::vector<const KnownUpstream *> usable = admittedReplicas(now, service, group, false);
+    const std::optional<VersionGroup> fallback = m_versions.fallback(service, group);
+    if (usable.empty() && fallback)
+        usable = admittedReplicas(now, service, *fallback, false);
+    if (usable.empty() && !m_admission.empty())
+        usable = admittedReplicas(now, service, group, true);
     return usable;
 }
 
+std::vector<const KnownUpstream *> EntryTraffic::admittedReplicas(TimePoint now, const ServiceName &service,
+                                                                  VersionGroup group, bool includesLeaving) const
+{
+    std::vector<const KnownUpstream *> admitted;
+    for (const UpstreamId &id : m_registry.replicas(service)) {
+        const KnownUpstream *known = m_registry.find(id);
+        const Announcement &announcement = known->announcement;
+        if (m_dataCentresOut.contains(announcement.dataCentre.value())
+            || !m_versions.isInGroup(service, announcement.version, group))
+            continue;
+        if (includesLeaving ? m_admission.maySendToLastReplica(now, admissionQuery(announcement))
+                            : mayGetRequest(now, announcement))
+            admitted.push_back(known);
+    }
+    return admitted;
+}
+
 bool EntryTraffic::mayGetRequest(TimePoint now, const Announcement &announcement) const
 {
     // This runs for each replica of each shard, and mostly no upstream has a limit.
@@ -152,17 +164,24 @@
 void EntryTraffic::recordSignals(TimePoint now, const UpstreamId &upstream, uint64_t incarnation,
                                  const UpstreamSignals &signals)
 {
-    static Counter &limited = Metrics::counter("hickoryspur_upstreams_limited");
-    const SignalChange change = m_admission.recordSignals(now, upstream, incarnation, signals);
-    if (change == SignalChange::None)
+    const SignalChanges changes = m_admission.recordSignals(now, upstream, incarnation, signals);
+    if (!changes.any())
         return;
-    limited.set(static_cast<int64_t>(m_admission.limitedCount()));
-    if (change == SignalChange::LimitNamed)
-        HS_LOG_REQUEST(LogEvent::UpstreamLimited)
-            << "upstream=" << upstream << " born=" << incarnation << " per-s=" << *signals.requestsPerSecond
-            << " entries=" << m_entryCount;
-    else
-        HS_LOG_REQUEST(LogEvent::UpstreamLimitEnded) << "upstream=" << upstream << " born=" << incarnation;
+    reportSignals(upstream, incarnation, signals, changes, m_entryCount);
+    reportCounts(m_admission.counts());
+    if (changes.pauseBegun)
+        m_connections.withdrawWaiting(upstream);
+    if (changes.leavingBegun)
+        m_connections.removeUpstream(upstream);
+}
+
+void EntryTraffic::updateAdmission(TimePoint now)
+{
+    const std::vector<UpstreamId> ended = m_admission.takeEndedPauses(now);
+    for (const UpstreamId &upstream : ended)
+        reportPauseEnded(upstream);
+    if (!ended.empty())
+        reportCounts(m_admission.counts());
 }
 
 Duration EntryTraffic::timeUntilAdmitted(TimePoint now, const std::vector<ServiceName> &services) const
@@ -342,7 +361,8 @@
         m_admission.endCold(announcement.id);
     if (known && known->takesWork())
         return;
-    m_admission.remove(announcement.id);
+    if (!known || known->announcement.upstreamState() == UpstreamState::Gone)
+        m_admission.remove(announcement.id);
     m_connections.removeUpstream(announcement.id);
 }
 
@@ -355,6 +375,7 @@
     if (now < m_nextServiceCheck)
         return;
     m_nextServiceCheck = now + kServiceCheckInterval;
+    m_admission.keepOnly([this](const UpstreamId &id) { return m_registry.find(id) != nullptr; });
     int64_t replicas = 0;
     int64_t unservedCount = 0;
     for (const auto &[service, spec] : m_routes->services) {
@@ -376,6 +397,7 @@
 {
     m_connections.tick(now);
     m_registry.removeExpired(now);
+    updateAdmission(now);
     if (!m_routes)
         return;
     updateServiceStatus(now);
@@ -384,7 +406,8 @@
     // Connects to every upstream behind a route in advance, so that the first request need not wait for it.
     for (const auto &[id, known] : m_registry.all())
         if (known.takesWork() && m_routes->services.contains(known.announcement.service)
-            && holdsConnections(known.announcement))
+            && holdsConnections(known.announcement)
+            && !m_admission.isWithdrawn(now, id, known.announcement.incarnation))
             m_connections.warm(*targetOf(id));
 }
 
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -34,6 +34,8 @@
     double extraShare = 0.2;
     /** Extra sub-requests allowed beyond that share, per budget window and for all entries together. */
     double extraSlack = 50;
+    /** How long an upstream goes on serving after it has said that it is leaving. */
+    Duration upstreamDrainTime = 3s;
     /** Seeds replica selection, route splits, reconnect backoff and retry jitter. */
     uint64_t seed = 0;
 };
@@ -90,9 +92,13 @@
     ScatterPlan makePlan(TimePoint now, const Route &route, const ForwardedRequest &request);
     std::optional<ReplicaChoice> chooseReplica(const ServiceName &service, const std::vector<UpstreamId> &tried,
                                                VersionGroup group);
-    /** The replicas of the group that may get a request, or of its fallback if there are none. */
+    /** The replicas of the group that may get a request, or of its fallback, or those that are leaving if none is left.
+     */
     std::vector<const KnownUpstream *> usableReplicas(TimePoint now, const ServiceName &service,
                                                       VersionGroup group) const;
+    /** The replicas of the group that may get a request; includesLeaving also those that may as the last ones. */
+    std::vector<const KnownUpstream *> admittedReplicas(TimePoint now, const ServiceName &service, VersionGroup group,
+                                                        bool includesLeaving) const;
     /** Reports a finished attempt to the split between versions. */
     void recordVersionSample(const Route &route, const UpstreamId &upstream, AttemptOutcome outcome, Duration latency);
     bool tryConsumeBudget(const ServiceName &service);
@@ -104,6 +110,8 @@
     AdmissionQuery admissionQuery(const Announcement &announcement) const;
     /** Puts in force, and logs, what an upstream says of itself in an answer. */
     void recordSignals(TimePoint now, const UpstreamId &upstream, uint64_t incarnation, const UpstreamSignals &signals);
+    /** Reports the pauses that have ended. */
+    void updateAdmission(TimePoint now);
     /** Time until each of the services has a replica that may get a request; zero if that is not known to be later. */
     Duration timeUntilAdmitted(TimePoint now, const std::vector<ServiceName> &services) const;
     RouteLatency &latencyOf(const Route &route);
--- a/src/request/ReplicaTracker.cpp
+++ b/src/request/ReplicaTracker.cpp
@@ -49,7 +49,7 @@
     score.inFlight -= std::min<uint32_t>(score.inFlight, 1);
     if (wasOverdue)
         score.overdue -= std::min<uint32_t>(score.overdue, 1);
-    if (outcome == AttemptOutcome::Cancelled)
+    if (outcome == AttemptOutcome::Cancelled || outcome == AttemptOutcome::Withheld)
         return;
     score.lastEnd = now;
     if (outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::NoResponse) {
--- a/src/request/ScatterGather.cpp
+++ b/src/request/ScatterGather.cpp
@@ -136,14 +136,15 @@
 void ScatterGather::handleFailure(TimePoint now, uint32_t index, AttemptOutcome outcome, ScatterActions &actions)
 {
     Shard &shard = m_shards[index];
-    const bool provablyNotRun = outcome == AttemptOutcome::Refused || outcome == AttemptOutcome::NotSent;
+    const bool nothingSent = outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Withheld;
+    const bool provablyNotRun = nothingSent || outcome == AttemptOutcome::Refused;
     if (provablyNotRun) {
         --shard.possibleRuns;
         --m_possibleRuns;
     }
     const bool isRepeatable = provablyNotRun || m_plan.idempotent;
     // An attempt that was not sent put no load on the service, so its replacement is not charged to the budget.
-    const bool isExtra = outcome != AttemptOutcome::NotSent;
+    const bool isExtra = !nothingSent;
     if (isRepeatable && now < m_plan.deadline && trySend(now, index, isExtra, actions))
         return;
     if (hasRunning(shard) || shard.lost)
--- a/test/failure/ScatterGatherFailureTest.cpp
+++ b/test/failure/ScatterGatherFailureTest.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(scatter_oneAttemptMayHaveRun_endsAsFailed);
     CPPUNIT_TEST(scatter_maxAttemptsUsed_sendsToNoFurtherReplica);
     CPPUNIT_TEST(scatter_unreachableReplicas_doNotUseAttemptsOrBudget);
+    CPPUNIT_TEST(scatter_replicaPausedBeforeTheSend_isSentElsewhereWithoutBudget);
     CPPUNIT_TEST(scatter_deadlinePassed_timesOut);
     CPPUNIT_TEST_SUITE_END();
 
@@ -199,6 +200,18 @@
         CPPUNIT_ASSERT(!run.provablyNotRun());
     }
 
+    void scatter_replicaPausedBeforeTheSend_isSentElsewhereWithoutBudget()
+    {
+        m_budget = 0;
+        ScatterGather run(plan(1, 1, false), hooks());
+        run.start(m_now);
+        const ScatterActions actions = run.attemptEnded(m_now + 1ms, {0, 0}, AttemptOutcome::Withheld);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), actions.sends.size());
+        run.attemptEnded(m_now + 2ms, {0, 1}, AttemptOutcome::Withheld);
+        CPPUNIT_ASSERT(run.attemptEnded(m_now + 3ms, {0, 2}, AttemptOutcome::Withheld).outcome
+                       == ScatterOutcome::NotRun);
+    }
+
     void scatter_maxAttemptsUsed_sendsToNoFurtherReplica()
     {
         ScatterGather run(plan(1, 1), hooks());
--- a/test/failure/UpstreamAdmissionFailureTest.cpp
+++ b/test/failure/UpstreamAdmissionFailureTest.cpp
@@ -26,15 +26,25 @@
     CPPUNIT_TEST(limit_newIncarnation_startsWithoutIt);
     CPPUNIT_TEST(limit_lateAnswerOfAnEarlierIncarnation_changesNothing);
     CPPUNIT_TEST(limit_usedUp_nextSendIsTheNextSlot);
+    CPPUNIT_TEST(leaving_saidInAnAnswer_endsItsUse);
+    CPPUNIT_TEST(leaving_lastReplica_isUsedWithinTheDrainTime);
+    CPPUNIT_TEST(leaving_newIncarnation_startsClean);
+    CPPUNIT_TEST(pause_begun_nothingIsSentUntilItsEnd);
+    CPPUNIT_TEST(pause_severalRefusals_theLatestEndCounts);
+    CPPUNIT_TEST(pause_longerThanTheBound_isCut);
+    CPPUNIT_TEST(pause_ends_loadReturnsOverARamp);
+    CPPUNIT_TEST(pause_ends_isReportedOnce);
+    CPPUNIT_TEST(signals_upstreamUnknownNow_areForgotten);
     CPPUNIT_TEST_SUITE_END();
 
+    static constexpr Duration kDrainTime = 3s;
     const UpstreamId m_upstream{"u-1"};
     static constexpr double kRate = 20;
 
     struct Entry
     {
         ReplicaSubset subset;
-        UpstreamAdmission admission{1};
+        UpstreamAdmission admission{1, kDrainTime};
     };
 
     static std::vector<std::string> addresses(int first, int count)
@@ -65,6 +75,8 @@
     /** The most requests that an upstream with a limit may get in this time. */
     static constexpr Duration kLimitWindow = 4s;
 
+    static UpstreamSignals limitOf(double requestsPerSecond) { return {requestsPerSecond, std::nullopt, false}; }
+
     static size_t allowedInWindow(double limit)
     {
         return static_cast<size_t>(1.5 * limit * std::chrono::duration<double>(kLimitWindow).count()) + 5;
@@ -78,7 +90,7 @@
             , random(seed)
         {
             for (size_t i = 0; i < entries; ++i)
-                admissions.emplace_back(seed * 1000 + i);
+                admissions.emplace_back(seed * 1000 + i, kDrainTime);
             setEntryCount(static_cast<uint32_t>(entries));
             name(limit);
         }
@@ -92,7 +104,7 @@
         void name(double limit)
         {
             for (UpstreamAdmission &admission : admissions)
-                admission.recordSignals(now, query.id, query.incarnation, {limit});
+                admission.recordSignals(now, query.id, query.incarnation, UpstreamSignals{limit, {}, false});
         }
 
         /** Each entry has a request in each millisecond with this probability, and sends it if it may. */
@@ -127,7 +139,7 @@
 public:
     void upstream_withoutLimit_getsEveryRequest()
     {
-        CPPUNIT_ASSERT(UpstreamAdmission(1).maySend(TimePoint(1s), {m_upstream, 1, 0, false}));
+        CPPUNIT_ASSERT(UpstreamAdmission(1, kDrainTime).maySend(TimePoint(1s), {m_upstream, 1, 0, false}));
     }
 
     void upstream_coldOnThreeHundredEntries_staysBelowRate()
@@ -204,19 +216,19 @@
 
     void limit_answerWithoutIt_endsIt()
     {
-        UpstreamAdmission admission(1);
-        CPPUNIT_ASSERT(admission.recordSignals(m_now, m_upstream, 1, {0.1}) == SignalChange::LimitNamed);
-        CPPUNIT_ASSERT(admission.recordSignals(m_now, m_upstream, 1, {0.1}) == SignalChange::None);
+        UpstreamAdmission admission(1, kDrainTime);
+        CPPUNIT_ASSERT(admission.recordSignals(m_now, m_upstream, 1, limitOf(0.1)).limitNamed);
+        CPPUNIT_ASSERT(!admission.recordSignals(m_now, m_upstream, 1, limitOf(0.1)).any());
         admission.recordSent(m_now, {m_upstream, 1});
         CPPUNIT_ASSERT(!admission.maySend(m_now, {m_upstream, 1}));
-        CPPUNIT_ASSERT(admission.recordSignals(m_now, m_upstream, 1, {}) == SignalChange::LimitEnded);
+        CPPUNIT_ASSERT(admission.recordSignals(m_now, m_upstream, 1, {}).limitEnded);
         CPPUNIT_ASSERT(admission.maySend(m_now, {m_upstream, 1}));
     }
 
     void limit_newIncarnation_startsWithoutIt()
     {
-        UpstreamAdmission admission(1);
-        admission.recordSignals(m_now, m_upstream, 1, {0.1});
+        UpstreamAdmission admission(1, kDrainTime);
+        admission.recordSignals(m_now, m_upstream, 1, limitOf(0.1));
         admission.recordSent(m_now, {m_upstream, 1});
         CPPUNIT_ASSERT(!admission.maySend(m_now, {m_upstream, 1}));
         CPPUNIT_ASSERT(admission.maySend(m_now, {m_upstream, 2}));
@@ -224,18 +236,18 @@
 
     void limit_lateAnswerOfAnEarlierIncarnation_changesNothing()
     {
-        UpstreamAdmission admission(1);
-        admission.recordSignals(m_now, m_upstream, 2, {5.0});
-        CPPUNIT_ASSERT(admission.recordSignals(m_now, m_upstream, 1, {0.1}) == SignalChange::None);
-        CPPUNIT_ASSERT(admission.recordSignals(m_now, m_upstream, 1, {}) == SignalChange::None);
+        UpstreamAdmission admission(1, kDrainTime);
+        admission.recordSignals(m_now, m_upstream, 2, limitOf(5));
+        CPPUNIT_ASSERT(!admission.recordSignals(m_now, m_upstream, 1, limitOf(0.1)).any());
+        CPPUNIT_ASSERT(!admission.recordSignals(m_now, m_upstream, 1, {}).any());
         CPPUNIT_ASSERT_EQUAL(5.0, admission.limitOf(m_upstream).value_or(0));
     }
 
     void limit_usedUp_nextSendIsTheNextSlot()
     {
-        UpstreamAdmission admission(1);
+        UpstreamAdmission admission(1, kDrainTime);
         admission.setEntryCount(m_now, 4);
-        admission.recordSignals(m_now, m_upstream, 1, {2.0});
+        admission.recordSignals(m_now, m_upstream, 1, limitOf(2));
         const AdmissionQuery query{m_upstream, 1};
         const TimePoint slot = admission.nextSend(m_now, query);
         admission.recordSent(slot, query);
@@ -243,7 +255,107 @@
         CPPUNIT_ASSERT(interval > 2s && interval < 3s);
     }
 
+    void leaving_saidInAnAnswer_endsItsUse()
+    {
+        UpstreamAdmission admission(1, kDrainTime);
+        CPPUNIT_ASSERT(admission.recordSignals(m_now, m_upstream, 7, leaving()).leavingBegun);
+        CPPUNIT_ASSERT(!admission.recordSignals(m_now, m_upstream, 7, leaving()).any());
+        // One that leaves does not come back in the same incarnation, whatever a delayed answer says.
+        admission.recordSignals(m_now + 1s, m_upstream, 7, {});
+        CPPUNIT_ASSERT(!admission.maySend(m_now + 60s, {m_upstream, 7}));
+        CPPUNIT_ASSERT(admission.isWithdrawn(m_now, m_upstream, 7));
+        CPPUNIT_ASSERT(admission.nextSend(m_now, {m_upstream, 7}) == TimePoint::max());
+    }
+
+    void leaving_lastReplica_isUsedWithinTheDrainTime()
+    {
+        UpstreamAdmission admission(1, kDrainTime);
+        admission.recordSignals(m_now, m_upstream, 7, leaving());
+        CPPUNIT_ASSERT(admission.maySendToLastReplica(m_now + kDrainTime / 2, {m_upstream, 7}));
+        CPPUNIT_ASSERT(!admission.maySendToLastReplica(m_now + kDrainTime, {m_upstream, 7}));
+        admission.recordSignals(m_now, m_upstream, 7, pause(1s));
+        CPPUNIT_ASSERT(!admission.maySendToLastReplica(m_now + 500ms, {m_upstream, 7}));
+    }
+
+    void leaving_newIncarnation_startsClean()
+    {
+        UpstreamAdmission admission(1, kDrainTime);
+        admission.recordSignals(m_now, m_upstream, 7, leaving());
+        CPPUNIT_ASSERT(admission.maySend(m_now, {m_upstream, 8}));
+        CPPUNIT_ASSERT(!admission.isWithdrawn(m_now, m_upstream, 8));
+    }
+
+    void pause_begun_nothingIsSentUntilItsEnd()
+    {
+        UpstreamAdmission admission(1, kDrainTime);
+        CPPUNIT_ASSERT(admission.recordSignals(m_now, m_upstream, 7, pause(1500ms)).pauseBegun);
+        CPPUNIT_ASSERT(!admission.maySend(m_now, {m_upstream, 7}));
+        CPPUNIT_ASSERT(!admission.maySend(m_now + 1499ms, {m_upstream, 7}));
+        const TimePoint next = admission.nextSend(m_now, {m_upstream, 7});
+        CPPUNIT_ASSERT(next >= m_now + 1500ms && next <= m_now + 3s);
+        CPPUNIT_ASSERT(admission.maySend(next, {m_upstream, 7}));
+    }
+
+    void pause_severalRefusals_theLatestEndCounts()
+    {
+        UpstreamAdmission admission(1, kDrainTime);
+        admission.recordSignals(m_now, m_upstream, 7, pause(4s));
+        CPPUNIT_ASSERT(!admission.recordSignals(m_now + 10ms, m_upstream, 7, pause(1s)).any());
+        CPPUNIT_ASSERT(!admission.maySend(m_now + 3999ms, {m_upstream, 7}));
+        admission.recordSignals(m_now + 20ms, m_upstream, 7, pause(9s));
+        CPPUNIT_ASSERT(!admission.maySend(m_now + 9s, {m_upstream, 7}));
+    }
+
+    void pause_longerThanTheBound_isCut()
+    {
+        UpstreamAdmission admission(1, kDrainTime);
+        admission.recordSignals(m_now, m_upstream, 7, pause(24h));
+        const TimePoint latest = m_now + UpstreamAdmission::kMaxPause + UpstreamAdmission::kMaxRamp;
+        CPPUNIT_ASSERT(admission.maySend(latest, {m_upstream, 7}));
+    }
+
+    void pause_ends_loadReturnsOverARamp()
+    {
+        for (const int entries : {6, 300}) {
+            std::deque<UpstreamAdmission> admissions;
+            for (int i = 0; i < entries; ++i) {
+                admissions.emplace_back(i, kDrainTime);
+                admissions.back().recordSignals(m_now, m_upstream, 7, pause(4s));
+            }
+            const auto resumed = [&](TimePoint at) {
+                return std::count_if(admissions.begin(), admissions.end(), [&](const auto &admission) {
+                    return admission.maySend(at, {m_upstream, 7});
+                });
+            };
+            const TimePoint end = m_now + 4s;
+            CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0), resumed(end - 1ms));
+            CPPUNIT_ASSERT(resumed(end + UpstreamAdmission::kMaxRamp / 4) <= entries / 2);
+            CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(entries), resumed(end + UpstreamAdmission::kMaxRamp));
+        }
+    }
+
+    void pause_ends_isReportedOnce()
+    {
+        UpstreamAdmission admission(1, kDrainTime);
+        admission.recordSignals(m_now, m_upstream, 7, pause(1s));
+        CPPUNIT_ASSERT(admission.takeEndedPauses(m_now + 500ms).empty());
+        CPPUNIT_ASSERT(admission.takeEndedPauses(m_now + 2s) == std::vector<UpstreamId>{m_upstream});
+        CPPUNIT_ASSERT(admission.takeEndedPauses(m_now + 3s).empty());
+        CPPUNIT_ASSERT(admission.empty());
+    }
+
+    void signals_upstreamUnknownNow_areForgotten()
+    {
+        UpstreamAdmission admission(1, kDrainTime);
+        admission.recordSignals(m_now, m_upstream, 7, leaving());
+        admission.keepOnly([](const UpstreamId &) { return false; });
+        CPPUNIT_ASSERT(admission.empty());
+    }
+
 private:
+    static UpstreamSignals leaving() { return {std::nullopt, std::nullopt, true}; }
+    static UpstreamSignals pause(Duration length) { return {std::nullopt, length, false}; }
+
     TimePoint m_now{100s};
 };
 
--- a/test/failure/UpstreamConnectionsFailureTest.cpp
+++ b/test/failure/UpstreamConnectionsFailureTest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(connections_connectionRefused_requestNotSent);
     CPPUNIT_TEST(connections_warmedWhileRefused_attemptsBackOff);
     CPPUNIT_TEST(connections_cancelledWhileWaiting_requestNotSent);
+    CPPUNIT_TEST(connections_upstreamPausedWhileWaiting_requestNotSent);
     CPPUNIT_TEST(connections_cancelIfNotSentWhileRunning_exchangeCompletes);
     CPPUNIT_TEST(connections_headWithoutEnd_exchangeFailsAndNextIsServed);
     CPPUNIT_TEST(connections_bodyWithoutEnd_exchangeFailsAndNextIsServed);
@@ -311,6 +312,28 @@
         CPPUNIT_ASSERT_EQUAL(size_t(0), upstream.socket.available());
     }
 
+    // Guards against requests that reach an upstream after it has asked for none, since they had waited for a
+    // connection.
+    void connections_upstreamPausedWhileWaiting_requestNotSent()
+    {
+        Upstream upstream(m_context);
+        UpstreamTarget to = target(upstream, "u");
+        to.connections = 1;
+        std::map<std::string, AttemptOutcome> outcomes;
+        send(to, "r1", [&](const ExchangeResult &ended) { outcomes["r1"] = ended.outcome; });
+        awaitRequest(upstream);
+        send(to, "r2", [&](const ExchangeResult &ended) { outcomes["r2"] = ended.outcome; });
+        m_context.poll();
+        m_connections.withdrawWaiting(to.id);
+        CPPUNIT_ASSERT(outcomes.at("r2") == AttemptOutcome::Withheld);
+        reply(upstream, answer("r1"));
+        runUntil([&] { return outcomes.size() == 2; });
+        CPPUNIT_ASSERT(outcomes.at("r1") == AttemptOutcome::Answered);
+        m_context.poll();
+        std::this_thread::sleep_for(5ms);
+        CPPUNIT_ASSERT_EQUAL(size_t(0), upstream.socket.available());
+    }
+
     void connections_cancelIfNotSentWhileRunning_exchangeCompletes()
     {
         Upstream upstream(m_context);
--- a/tools/hickoryspur-standin.cpp
+++ b/tools/hickoryspur-standin.cpp
@@ -46,6 +46,10 @@
     bool echoesWrongId = false;
     /** Requests a second that platform answers name as the upstream's limit; none if zero. */
     double limitPerSecond = 0;
+    /** Platform answers say that the upstream is leaving, whatever its heartbeats say. */
+    bool saysLeaving = false;
+    /** Platform requests are refused, and this pause is asked for, while it is above zero. */
+    double pauseMs = 0;
     std::string state = "ready";
 };
 
@@ -208,6 +212,8 @@
     m_behaviour.echoesWrongId = body.value("crossed", m_behaviour.echoesWrongId);
     m_behaviour.state = body.value("state", m_behaviour.state);
     m_behaviour.limitPerSecond = body.value("limit_per_s", m_behaviour.limitPerSecond);
+    m_behaviour.saysLeaving = body.value("says_leaving", m_behaviour.saysLeaving);
+    m_behaviour.pauseMs = body.value("pause_ms", m_behaviour.pauseMs);
     m_group.snapshots = body.value("snapshots", m_group.snapshots);
     m_group.generation = body.value("map_generation", m_group.generation);
     if (body.contains("cold_bears")) {
@@ -256,7 +262,7 @@
 CallerResponse Upstream::handlePlatformRequest(const CallerRequest &request)
 {
     const bool forAnotherUpstream = platform::isForAnotherUpstream(request, UpstreamId(m_name));
-    if (forAnotherUpstream || m_running >= m_group.slots) {
+    if (forAnotherUpstream || m_running >= m_group.slots || m_behaviour.pauseMs > 0) {
         m_shed += forAnotherUpstream ? 0 : 1;
         CallerResponse response = platform::makeNotRun(request, forAnotherUpstream);
         platform::setSignals(response, signals());
@@ -289,6 +295,9 @@
     UpstreamSignals signals;
     if (m_behaviour.limitPerSecond > 0)
         signals.requestsPerSecond = m_behaviour.limitPerSecond;
+    if (m_behaviour.pauseMs > 0)
+        signals.pause = Duration(static_cast<int64_t>(m_behaviour.pauseMs * 1000));
+    signals.leaving = m_behaviour.saysLeaving;
     return signals;
 }
 
