--- a/include/hickoryspur/connection/UpstreamAdmission.h
+++ b/include/hickoryspur/connection/UpstreamAdmission.h
@@ -58,7 +58,7 @@
     static constexpr Duration kColdWindow = 1s;
     /** A longer pause is cut to this: an upstream that is away for longer ends or announces itself again. */
     static constexpr Duration kMaxPause = 30s;
-    /** The load comes back within this time after a pause, or within the pause's length if that is shorter. */
+    /** The load comes back within this time after a pause, or within half of the pause's length if that is shorter. */
     static constexpr Duration kMaxRamp = 2s;
     /** Part of the drain time in which a leaving upstream that is the last replica may still get requests. */
     static constexpr double kLastReplicaShare = 0.8;
--- a/src/connection/UpstreamAdmission.cpp
+++ b/src/connection/UpstreamAdmission.cpp
@@ -77,7 +77,7 @@
     if (record.pausedUntil && *record.pausedUntil >= now + length)
         return;
     changes.pauseBegun = !record.pausedUntil;
-    const double ramp = randomFraction() * static_cast<double>(std::min(length, kMaxRamp).count());
+    const double ramp = randomFraction() * static_cast<double>(std::min(length / 2, kMaxRamp).count());
     record.pausedUntil = now + length + Duration(static_cast<int64_t>(ramp));
 }
 
--- a/src/request/HttpCallerServer.cpp
+++ b/src/request/HttpCallerServer.cpp
@@ -62,6 +62,13 @@
     }
 }
 
+/** Names of header fields are looked up in lower case. */
+std::string toLower(std::string name)
+{
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+    return name;
+}
+
 CallerRequest toCallerRequest(http::request<http::string_body> &&message)
 {
     CallerRequest request;
@@ -71,8 +78,7 @@
     for (const auto &field : message) {
         std::string name(field.name_string());
         request.fields.emplace_back(name, std::string(field.value()));
-        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
-        request.headers[name] = std::string(field.value());
+        request.headers[toLower(std::move(name))] = std::string(field.value());
     }
     request.body = std::move(message.body());
     return request;
@@ -337,7 +343,12 @@
         m_state->stream.reset();
     if (error)
         return failure(ResultCode::ConnectionFailed, m_state->address.text() + ": " + error.message());
-    return CallerResponse{answer.result_int(), std::move(answer.body()), "application/json", {}};
+    CallerResponse response;
+    response.status = answer.result_int();
+    response.body = std::move(answer.body());
+    for (const auto &field : answer)
+        response.headers[toLower(std::string(field.name_string()))] = std::string(field.value());
+    return response;
 }
 
 Result<CallerResponse> httpExchange(const HostAddress &address, const CallerRequest &request,
--- a/tools/hickoryspur-load.cpp
+++ b/tools/hickoryspur-load.cpp
@@ -1,6 +1,8 @@
-// Load tool: sends queries or actions of one service to the given entries, at a steady rate or as fast as its
-// connections allow. Prints latency, coverage and the number of refused requests as one line of JSON, and with
+// Load tool: sends queries or actions of one service, or look-ups of the platform, to the given entries, at a steady
+// rate or as fast as its connections allow. Prints latency, coverage and the number of refused requests as one line of
+// JSON, and with
 // --seconds also one line for each second.
+#include "CallerMessages.h"
 #include "connection/AsioScheduler.h"
 #include "hickoryspur/version/LatencyHistogram.h"
 #include "request/HttpCallerClient.h"
@@ -18,6 +20,8 @@
 namespace options = boost::program_options;
 
 constexpr std::chrono::milliseconds kRequestTimeout{5000};
+/** How long the caller of a look-up waits, as it tells the entry. */
+constexpr std::chrono::milliseconds kLookupTimeout{1000};
 
 struct LoadPlan
 {
@@ -31,6 +35,9 @@
     uint32_t connections = 16;
     int64_t durationSeconds = 10;
     std::string keyPrefix;
+    /** Sends look-ups of the platform to this host name and path instead, if it is not empty. */
+    std::string lookupHost;
+    std::string lookupPath;
 };
 
 /** The results of all requests, or of those due in one second; json() prints them. */
@@ -128,9 +135,19 @@
         return request;
     }
 
+    bool sendsLookups() const { return !m_plan.lookupHost.empty(); }
+
+    CallerRequest makeLookup()
+    {
+        const uint64_t number = m_nextNumber++;
+        return platform::makeLookup(m_plan.lookupHost, m_plan.lookupPath + std::to_string(number),
+                                    m_plan.keyPrefix + std::to_string(number), kLookupTimeout);
+    }
+
     void sendRequest(HttpCallerClient &client, TimePoint due)
     {
-        const Result<CallerResponse> response = client.exchange(makeRequest(), kRequestTimeout);
+        const Result<CallerResponse> response =
+            client.exchange(sendsLookups() ? makeLookup() : makeRequest(), kRequestTimeout);
         const TimePoint now = monotonicNow();
         for (RequestCounts *counts : {&m_total, &m_seconds[(due - m_start) / 1s]}) {
             ++counts->asked;
@@ -138,12 +155,35 @@
                 ++counts->broken;
                 continue;
             }
-            recordResponse(*counts, *response, now - due);
+            if (sendsLookups())
+                recordLookup(*counts, *response, now - due);
+            else
+                recordResponse(*counts, *response, now - due);
         }
         if (!response)
             boost::this_fiber::sleep_for(std::chrono::milliseconds(50));
     }
 
+    static void recordLookup(RequestCounts &counts, const CallerResponse &response, Duration latency)
+    {
+        ++counts.codes[static_cast<int>(response.status)];
+        switch (platform::readLookup(response)) {
+        case platform::LookupOutcome::Whole:
+            ++counts.whole;
+            ++counts.coverage;
+            break;
+        case platform::LookupOutcome::Partial:
+            ++counts.partial;
+            break;
+        case platform::LookupOutcome::Refused:
+            ++counts.refused;
+            return;
+        case platform::LookupOutcome::Failed:
+            return;
+        }
+        counts.latency.add(latency);
+    }
+
     static void recordResponse(RequestCounts &counts, const CallerResponse &response, Duration latency)
     {
         // Parses only the fields before the shards, of which there may be many.
@@ -191,6 +231,12 @@
     plan.connections = values["connections"].as<uint32_t>();
     plan.durationSeconds = values["duration"].as<int64_t>();
     plan.keyPrefix = values["key-prefix"].as<std::string>();
+    const std::string lookup = values["lookup"].as<std::string>();
+    const size_t pathAt = std::min(lookup.find('/'), lookup.size());
+    plan.lookupHost = lookup.substr(0, pathAt);
+    plan.lookupPath = lookup.substr(pathAt);
+    if (plan.lookupHost.empty() && (plan.token.empty() || plan.service.empty()))
+        throw options::error("--lookup, or --token and --service are needed");
     return plan;
 }
 
@@ -204,8 +250,10 @@
     options::options_description description("hickoryspur-load: a load tool");
     description.add_options()("help", "show this help")("entry", options::value<std::vector<std::string>>()->required(),
                                                         "IP:PORT of an entry; may be repeated")(
-        "token", options::value<std::string>()->required(), "the caller's token")(
-        "service", options::value<std::string>()->required(), "service that the requests are for")(
+        "token", options::value<std::string>()->default_value(""), "the caller's token")(
+        "service", options::value<std::string>()->default_value(""), "service that the requests are for")(
+        "lookup", options::value<std::string>()->default_value(""),
+        "HOST/PATH/ of a route of the platform: sends look-ups below it instead of queries")(
         "deadline-ms", options::value<std::string>()->default_value(""), "deadline of each request in milliseconds")(
         "actions", "send actions, each with its own key, instead of queries")(
         "shards", options::value<uint32_t>()->default_value(1), "number of shards, to which the actions go in turn")(
