Read a slack with a fraction, and refuse numbers that no type can hold

Its kin, found by reading: a share or duration of nan, inf or 1e300 was converted without a check, and a fraction out of range was returned although it was refused. Change: YamlSection::number, which fraction uses as well; durations and shares must be finite and fit.

--- a/src/process/HostSettings.cpp
+++ b/src/process/HostSettings.cpp
@@ -11,6 +11,8 @@
 constexpr Duration kMaxGrace = 1h;
 /** Some callers cache a directory answer for up to this multiple of its validity. */
 constexpr int kCallerCacheFactor = 3;
+/** Beyond this, the extra sub-requests of a window are not limited in effect. */
+constexpr double kMaxExtraSlack = 1e9;
 /** Part of the grace period reserved for finishing requests that arrive just before the last callers leave. */
 constexpr Duration kFinalRequestTime = 1200ms;
 constexpr Duration kMinDirectoryValidity = 200ms;
@@ -103,7 +105,7 @@
     settings.firstStart = section.boolean("first-start", false);
     settings.grace = section.duration("grace", 1s, kMaxGrace, settings.grace);
     settings.extraShare = section.fraction("extra-share", settings.extraShare);
-    settings.extraSlack = static_cast<double>(section.integer("extra-slack", 0, INT32_MAX, 50));
+    settings.extraSlack = section.number("extra-slack", 0, kMaxExtraSlack, settings.extraSlack);
     settings.upstreamDrainTime = section.duration("upstream-drain", 100ms, kMaxGrace, settings.upstreamDrainTime);
     settings.maxDirectoryValidity =
         section.duration("directory-validity", 100ms, kMaxGrace, settings.maxDirectoryValidity);
--- a/src/process/YamlReader.cpp
+++ b/src/process/YamlReader.cpp
@@ -1,6 +1,8 @@
 #include "process/YamlReader.h"
 
 #include <charconv>
+#include <cmath>
+#include <sstream>
 
 namespace hickoryspur {
 
@@ -10,7 +12,7 @@
 {
     double number = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (error != std::errc() || number < 0)
+    if (error != std::errc() || !std::isfinite(number) || number < 0)
         return std::nullopt;
     unit = text.substr(static_cast<size_t>(end - text.data()));
     return number;
@@ -37,7 +39,10 @@
         micros = 86400e6;
     else
         return std::nullopt;
-    return Duration(static_cast<int64_t>(*number * micros));
+    const double total = *number * micros;
+    if (total >= static_cast<double>(Duration::max().count()))
+        return std::nullopt;
+    return Duration(static_cast<int64_t>(total));
 }
 
 std::string durationText(Duration duration)
@@ -183,13 +188,23 @@
     return *value / 100;
 }
 
-double YamlSection::fraction(const std::string &field, double fallback)
+double YamlSection::number(const std::string &field, double min, double max, double fallback)
 {
     const YAML::Node node = readField(field);
     double value = fallback;
-    if (node && (!node.IsScalar() || !YAML::convert<double>::decode(node, value) || value < 0 || value > 1))
-        error(field, "must be a number from 0 to 1");
-    return value;
+    // Written so that "nan" is refused as well.
+    const bool isRead = !node || (node.IsScalar() && YAML::convert<double>::decode(node, value));
+    if (isRead && value >= min && value <= max)
+        return value;
+    std::ostringstream text;
+    text << "must be a number from " << min << " to " << max;
+    error(field, text.str());
+    return fallback;
+}
+
+double YamlSection::fraction(const std::string &field, double fallback)
+{
+    return number(field, 0, 1, fallback);
 }
 
 std::vector<std::string> YamlSection::texts(const std::string &field)
--- a/src/process/YamlReader.h
+++ b/src/process/YamlReader.h
@@ -59,6 +59,8 @@
     Duration duration(const std::string &field, Duration min, Duration max, std::optional<Duration> fallback = {});
     /** A share such as 2% or 99.9%, as a fraction. */
     double share(const std::string &field, double fallback);
+    /** A number such as 0.2 or 54, from min to max. */
+    double number(const std::string &field, double min, double max, double fallback);
     /** A number such as 0.2, from 0 to 1. */
     double fraction(const std::string &field, double fallback);
     std::vector<std::string> texts(const std::string &field);
--- a/test/correctness/HostSettingsTest.cpp
+++ b/test/correctness/HostSettingsTest.cpp
@@ -12,6 +12,8 @@
     CPPUNIT_TEST(settings_anyGrace_callersDrainWithinGrace);
     CPPUNIT_TEST(settings_entryWithoutAddresses_reportsEachError);
     CPPUNIT_TEST(settings_seeds_getInternalPortInNodeIds);
+    CPPUNIT_TEST(settings_slackWithFraction_isRead);
+    CPPUNIT_TEST(settings_numberOutOfRange_isRefused);
     CPPUNIT_TEST_SUITE_END();
 
     /** Parses the settings of an entry, followed by the lines in `rest`. */
@@ -52,6 +54,24 @@
         CPPUNIT_ASSERT(settings);
         CPPUNIT_ASSERT_EQUAL(NodeId("10.0.0.2:7000"), settings->seedIds().front());
     }
+
+    void settings_slackWithFraction_isRead()
+    {
+        const Result<HostSettings> settings = parseWith(kAddresses + "extra-slack: 62.2\nextra-share: 0.2\n");
+        CPPUNIT_ASSERT(settings);
+        CPPUNIT_ASSERT_EQUAL(62.2, settings->extraSlack);
+    }
+
+    void settings_numberOutOfRange_isRefused()
+    {
+        for (const char *line : {"extra-slack: -1", "extra-slack: .nan", "extra-slack: .inf", "extra-share: 1.5",
+                                 "extra-share: .nan", "grace: 1e300s", "grace: infs", "upstream-drain: nanms"})
+            CPPUNIT_ASSERT_MESSAGE(line, !parseWith(kAddresses + line + "\n"));
+    }
+
+private:
+    static inline const std::string kAddresses =
+        "seeds: [\"10.0.0.2:8224\"]\ncaller-address: \"10.0.0.1:80\"\nreadiness-address: \"10.0.0.1:81\"\n";
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HostSettingsTest);
