Give a control host's sessions with entries a class of their own

ControlHost.cpp had grown to 640 lines and mixed the group's state with what each entry has been sent. EntrySessions keeps the latter: statuses, routes and lists of hosts sent, reports due.

--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -1,6 +1,5 @@
 #include "app/ControlHost.h"
 
-#include "hickoryspur/process/Compression.h"
 #include "hickoryspur/process/Digest.h"
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/MessageCodec.h"
@@ -23,14 +22,6 @@
 constexpr Duration kRefreshInterval = 200ms;
 /** With many entries the interval grows, so that refreshes take a constant part of the processor. */
 constexpr Duration kRefreshTimePerEntry = 2ms;
-/**
- * Timeout of inbound links: an entry that sends no status is removed from the addresses given to callers. It is at
- * least this long, and several intervals of the entry's status.
- */
-constexpr Duration kEntryTimeout = 700ms;
-constexpr int kMissedStatusLimit = 3;
-/** How long an entry may have older routes than this host before a host that does not lead sends them. */
-constexpr Duration kRoutesGrace = 600ms;
 /** Minimum time between saves of the registered upstreams to disk; each save costs a disk sync. */
 constexpr Duration kSaveInterval = 1s;
 /** How long a confirmation by the control group that this host leads is valid. */
@@ -59,6 +50,7 @@
     , m_codec(std::move(codec))
     , m_incarnation(incarnation)
     , m_timer(context)
+    , m_sessions(m_settings.id())
 {
 }
 
@@ -175,74 +167,43 @@
 void ControlHost::updateEntryStatus(const std::shared_ptr<FrameLink> &link, const EntryStatus &status)
 {
     const TimePoint now = monotonicNow();
-    const auto [found, isNew] = m_sessions.try_emplace(link.get());
-    Session &session = found->second;
-    const bool offeredBefore = session.status.offered;
-    session.link = link;
-    session.status = status;
-    if (isNew)
-        sendUpdate(session, makeFullUpdate(now));
+    const EntrySessions::StatusChange change = m_sessions.recordStatus(link, status);
+    if (change.isNew)
+        m_sessions.send(link, makeFullUpdate(now));
     if (status.needsState && !isConfirmed(now))
         sendLogReport(link);
-    sendRoutesIfMissing(now, session);
-    if (!isNew && offeredBefore == status.offered)
-        return;
-    HS_LOG(INFO, LogEvent::SessionOpened)
-        << "entry=" << status.entry << " callers=" << status.callerAddress << " offered=" << status.offered;
-    const uint64_t hostsVersion = m_hostsVersion;
-    updateHosts();
+    if (m_sessions.lacksRoutes(now, m_status.leads, link))
+        m_sessions.sendRoutes(now, link, makeLogStateUpdate(now));
     // At the next tick, since many entries may change at the same time.
-    if (m_hostsVersion != hostsVersion)
+    if (change.offeredChanged && updateHosts())
         m_nextRefresh = now;
 }
 
-void ControlHost::sendRoutesIfMissing(TimePoint now, Session &session)
+void ControlHost::sendMissingRoutes(TimePoint now)
 {
-    const uint64_t number = m_status.routes.number;
-    const RoutesVersion reported{session.status.routesNumber, session.status.routesDigest};
-    if (reported.number > number || reported.isSameAs(m_routesVersion))
-        return;
-    const bool sentLately = session.sentRoutes == number && now - session.sentRoutesAt < kRoutesGrace;
-    // The leader sends routes as soon as they are in force; the other hosts only what it could not deliver.
-    if (sentLately || (!m_status.leads && now - m_routesChangedAt < kRoutesGrace))
-        return;
-    session.sentRoutes = number;
-    session.sentRoutesAt = now;
-    EntryUpdate update = makeLogStateUpdate(now);
-    update.compressedRoutes = session.status.readsCompressed;
-    update.routes = update.compressedRoutes ? m_compressedRoutes : m_status.routes;
-    sendUpdate(session, std::move(update));
+    for (const std::shared_ptr<FrameLink> &link : m_sessions.linksWithoutRoutes(now, m_status.leads))
+        m_sessions.sendRoutes(now, link, makeLogStateUpdate(now));
 }
 
 void ControlHost::sendLogReport(const std::shared_ptr<FrameLink> &link)
 {
-    bool &pending = m_sessions.at(link.get()).logReportPending;
-    if (pending)
+    if (!m_sessions.beginLogReport(link))
         return;
-    pending = true;
     m_group->requestLogReport([this, link](std::optional<LogReport> report) {
         asio::post(m_context, [this, link, report = std::move(report)]() mutable {
-            const auto session = m_sessions.find(link.get());
-            if (session == m_sessions.end())
-                return;
-            session->second.logReportPending = false;
-            // The entry asks again with its next status.
-            if (!report)
+            // Without a report the entry asks again with its next status.
+            if (!m_sessions.endLogReport(link) || !report)
                 return;
             EntryUpdate update = makeStateUpdate(monotonicNow());
             update.logReport.push_back(std::move(*report));
-            sendUpdate(session->second, std::move(update));
+            m_sessions.send(link, std::move(update));
         });
     });
 }
 
 void ControlHost::onLinkClosed(const std::shared_ptr<FrameLink> &link)
 {
-    const auto session = m_sessions.find(link.get());
-    if (session != m_sessions.end()) {
-        HS_LOG(INFO, LogEvent::SessionLost) << "entry=" << session->second.status.entry;
-        m_sessions.erase(session);
-    }
+    m_sessions.remove(link);
     std::erase(m_inbound, link);
 }
 
@@ -256,36 +217,26 @@
     EntryUpdate update;
     update.confirmed = isConfirmed(now);
     update.applied = m_status.applied;
-    update.routesNumber = m_routesVersion.number;
-    update.routesDigest = m_routesVersion.digest;
+    update.routesNumber = m_sessions.routes().number;
+    update.routesDigest = m_sessions.routes().digest;
     update.sessions = static_cast<uint32_t>(m_sessions.size());
     return update;
 }
 
 std::vector<std::string> ControlHost::selectEntries(TimePoint now)
 {
-    std::vector<OfferedEntry> offered;
-    for (const auto &[link, session] : m_sessions)
-        if (session.status.offered && !session.link->isClosed())
-            offered.push_back(
-                {session.status.callerAddress, session.status.dataCentre, session.status.subRequestsPerSecond});
     std::map<DataCentreName, size_t> upstreams;
     for (const auto &[id, known] : m_registry.all())
         if (known.takesWork())
             ++upstreams[known.announcement.dataCentre];
-    return m_activeEntries.select(now, offered, upstreams);
+    return m_activeEntries.select(now, m_sessions.offeredEntries(), upstreams);
 }
 
-void ControlHost::updateHosts()
+bool ControlHost::updateHosts()
 {
-    std::vector<std::string> offered = selectEntries(monotonicNow());
     std::vector<NodeId> controlHosts = m_status.controlHosts;
     controlHosts.push_back(m_settings.id());
-    if (m_hostsVersion > 0 && offered == m_offeredEntries && controlHosts == m_controlHosts)
-        return;
-    ++m_hostsVersion;
-    m_offeredEntries = std::move(offered);
-    m_controlHosts = std::move(controlHosts);
+    return m_sessions.setHosts(selectEntries(monotonicNow()), std::move(controlHosts));
 }
 
 EntryUpdate ControlHost::makeLogStateUpdate(TimePoint now) const
@@ -305,46 +256,13 @@
     return update;
 }
 
-void ControlHost::sendUpdate(Session &session, EntryUpdate update)
-{
-    if (session.link->isClosed())
-        return;
-    if (session.sentHostsVersion != m_hostsVersion) {
-        session.sentHostsVersion = m_hostsVersion;
-        update.carriesHosts = true;
-        update.entries = m_offeredEntries;
-        update.controlHosts = m_controlHosts;
-    }
-    PeerMessage message;
-    message.type = static_cast<uint8_t>(PeerMessageType::EntryUpdate);
-    message.from = m_settings.id();
-    message.payload = pack(update);
-    session.link->send(message);
-}
-
-void ControlHost::broadcast(const EntryUpdate &update)
-{
-    PeerMessage message;
-    message.type = static_cast<uint8_t>(PeerMessageType::EntryUpdate);
-    message.from = m_settings.id();
-    message.payload = pack(update);
-    for (auto &[link, session] : m_sessions) {
-        if (session.sentHostsVersion != m_hostsVersion)
-            sendUpdate(session, update);
-        else
-            session.link->send(message);
-    }
-}
-
 void ControlHost::updateGroupStatus(GroupStatus status)
 {
     const bool stateChanged = status.applied != m_status.applied;
     const bool routesChanged = status.routes.number != m_status.routes.number;
     if (routesChanged) {
         HS_LOG(INFO, LogEvent::DocumentAccepted) << "routes=" << status.routes.number << " log=" << status.applied;
-        m_routesChangedAt = monotonicNow();
-        m_compressedRoutes = {status.routes.number, compressText(status.routes.text)};
-        m_routesVersion = {status.routes.number, hash64(status.routes.text)};
+        m_sessions.setRoutes(monotonicNow(), status.routes);
     }
     const bool becameLeader = status.leads && !m_status.leads;
     if (status.leads)
@@ -358,9 +276,8 @@
             refreshSessions(monotonicNow());
         return;
     }
-    broadcast(makeLogStateUpdate(monotonicNow()));
-    for (auto &[link, session] : m_sessions)
-        sendRoutesIfMissing(monotonicNow(), session);
+    m_sessions.broadcast(makeLogStateUpdate(monotonicNow()));
+    sendMissingRoutes(monotonicNow());
 }
 
 void ControlHost::startTimer()
@@ -401,7 +318,7 @@
     EntryUpdate update = makeStateUpdate(monotonicNow());
     update.upstreams = std::move(m_newAnnouncements);
     m_newAnnouncements.clear();
-    broadcast(update);
+    m_sessions.broadcast(update);
 }
 
 void ControlHost::requestConfirmation()
@@ -418,24 +335,14 @@
 {
     const std::vector<std::shared_ptr<FrameLink>> inbound = m_inbound;
     for (const std::shared_ptr<FrameLink> &link : inbound)
-        if (now - link->lastReceiveTime() > entryTimeout(link.get()))
+        if (now - link->lastReceiveTime() > m_sessions.timeout(link))
             link->close();
     updateHosts();
     EntryUpdate update = makeStateUpdate(now);
     update.heartbeats = std::move(m_heartbeats);
     m_heartbeats.clear();
-    broadcast(update);
-    for (auto &[link, session] : m_sessions)
-        sendRoutesIfMissing(now, session);
-}
-
-Duration ControlHost::entryTimeout(FrameLink *link) const
-{
-    const auto session = m_sessions.find(link);
-    if (session == m_sessions.end())
-        return kEntryTimeout;
-    const std::chrono::milliseconds interval(session->second.status.intervalMillis);
-    return std::max<Duration>(kEntryTimeout, kMissedStatusLimit * interval);
+    m_sessions.broadcast(update);
+    sendMissingRoutes(now);
 }
 
 void ControlHost::saveUpstreamsIfDue(TimePoint now)
@@ -505,9 +412,7 @@
 
 Result<void> ControlHost::requireConnectedEntry() const
 {
-    const bool any = std::any_of(m_sessions.begin(), m_sessions.end(),
-                                 [](const auto &item) { return !item.second.link->isClosed(); });
-    if (any)
+    if (m_sessions.hasOpenSession())
         return {};
     return failure(ResultCode::NoEntryConnected, "no entry is connected to this control host", true);
 }
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -3,13 +3,12 @@
 // an entry that stops sending its status times out and is removed from the addresses given to callers.
 #pragma once
 
+#include "app/EntrySessions.h"
 #include "app/HostCodec.h"
 #include "hickoryspur/connection/UpstreamRegistry.h"
 #include "hickoryspur/process/ActiveEntries.h"
-#include "hickoryspur/process/AppliedState.h"
 #include "hickoryspur/process/ControlHostDirectory.h"
 #include "hickoryspur/process/HostSettings.h"
-#include "hickoryspur/process/SessionMessage.h"
 #include "hickoryspur/version/MoveCoordinator.h"
 #include "process/FrameLink.h"
 #include "process/GroupThread.h"
@@ -32,18 +31,6 @@
     size_t openRequests() const;
 
 private:
-    struct Session
-    {
-        std::shared_ptr<FrameLink> link;
-        EntryStatus status;
-        /** Number of the routes that were last sent, and when: they are large, and several hosts could send them. */
-        uint64_t sentRoutes = 0;
-        TimePoint sentRoutesAt;
-        bool logReportPending = false;
-        /** The m_hostsVersion that was last sent. */
-        uint64_t sentHostsVersion = 0;
-    };
-
     void onMessage(const std::shared_ptr<FrameLink> &link, const PeerMessage &message);
     void onLinkClosed(const std::shared_ptr<FrameLink> &link);
     void updateEntryStatus(const std::shared_ptr<FrameLink> &link, const EntryStatus &status);
@@ -53,22 +40,17 @@
     void startTimer();
     void refreshSessions(TimePoint now);
     void requestConfirmation();
-    void sendUpdate(Session &session, EntryUpdate update);
-    /** Sends one update, encoded once, to all sessions. */
-    void broadcast(const EntryUpdate &update);
-    /** Sends the routes to an entry that has older ones and was not sent these a moment ago. */
-    void sendRoutesIfMissing(TimePoint now, Session &session);
+    /** Sends the routes to the entries that lack them. */
+    void sendMissingRoutes(TimePoint now);
     Duration refreshInterval() const;
-    /** How long the peer of an inbound link may be silent. */
-    Duration entryTimeout(FrameLink *link) const;
     void flushAnnouncements();
     /** An update with the confirmation and the applied index only. */
     EntryUpdate makeStateUpdate(TimePoint now) const;
     /** Like makeStateUpdate(), with what is in force besides the routes. */
     EntryUpdate makeLogStateUpdate(TimePoint now) const;
     EntryUpdate makeFullUpdate(TimePoint now) const;
-    /** Increments m_hostsVersion if the offered entries or the control hosts have changed. */
-    void updateHosts();
+    /** Updates the offered entries and the control hosts; returns whether they have changed. */
+    bool updateHosts();
     /** The addresses that callers may be sent to. */
     std::vector<std::string> selectEntries(TimePoint now);
     bool isConfirmed(TimePoint now) const;
@@ -101,7 +83,7 @@
     std::unique_ptr<OutgoingLinks> m_links;
     std::unique_ptr<HttpCallerServer> m_controlServer;
     std::vector<std::shared_ptr<FrameLink>> m_inbound;
-    std::map<FrameLink *, Session> m_sessions;
+    EntrySessions m_sessions;
     UpstreamRegistry m_registry;
     MoveCoordinator m_moves{shortMoveTiming()};
     bool m_moveStepPending = false;
@@ -111,17 +93,10 @@
     TimePoint m_nextRefresh;
     TimePoint m_nextSave;
     bool m_upstreamsChanged = false;
-    uint64_t m_hostsVersion = 0;
     ActiveEntries m_activeEntries;
-    std::vector<std::string> m_offeredEntries;
     /** Changed announcements, and unchanged heartbeats, that have not been sent to the entries yet. */
     std::vector<Announcement> m_newAnnouncements;
     std::vector<UpstreamId> m_heartbeats;
-    TimePoint m_routesChangedAt;
-    /** The routes of m_status with their text compressed. */
-    AcceptedRoutes m_compressedRoutes;
-    RoutesVersion m_routesVersion;
-    std::vector<NodeId> m_controlHosts;
 };
 
 } // namespace hickoryspur
