Admit a removed voter again that knows only followers

Cause: a pre-vote of a host that is no member was taken for a request to join only by the leader; followers refused it and told nobody. Change: a follower with a leader passes such a request on; without one it answers, since it may be an entry behind.

--- a/include/hickoryspur/process/GroupNode.h
+++ b/include/hickoryspur/process/GroupNode.h
@@ -96,7 +96,7 @@
     /** Logs at intervals that there is no leader, and whose votes are missing. */
     void reportMissingLeader(TimePoint now);
     /** True for a join request and for a vote request from a host that is no longer a member. */
-    bool isFromNonMember(const LogMessage &message) const;
+    bool isFromNonMember(TimePoint now, const LogMessage &message) const;
     void admitMember(TimePoint now, const LogMessage &message, GroupActions &result);
 
     GroupTiming m_timing;
--- a/include/hickoryspur/process/ReplicatedLog.h
+++ b/include/hickoryspur/process/ReplicatedLog.h
@@ -184,6 +184,8 @@
      */
     bool isCurrent() const { return isLeader() && m_commit >= m_termStart; }
     std::optional<NodeId> leader() const { return m_leader; }
+    /** True while a leader's heartbeats arrive at this member, so that it refuses every vote. */
+    bool followsLeader(TimePoint now) const { return !isLeader() && m_leader && hasRecentLeaderContact(now); }
     /** Whether the voter has granted this member its vote, or its pre-vote, in the latest round. */
     bool hasVoteOf(const MemberId &voter) const { return m_votes.contains(voter); }
     const MemberId &self() const { return m_self; }
--- a/src/process/GroupNode.cpp
+++ b/src/process/GroupNode.cpp
@@ -109,13 +109,15 @@
         << " voters=" << describe(m_log.membership().voters, note);
 }
 
-bool GroupNode::isFromNonMember(const LogMessage &message) const
+bool GroupNode::isFromNonMember(TimePoint now, const LogMessage &message) const
 {
     if (message.kind() == LogMessageType::JoinRequest)
         return true;
-    // A voter that was removed while it was down still has its old membership and requests votes.
+    // A voter that was removed while it was down still has its old membership and requests votes. It may not know the
+    // leader, which may have joined since. Without a leader it gets an answer: this host may be an entry behind.
     const Membership &membership = m_log.membership();
-    return message.kind() == LogMessageType::PreVoteRequest && m_log.isCurrent() && !membership.isVoter(message.from)
+    const bool hasLeader = m_log.isCurrent() || m_log.followsLeader(now);
+    return message.kind() == LogMessageType::PreVoteRequest && hasLeader && !membership.isVoter(message.from)
         && !membership.isLearner(message.from);
 }
 
@@ -136,7 +138,7 @@
 GroupActions GroupNode::receive(TimePoint now, const LogMessage &message)
 {
     GroupActions result;
-    if (isFromNonMember(message)) {
+    if (isFromNonMember(now, message)) {
         admitMember(now, message, result);
         return result;
     }
--- a/test/failure/GroupNodeFailureTest.cpp
+++ b/test/failure/GroupNodeFailureTest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(group_hostReplacedThenDiskLost_acknowledgedStateIsServed);
     CPPUNIT_TEST(group_twoHostsReplacedThenTwoDisksLost_acknowledgedStateIsServed);
     CPPUNIT_TEST(group_removedVoterRestarts_isAdmittedAgain);
+    CPPUNIT_TEST(group_removedVoterKnowsOnlyFollowers_isAdmittedAgain);
     CPPUNIT_TEST(group_leaderFrozen_doesNotLeadWhenItResumes);
     CPPUNIT_TEST(group_onlyAnEmptyDiskIsUp_neverLeads);
     CPPUNIT_TEST(group_routesNumberNotHigher_changesNothing);
@@ -178,6 +179,30 @@
         CPPUNIT_ASSERT(fleet.runUntil(5s, [&] { return fleet.node(fourth).state().routes().number == 9; }));
     }
 
+    // Guards against a host that stays outside for good, since the leader has joined while it was down.
+    void group_removedVoterKnowsOnlyFollowers_isAdmittedAgain()
+    {
+        GroupFleet fleet(3, {}, kSeed);
+        CPPUNIT_ASSERT(commitRoutes(fleet, 1));
+        const size_t removed = (*fleet.leader() + 1) % 3;
+        fleet.crash(removed);
+        const size_t added = fleet.add();
+        CPPUNIT_ASSERT(waitForVoters(fleet, 4));
+        CPPUNIT_ASSERT(waitForVoters(fleet, 3));
+        for (int i = 0; i < 20 && fleet.leader() != added; ++i) {
+            const size_t leader = *fleet.leader();
+            fleet.freeze(leader, 1s);
+            fleet.run(2s);
+            CPPUNIT_ASSERT(fleet.runUntil(10s, [&] { return fleet.leader().has_value(); }));
+        }
+        CPPUNIT_ASSERT(fleet.leader() == added);
+        fleet.restart(removed);
+        CPPUNIT_ASSERT(fleet.runUntil(10s, [&] {
+            const Membership &membership = fleet.node(added).log().membership();
+            return membership.isVoter(fleet.node(removed).log().self());
+        }));
+    }
+
     void group_leaderFrozen_doesNotLeadWhenItResumes()
     {
         GroupFleet fleet(3, {}, kSeed);
