Keep departures of upstreams through restarts, on all control hosts

Callers and upstreams would see: an upstream that has left and still drains is used again, for up to 20 s, after a control host and an entry have restarted. Cause: a departure was known to one control host and to the entries of that moment. The saved list of upstreams holds no departures, and the other control hosts keep what they heard last, so an entry that starts hears only 'ready'. Change: a control host tells the others of a departure before it answers; the saved list holds departures for as long as they are remembered, and is saved 200 ms after one. A departure in the last 200 ms before all control hosts and an entry are killed can still be forgotten.

--- a/include/hickoryspur/process/PeerMessage.h
+++ b/include/hickoryspur/process/PeerMessage.h
@@ -24,6 +24,8 @@
     CommandRequest = 8,
     CommandReply = 9,
     Observations = 10,
+    /** Between control hosts: the announcement of an upstream that is leaving or has ended. */
+    Departure = 11,
     Forward = 20,
     Reply = 21,
     EntryStatus = 30,
--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -24,6 +24,8 @@
 constexpr Duration kRefreshTimePerEntry = 2ms;
 /** Minimum time between saves of the registered upstreams to disk; each save costs a disk sync. */
 constexpr Duration kSaveInterval = 1s;
+/** The same after an upstream has left. */
+constexpr Duration kDepartureSaveInterval = 200ms;
 /** How long a confirmation by the control group that this host leads is valid. */
 constexpr Duration kConfirmationValidity = 400ms;
 
@@ -37,6 +39,11 @@
     return limits;
 }
 
+bool isDeparture(const Announcement &announcement)
+{
+    return announcement.isLeaving() || announcement.upstreamState() == UpstreamState::Gone;
+}
+
 Failure toFailure(const ApplyOutcome &outcome)
 {
     return {outcome.resultCode(), outcome.message, outcome.resultCode() == ResultCode::NoLeader};
@@ -151,6 +158,13 @@
         if (const std::optional<EntryStatus> status = unpack<EntryStatus>(message.payload))
             updateEntryStatus(link, *status);
         return;
+    case PeerMessageType::Departure:
+        if (const std::optional<Announcement> announcement = unpack<Announcement>(message.payload); !announcement)
+            HS_LOG(WARNING, LogEvent::MessageUndecodable)
+                << "a departure from " << message.from << " cannot be decoded; dropped";
+        else if (registerReported(*announcement) == RegistryChange::Changed)
+            broadcastAnnouncement(*announcement);
+        return;
     case PeerMessageType::Observations:
         if (const std::optional<ObservationBatch> batch = unpack<ObservationBatch>(message.payload); !batch)
             HS_LOG(WARNING, LogEvent::MessageUndecodable)
@@ -353,8 +367,7 @@
     m_nextSave = now + kSaveInterval;
     std::vector<Announcement> upstreams;
     for (const auto &[id, known] : m_registry.all())
-        if (known.takesWork())
-            upstreams.push_back(known.announcement);
+        upstreams.push_back(known.announcement);
     m_group->saveNotes(pack(upstreams));
 }
 
@@ -369,21 +382,37 @@
     // Every request names its target upstream, so restoring one that has ended in the meantime does no harm.
     size_t restored = 0;
     for (const Announcement &announcement : *upstreams)
-        if (m_registry.accept(monotonicNow(), announcement) == RegistryChange::Changed) {
+        if (registerReported(announcement) == RegistryChange::Changed) {
             ++restored;
             broadcastAnnouncement(announcement);
         }
     HS_LOG(INFO, LogEvent::UpstreamsRecalled) << restored << " upstreams restored from disk";
 }
 
+RegistryChange ControlHost::registerReported(const Announcement &announcement)
+{
+    const TimePoint now = monotonicNow();
+    return announcement.upstreamState() == UpstreamState::Gone
+        ? m_registry.remove(now, announcement.id, announcement.incarnation)
+        : m_registry.accept(now, announcement);
+}
+
 void ControlHost::broadcastAnnouncement(const Announcement &announcement)
 {
     m_upstreamsChanged = true;
     m_newAnnouncements.push_back(announcement);
-    // An upstream that leaves counts on the entries to know it when its announcement is acknowledged. Many arrive at
-    // the same time, and wait for the next tick.
-    if (announcement.upstreamState() == UpstreamState::Leaving || announcement.upstreamState() == UpstreamState::Gone)
-        flushAnnouncements();
+    // Many arrive at the same time, and wait for the next tick. An upstream that leaves counts on the entries to know
+    // it when its announcement is acknowledged, and on hosts that restart not to have forgotten it.
+    if (!isDeparture(announcement))
+        return;
+    flushAnnouncements();
+    m_nextSave = std::min(m_nextSave, monotonicNow() + kDepartureSaveInterval);
+}
+
+void ControlHost::reportDeparture(const Announcement &announcement)
+{
+    if (isDeparture(announcement))
+        m_links->sendToAll(PeerMessageType::Departure, pack(announcement));
 }
 
 Result<void> ControlHost::announce(const Announcement &announcement)
@@ -398,6 +427,7 @@
         << ':' << announcement.port << " born=" << announcement.incarnation << " seq=" << announcement.sequence
         << " version=" << announcement.version << " cold-ms=" << announcement.coldForMillis;
     broadcastAnnouncement(announcement);
+    reportDeparture(announcement);
     return requireConnectedEntry();
 }
 
@@ -406,7 +436,9 @@
     if (m_registry.remove(monotonicNow(), id, incarnation) != RegistryChange::Changed)
         return requireConnectedEntry();
     HS_LOG(INFO, LogEvent::UpstreamLost) << "upstream=" << id << " born=" << incarnation << " deregistered itself";
-    broadcastAnnouncement(m_registry.find(id)->announcement);
+    const Announcement ended = m_registry.find(id)->announcement;
+    broadcastAnnouncement(ended);
+    reportDeparture(ended);
     return requireConnectedEntry();
 }
 
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -62,6 +62,10 @@
     /** Fails with NoEntryConnected if no entry has an open session, since no entry would receive the announcement. */
     Result<void> requireConnectedEntry() const;
     void broadcastAnnouncement(const Announcement &announcement);
+    /** Tells the other control hosts that an upstream leaves: they may have an earlier announcement of it. */
+    void reportDeparture(const Announcement &announcement);
+    /** Registers an announcement, or the end of an upstream, that another control host or the disk reports. */
+    RegistryChange registerReported(const Announcement &announcement);
     void saveUpstreamsIfDue(TimePoint now);
     void restoreUpstreams(const std::string &bytes);
     Result<void> submit(Command command);
--- a/tools/hickoryspur-standin.cpp
+++ b/tools/hickoryspur-standin.cpp
@@ -50,6 +50,8 @@
     bool saysLeaving = false;
     /** Platform requests are refused, and this pause is asked for, while it is above zero. */
     double pauseMs = 0;
+    /** False for an upstream that serves on and sends no heartbeats. */
+    bool announces = true;
     std::string state = "ready";
 };
 
@@ -106,6 +108,7 @@
     CallerRequest makeHeartbeat();
     HostAddress address() const { return {m_address, m_port}; }
     const std::string &name() const { return m_name; }
+    bool announces() const { return m_behaviour.announces; }
 
 private:
     CallerResponse handleSubRequest(const CallerRequest &request);
@@ -214,6 +217,7 @@
     m_behaviour.limitPerSecond = body.value("limit_per_s", m_behaviour.limitPerSecond);
     m_behaviour.saysLeaving = body.value("says_leaving", m_behaviour.saysLeaving);
     m_behaviour.pauseMs = body.value("pause_ms", m_behaviour.pauseMs);
+    m_behaviour.announces = body.value("announces", m_behaviour.announces);
     m_group.snapshots = body.value("snapshots", m_group.snapshots);
     m_group.generation = body.value("map_generation", m_group.generation);
     if (body.contains("cold_bears")) {
@@ -222,6 +226,7 @@
     }
     if (body.value("restart", false))
         m_incarnation += 1;
+    m_incarnation = body.value("incarnation", m_incarnation);
     return {200, "{}", "application/json", {}};
 }
 
@@ -407,6 +412,8 @@
     size_t entry = 0;
     while (true) {
         for (const std::unique_ptr<Upstream> &upstream : upstreams) {
+            if (!upstream->announces())
+                continue;
             CallerRequest request;
             if (plan.usesPlatformProtocol) {
                 request = upstream->makeHeartbeat();
