--- a/include/hickoryspur/process/GroupNode.h
+++ b/include/hickoryspur/process/GroupNode.h
@@ -90,7 +90,7 @@
     void apply(const LogEntry &entry, GroupActions &result);
     void answerAsUnknown(const std::deque<PendingCommand>::const_iterator &end, GroupActions &result);
     void proposeRepair(TimePoint now, GroupActions &result);
-    /** Whether the member has not answered for so long while this host has led without interruption. */
+    /** Whether the member has not answered for so long while this host has led without interruption; it leads now. */
     bool isUnanswered(TimePoint now, const MemberId &member, Duration timeout) const;
     void checkpointIfDue(GroupActions &result);
     /** Logs at intervals that there is no leader, and whose votes are missing. */
--- a/src/connection/UpstreamAdmission.cpp
+++ b/src/connection/UpstreamAdmission.cpp
@@ -1,7 +1,6 @@
 #include "hickoryspur/connection/UpstreamAdmission.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace hickoryspur {
 
