Read the change once more: no look-up of a fallback that is not needed, two unused functions gone

Cause: usableReplicas() looked up the fallback group of every shard of every request, also when replicas were found; PacedRate::mayStart() and interval() had no caller. Change: the look-up comes after the first empty result; the two functions are gone. Behaviour is as before, no test is changed.

--- a/include/hickoryspur/connection/PacedRate.h
+++ b/include/hickoryspur/connection/PacedRate.h
@@ -20,11 +20,9 @@
     PacedRate(TimePoint now, Duration interval, double phase);
     /** Changes the interval; the next slot comes no later than one interval from now. */
     void setInterval(TimePoint now, Duration interval);
-    bool mayStart(TimePoint now) const { return nextSlot(now) <= now; }
     /** The earliest slot that can be used now or later. */
     TimePoint nextSlot(TimePoint now) const;
     void recordStart(TimePoint now) { m_next = nextSlot(now) + m_interval; }
-    Duration interval() const { return m_interval; }
 
 private:
     Duration m_interval;
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -117,8 +117,9 @@
                                                                 VersionGroup group) const
 {
     std::vector<const KnownUpstream *> usable = admittedReplicas(now, service, group, false);
-    const std::optional<VersionGroup> fallback = m_versions.fallback(service, group);
-    if (usable.empty() && fallback)
+    if (!usable.empty())
+        return usable;
+    if (const std::optional<VersionGroup> fallback = m_versions.fallback(service, group))
         usable = admittedReplicas(now, service, *fallback, false);
     if (usable.empty() && !m_admission.empty())
         usable = admittedReplicas(now, service, group, true);
