Give a connection to an upstream and its pool a file pair each

Change: UpstreamExchange.h, UpstreamConnection, ConnectionPool and UpstreamConnections; code moved, behaviour as before.

--- /dev/null
+++ b/src/connection/ConnectionPool.cpp
@@ -0,0 +1,174 @@
+#include "connection/ConnectionPool.h"
+
+#include <algorithm>
+
+namespace hickoryspur {
+
+namespace {
+
+/** Connecting takes milliseconds; an upstream that takes longer is unreachable or overloaded. */
+constexpr Duration kConnectTimeout = 400ms;
+/** A request that must not be sent twice uses only a connection that has been idle for less than this. */
+constexpr Duration kMaxFreshIdleTime = 1s;
+
+} // namespace
+
+std::shared_ptr<UpstreamConnection> ConnectionPool::findIdle(TimePoint now, bool fresh)
+{
+    // The most recently used connection is the least likely to have been closed, and unused ones can expire.
+    std::shared_ptr<UpstreamConnection> latest;
+    for (const std::shared_ptr<UpstreamConnection> &connection : m_connections) {
+        if (!connection->isIdle() || connection->isNearIdleTimeout(now)
+            || (fresh && now - connection->stateSince() > kMaxFreshIdleTime))
+            continue;
+        if (!latest || connection->stateSince() > latest->stateSince())
+            latest = connection;
+    }
+    return latest;
+}
+
+void ConnectionPool::dropClosed()
+{
+    std::erase_if(m_connections, [](const auto &connection) { return connection->isClosed(); });
+}
+
+bool ConnectionPool::hasRoom() const
+{
+    const auto usable = std::count_if(m_connections.begin(), m_connections.end(), [](const auto &connection) {
+        return connection->isBusy() || connection->isOpening();
+    });
+    return static_cast<size_t>(usable) + m_waiting.size() < m_target.connections;
+}
+
+void ConnectionPool::send(Exchange exchange)
+{
+    const TimePoint now = monotonicNow();
+    const bool fresh = exchange.request.fresh;
+    if (const std::shared_ptr<UpstreamConnection> connection = findIdle(now, fresh)) {
+        connection->run(std::move(exchange));
+        return;
+    }
+    if (fresh)
+        closeIdle();
+    m_waiting.push_back(std::move(exchange));
+    const auto opening = std::count_if(m_connections.begin(), m_connections.end(),
+                                       [](const auto &connection) { return connection->isOpening(); });
+    if (static_cast<size_t>(opening) < m_waiting.size())
+        open();
+}
+
+void ConnectionPool::open()
+{
+    dropClosed();
+    if (m_connections.size() >= m_target.connections) {
+        // Replaces an idle connection that is too close to its idle timeout to be used.
+        const TimePoint now = monotonicNow();
+        const auto stale = std::find_if(m_connections.begin(), m_connections.end(),
+                                        [now](const auto &connection) { return connection->isNearIdleTimeout(now); });
+        if (stale == m_connections.end())
+            return;
+        (*stale)->close();
+        m_connections.erase(stale);
+    }
+    m_connections.push_back(std::make_shared<UpstreamConnection>(m_context, weak_from_this()));
+    m_connections.back()->open(monotonicNow(), m_target.address);
+}
+
+void ConnectionPool::warm()
+{
+    if (m_connections.empty() && m_backoff.mayConnect(monotonicNow()))
+        open();
+}
+
+void ConnectionPool::onConnectionIdle()
+{
+    dropClosed();
+    startWaiting();
+}
+
+void ConnectionPool::startWaiting()
+{
+    while (!m_waiting.empty()) {
+        const std::shared_ptr<UpstreamConnection> connection =
+            findIdle(monotonicNow(), m_waiting.front().request.fresh);
+        if (!connection)
+            break;
+        Exchange exchange = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        connection->run(std::move(exchange));
+    }
+    if (!m_waiting.empty() && hasRoom())
+        open();
+}
+
+void ConnectionPool::onConnectFailure(const std::string &reason)
+{
+    m_backoff.recordFailure(monotonicNow());
+    dropClosed();
+    const bool othersOpen = std::any_of(m_connections.begin(), m_connections.end(),
+                                        [](const auto &connection) { return !connection->isClosed(); });
+    if (othersOpen || m_waiting.empty())
+        return;
+    endWaiting(AttemptOutcome::NotSent, reason);
+}
+
+void ConnectionPool::endWaiting(AttemptOutcome outcome, const std::string &reason)
+{
+    std::deque<Exchange> waiting = std::move(m_waiting);
+    m_waiting.clear();
+    for (Exchange &exchange : waiting)
+        exchange.done({outcome, {}, reason});
+}
+
+bool ConnectionPool::cancelIfNotSent(ExchangeHandle handle)
+{
+    const auto waiting = std::find_if(m_waiting.begin(), m_waiting.end(),
+                                      [handle](const Exchange &exchange) { return exchange.handle == handle; });
+    if (waiting == m_waiting.end())
+        return false;
+    const auto done = std::move(waiting->done);
+    m_waiting.erase(waiting);
+    done({AttemptOutcome::Cancelled, {}, "cancelled before the request was sent"});
+    return true;
+}
+
+void ConnectionPool::cancel(ExchangeHandle handle)
+{
+    if (cancelIfNotSent(handle))
+        return;
+    const auto running = std::find_if(m_connections.begin(), m_connections.end(),
+                                      [handle](const auto &connection) { return connection->handle() == handle; });
+    if (running == m_connections.end())
+        return;
+    const std::shared_ptr<UpstreamConnection> connection = *running;
+    connection->finish({AttemptOutcome::Cancelled, {}, "cancelled"}, false);
+}
+
+void ConnectionPool::tick(TimePoint now)
+{
+    dropClosed();
+    const std::vector<std::shared_ptr<UpstreamConnection>> connections = m_connections;
+    for (const std::shared_ptr<UpstreamConnection> &connection : connections) {
+        if (connection->isOpening() && now - connection->stateSince() > kConnectTimeout) {
+            connection->close();
+            onConnectFailure("connect timed out");
+        } else if (connection->isBusy() && now >= connection->deadline()) {
+            connection->finish({AttemptOutcome::NoResponse, {}, "no answer before the deadline"}, false);
+        }
+    }
+    while (!m_waiting.empty() && now >= m_waiting.front().request.deadline) {
+        const Exchange exchange = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        exchange.done({AttemptOutcome::NotSent, {}, "no connection before the deadline"});
+    }
+}
+
+void ConnectionPool::closeIdle()
+{
+    for (const std::shared_ptr<UpstreamConnection> &connection : m_connections)
+        if (connection->isIdle())
+            connection->close();
+    dropClosed();
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/connection/ConnectionPool.h
@@ -0,0 +1,64 @@
+// The connections to one upstream, and the exchanges that wait for one.
+#pragma once
+
+#include "connection/UpstreamConnection.h"
+#include "hickoryspur/connection/ReconnectBackoff.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hickoryspur {
+
+/** The connections to one upstream, and the exchanges that wait for one. */
+class ConnectionPool : public std::enable_shared_from_this<ConnectionPool>
+{
+public:
+    /** Whether the answer is the one to the request with this id. */
+    using BelongsTo = std::function<bool(const UpstreamAnswer &, const std::string &)>;
+
+    ConnectionPool(boost::asio::io_context &context, const UpstreamTarget &target, BelongsTo belongsTo, uint64_t seed)
+        : m_context(context)
+        , m_target(target)
+        , m_belongsTo(std::move(belongsTo))
+        , m_backoff(seed)
+    {
+    }
+
+    void setLimit(uint32_t connections) { m_target.connections = std::max<uint32_t>(1, connections); }
+    const HostAddress &address() const { return m_target.address; }
+    void send(Exchange exchange);
+    void open();
+    /** Opens a connection if there is none and the backoff allows an attempt. */
+    void warm();
+    void recordConnected() { m_backoff.recordSuccess(); }
+    void onConnectionIdle();
+    void onConnectFailure(const std::string &reason);
+    void cancel(ExchangeHandle handle);
+    /** Returns false if the exchange does not wait for a connection. */
+    bool cancelIfNotSent(ExchangeHandle handle);
+    /** Ends all exchanges that wait for a connection. */
+    void endWaiting(AttemptOutcome outcome, const std::string &reason);
+    void tick(TimePoint now);
+    void closeIdle();
+    bool hasRoom() const;
+    size_t size() const { return m_connections.size(); }
+    bool belongsTo(const UpstreamAnswer &answer, const std::string &id) const { return m_belongsTo(answer, id); }
+
+private:
+    std::shared_ptr<UpstreamConnection> findIdle(TimePoint now, bool fresh);
+    void startWaiting();
+    void dropClosed();
+
+    boost::asio::io_context &m_context;
+    UpstreamTarget m_target;
+    BelongsTo m_belongsTo;
+    std::vector<std::shared_ptr<UpstreamConnection>> m_connections;
+    std::deque<Exchange> m_waiting;
+    ReconnectBackoff m_backoff;
+};
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/connection/UpstreamConnection.cpp
@@ -0,0 +1,208 @@
+#include "connection/UpstreamConnection.h"
+
+#include "connection/ConnectionPool.h"
+#include "hickoryspur/process/Metrics.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace hickoryspur {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr size_t kMaxAnswerBytes = 8ULL * 1024 * 1024;
+constexpr unsigned kMaxHeaderBytes = 16U * 1024;
+/**
+ * A new connection carries no request for at least this long: an upstream at its connection limit accepts
+ * the connection and then resets it, which shows within a round trip.
+ */
+constexpr Duration kMinConfirmTime = 2500us;
+/** The wait as a multiple of the connect time, which is one round trip too; a reset arrives within it. */
+constexpr double kConfirmRoundTrips = 1.3;
+/** Assumed idle timeout of an upstream that sends no Keep-Alive field. */
+constexpr Duration kDefaultIdleTimeout = 4s;
+/** A connection is not used in this time before the upstream's idle timeout: the upstream may be closing it. */
+constexpr Duration kIdleMargin = 900ms;
+/** Answers to other requests that are dropped in one exchange before the connection is closed. */
+constexpr int kMaxMismatchedAnswers = 4;
+
+/** The idle timeout in seconds from a Keep-Alive field, as in "timeout=5". */
+std::optional<Duration> parseKeepAliveTimeout(beast::string_view keepAlive)
+{
+    const size_t start = keepAlive.find("timeout=");
+    if (start == beast::string_view::npos)
+        return std::nullopt;
+    const char *first = keepAlive.data() + start + sizeof("timeout=") - 1;
+    int seconds = 0;
+    const auto [end, error] = std::from_chars(first, keepAlive.data() + keepAlive.size(), seconds);
+    static_cast<void>(end);
+    return error == std::errc() ? std::optional<Duration>(std::chrono::seconds(seconds)) : std::nullopt;
+}
+
+UpstreamAnswer toAnswer(http::response<http::string_body> &&response)
+{
+    UpstreamAnswer answer;
+    answer.status = response.result_int();
+    for (const auto &field : response)
+        answer.fields.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    answer.body = std::move(response.body());
+    return answer;
+}
+
+} // namespace
+
+UpstreamConnection::UpstreamConnection(asio::io_context &context, std::weak_ptr<ConnectionPool> pool)
+    : m_socket(context)
+    , m_confirmTimer(context)
+    , m_pool(std::move(pool))
+    , m_idleTimeout(kDefaultIdleTimeout)
+{
+}
+
+bool UpstreamConnection::isNearIdleTimeout(TimePoint now) const
+{
+    return isIdle() && now - m_stateSince + kIdleMargin > m_idleTimeout;
+}
+
+void UpstreamConnection::open(TimePoint now, const HostAddress &address)
+{
+    static Counter &opened = Metrics::counter("hickoryspur_upstream_connections_opened_total");
+    opened.add();
+    m_state = State::Connecting;
+    m_stateSince = now;
+    m_socket.async_connect(tcp::endpoint(asio::ip::make_address(address.address), address.port),
+                           [self = shared_from_this()](error_code error) { self->onConnected(error); });
+}
+
+void UpstreamConnection::onConnected(error_code error)
+{
+    if (m_state != State::Connecting)
+        return;
+    const std::shared_ptr<ConnectionPool> pool = m_pool.lock();
+    if (error || !pool) {
+        close();
+        if (pool)
+            pool->onConnectFailure("connect failed: " + error.message());
+        return;
+    }
+    error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    m_state = State::Confirming;
+    watchForData();
+    const auto roundTrips = static_cast<int64_t>(kConfirmRoundTrips * (monotonicNow() - m_stateSince).count());
+    m_confirmTimer.expires_after(std::max(kMinConfirmTime, Duration(roundTrips)));
+    m_confirmTimer.async_wait([self = shared_from_this()](error_code) { self->onConfirmed(); });
+}
+
+void UpstreamConnection::onConfirmed()
+{
+    if (m_state != State::Confirming)
+        return;
+    m_state = State::Idle;
+    m_stateSince = monotonicNow();
+    if (const std::shared_ptr<ConnectionPool> pool = m_pool.lock()) {
+        pool->recordConnected();
+        pool->onConnectionIdle();
+    }
+}
+
+void UpstreamConnection::watchForData()
+{
+    if (m_isWatching)
+        return;
+    m_isWatching = true;
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+        self->m_isWatching = false;
+        if (self->m_state == State::Confirming) {
+            self->close();
+            if (const std::shared_ptr<ConnectionPool> pool = self->m_pool.lock())
+                pool->onConnectFailure("the upstream closed the new connection before a request was sent");
+            return;
+        }
+        // Bytes on an idle connection belong to no request; an error means that the upstream closed it.
+        if (self->m_state == State::Idle || (error && self->m_state != State::Busy))
+            self->close();
+    });
+}
+
+void UpstreamConnection::run(Exchange exchange)
+{
+    m_exchange = std::move(exchange);
+    m_state = State::Busy;
+    m_mismatchedAnswers = 0;
+    m_requestBytes = m_exchange->request.encode(monotonicNow());
+    asio::async_write(m_socket, asio::buffer(m_requestBytes), [self = shared_from_this()](error_code error, size_t) {
+        if (!error && self->m_exchange)
+            self->read();
+        else if (self->m_exchange)
+            self->finish({AttemptOutcome::Failed, {}, "write failed: " + error.message()}, false);
+    });
+}
+
+void UpstreamConnection::read()
+{
+    m_parser.emplace();
+    m_parser->body_limit(kMaxAnswerBytes);
+    m_parser->header_limit(kMaxHeaderBytes);
+    http::async_read(m_socket, m_buffer, *m_parser,
+                     [self = shared_from_this()](error_code error, size_t) { self->onRead(error); });
+}
+
+void UpstreamConnection::onRead(error_code error)
+{
+    static Counter &mismatches = Metrics::counter("hickoryspur_upstream_reply_mismatch_total");
+    if (!m_exchange)
+        return;
+    if (error)
+        return finish({AttemptOutcome::Failed, {}, "read failed: " + error.message()}, false);
+    const bool keep = m_parser->get().keep_alive() && !m_parser->get().need_eof();
+    if (const std::optional<Duration> idle = parseKeepAliveTimeout(m_parser->get()[http::field::keep_alive]))
+        m_idleTimeout = *idle;
+    UpstreamAnswer answer = toAnswer(m_parser->release());
+    const std::shared_ptr<ConnectionPool> pool = m_pool.lock();
+    if (pool && !pool->belongsTo(answer, m_exchange->request.requestId)) {
+        mismatches.add();
+        if (keep && ++m_mismatchedAnswers <= kMaxMismatchedAnswers)
+            return read();
+        return finish({AttemptOutcome::Failed, {}, "the answer belongs to another request"}, false);
+    }
+    // Bytes after the answer belong to no request, so the connection is not reused.
+    finish({AttemptOutcome::Answered, std::move(answer), ""}, keep && m_buffer.size() == 0);
+}
+
+void UpstreamConnection::finish(ExchangeResult result, bool keep)
+{
+    const auto done = std::move(m_exchange->done);
+    m_exchange.reset();
+    if (keep && m_state == State::Busy) {
+        m_state = State::Idle;
+        m_stateSince = monotonicNow();
+        watchForData();
+    } else {
+        close();
+    }
+    done(std::move(result));
+    if (const std::shared_ptr<ConnectionPool> pool = m_pool.lock())
+        pool->onConnectionIdle();
+}
+
+void UpstreamConnection::close()
+{
+    if (m_state == State::Closed)
+        return;
+    m_state = State::Closed;
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+} // namespace hickoryspur
--- /dev/null
+++ b/src/connection/UpstreamConnection.h
@@ -0,0 +1,69 @@
+// One HTTP connection to an upstream. It carries one request at a time and is reused. It is closed when
+// its answer is incomplete or is followed by unexpected bytes. An answer that belongs to another request
+// is dropped, and the next answer on the connection is awaited.
+#pragma once
+
+#include "connection/UpstreamExchange.h"
+#include "process/HttpLimits.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace hickoryspur {
+
+class ConnectionPool;
+
+/** One connection. Pending handlers keep it alive, also after its pool has been destroyed. */
+class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection>
+{
+public:
+    UpstreamConnection(boost::asio::io_context &context, std::weak_ptr<ConnectionPool> pool);
+
+    void open(TimePoint now, const HostAddress &address);
+    void run(Exchange exchange);
+    void finish(ExchangeResult result, bool keep);
+    void close();
+    bool isIdle() const { return m_state == State::Idle; }
+    bool isOpening() const { return m_state == State::Connecting || m_state == State::Confirming; }
+    bool isClosed() const { return m_state == State::Closed; }
+    bool isBusy() const { return m_exchange.has_value(); }
+    ExchangeHandle handle() const { return m_exchange ? m_exchange->handle : 0; }
+    TimePoint deadline() const { return m_exchange ? m_exchange->request.deadline : TimePoint::max(); }
+    TimePoint stateSince() const { return m_stateSince; }
+    /** Idle for so long that the upstream may be closing it. */
+    bool isNearIdleTimeout(TimePoint now) const;
+
+private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    enum class State { New, Connecting, Confirming, Idle, Busy, Closed };
+
+    void onConnected(boost::system::error_code error);
+    void onConfirmed();
+    void watchForData();
+    void read();
+    void onRead(boost::system::error_code error);
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_confirmTimer;
+    std::weak_ptr<ConnectionPool> m_pool;
+    State m_state = State::New;
+    TimePoint m_stateSince;
+    Duration m_idleTimeout;
+    bool m_isWatching = false;
+    int m_mismatchedAnswers = 0;
+    std::optional<Exchange> m_exchange;
+    std::string m_requestBytes;
+    /** A pending read uses it, also after its exchange has ended. */
+    std::optional<Parser> m_parser;
+    boost::beast::flat_buffer m_buffer{kMaxUnparsedBytes};
+};
+
+} // namespace hickoryspur
--- a/src/connection/UpstreamConnections.h
+++ b/src/connection/UpstreamConnections.h
@@ -1,60 +1,22 @@
-// One entry's pools of HTTP connections to the upstreams. A connection carries one request at a time and
-// is reused. It is closed when its answer is incomplete or is followed by unexpected bytes. An answer
-// that belongs to another request is dropped, and the next answer on the connection is awaited.
+// One entry's pools of HTTP connections to the upstreams. It finds the pool of an upstream and of a
+// running exchange, and drives all pools by the clock.
 #pragma once
 
-#include "hickoryspur/process/Settings.h"
-#include "hickoryspur/process/Time.h"
-#include "hickoryspur/request/ReplicaTracker.h"
-#include "hickoryspur/request/RequestCodec.h"
+#include "connection/ConnectionPool.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
 #include <memory>
-#include <string>
 
 namespace hickoryspur {
 
-struct UpstreamTarget
-{
-    UpstreamId id;
-    HostAddress address;
-    /** Maximum number of connections that this entry opens to the upstream. */
-    uint32_t connections = 1;
-};
-
-struct ExchangeRequest
-{
-    /** Encodes the request at the time of sending, which may be later than send() if it waits for a connection. */
-    std::function<std::string(TimePoint)> encode;
-    std::string requestId;
-    /** An exchange without an answer ends then: NoResponse if it was sent, NotSent otherwise. */
-    TimePoint deadline;
-    /**
-     * Set for a request that must not be sent twice: it uses only a new or recently used connection, which
-     * the upstream cannot have closed for idleness.
-     */
-    bool fresh = false;
-};
-
-struct ExchangeResult
-{
-    /** Answered, Failed, NotSent, Withheld, NoResponse or Cancelled; Answered says nothing about the answer's status.
-     */
-    AttemptOutcome outcome = AttemptOutcome::Failed;
-    UpstreamAnswer answer;
-    /** Why there is no answer; empty if there is one. */
-    std::string reason;
-};
-
 class UpstreamConnections
 {
 public:
     using Done = std::function<void(ExchangeResult)>;
-    /** Whether the answer is the one to the request with this id. */
-    using BelongsTo = std::function<bool(const UpstreamAnswer &, const std::string &)>;
-    using Handle = uint64_t;
+    using BelongsTo = ConnectionPool::BelongsTo;
+    using Handle = ExchangeHandle;
 
     /** The seed of the reconnection jitter; entries with different seeds reconnect at different times. */
     UpstreamConnections(boost::asio::io_context &context, BelongsTo belongsTo, uint64_t seed);
--- /dev/null
+++ b/src/connection/UpstreamExchange.h
@@ -0,0 +1,58 @@
+// One request to an upstream and its answer, as the connections to upstreams carry it.
+#pragma once
+
+#include "hickoryspur/process/Settings.h"
+#include "hickoryspur/process/Time.h"
+#include "hickoryspur/request/ReplicaTracker.h"
+#include "hickoryspur/request/RequestCodec.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace hickoryspur {
+
+struct UpstreamTarget
+{
+    UpstreamId id;
+    HostAddress address;
+    /** Maximum number of connections that this entry opens to the upstream. */
+    uint32_t connections = 1;
+};
+
+struct ExchangeRequest
+{
+    /** Encodes the request at the time of sending, which may be later than send() if it waits for a connection. */
+    std::function<std::string(TimePoint)> encode;
+    std::string requestId;
+    /** An exchange without an answer ends then: NoResponse if it was sent, NotSent otherwise. */
+    TimePoint deadline;
+    /**
+     * Set for a request that must not be sent twice: it uses only a new or recently used connection, which
+     * the upstream cannot have closed for idleness.
+     */
+    bool fresh = false;
+};
+
+struct ExchangeResult
+{
+    /** Answered, Failed, NotSent, Withheld, NoResponse or Cancelled; Answered says nothing about the answer's status.
+     */
+    AttemptOutcome outcome = AttemptOutcome::Failed;
+    UpstreamAnswer answer;
+    /** Why there is no answer; empty if there is one. */
+    std::string reason;
+};
+
+/** Names an exchange while it runs; unique within the process. */
+using ExchangeHandle = uint64_t;
+
+/** Calls done exactly once. */
+struct Exchange
+{
+    ExchangeHandle handle = 0;
+    ExchangeRequest request;
+    std::function<void(ExchangeResult)> done;
+};
+
+} // namespace hickoryspur
