--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -48,6 +48,7 @@
     UpstreamPauseEnded = 1514,
     ConnectionSilent = 1600,
     ReplyMismatch = 1601,
+    ConnectionsReported = 1602,
     MoveStarted = 1700,
     MoveDone = 1701,
     MoveTakenBack = 1702,
--- a/src/connection/ConnectionPool.cpp
+++ b/src/connection/ConnectionPool.cpp
@@ -1,5 +1,7 @@
 #include "connection/ConnectionPool.h"
 
+#include "connection/ConnectionReport.h"
+
 #include <algorithm>
 
 namespace hickoryspur {
@@ -45,6 +47,7 @@
     const TimePoint now = monotonicNow();
     const bool fresh = exchange.request.fresh;
     if (const std::shared_ptr<UpstreamConnection> connection = findIdle(now, fresh)) {
+        countConnectionEvent(ConnectionEvent::Reused);
         connection->run(std::move(exchange));
         return;
     }
@@ -54,10 +57,10 @@
     const auto opening = std::count_if(m_connections.begin(), m_connections.end(),
                                        [](const auto &connection) { return connection->isOpening(); });
     if (static_cast<size_t>(opening) < m_waiting.size())
-        open();
+        open(ConnectionEvent::OpenedForRequest);
 }
 
-void ConnectionPool::open()
+void ConnectionPool::open(ConnectionEvent purpose)
 {
     dropClosed();
     if (m_connections.size() >= m_target.connections) {
@@ -68,8 +71,10 @@
         if (stale == m_connections.end())
             return;
         (*stale)->close();
+        countConnectionEvent(ConnectionEvent::ClosedHere);
         m_connections.erase(stale);
     }
+    countConnectionEvent(purpose);
     m_connections.push_back(std::make_shared<UpstreamConnection>(m_context, weak_from_this()));
     m_connections.back()->open(monotonicNow(), m_target.address);
 }
@@ -77,7 +82,7 @@
 void ConnectionPool::warm()
 {
     if (m_connections.empty() && m_backoff.mayConnect(monotonicNow()))
-        open();
+        open(ConnectionEvent::OpenedInAdvance);
 }
 
 void ConnectionPool::onConnectionIdle()
@@ -98,7 +103,7 @@
         connection->run(std::move(exchange));
     }
     if (!m_waiting.empty() && hasRoom())
-        open();
+        open(ConnectionEvent::OpenedForRequest);
 }
 
 void ConnectionPool::onConnectFailure(const std::string &reason)
@@ -151,6 +156,7 @@
     for (const std::shared_ptr<UpstreamConnection> &connection : connections) {
         if (connection->isOpening() && now - connection->stateSince() > kConnectTimeout) {
             connection->close();
+            countConnectionEvent(ConnectionEvent::ConnectFailed);
             onConnectFailure("connect timed out");
         } else if (connection->isBusy() && now >= connection->deadline()) {
             connection->finish({AttemptOutcome::NoResponse, {}, "no answer before the deadline"}, false);
@@ -165,9 +171,12 @@
 
 void ConnectionPool::closeIdle()
 {
-    for (const std::shared_ptr<UpstreamConnection> &connection : m_connections)
-        if (connection->isIdle())
-            connection->close();
+    for (const std::shared_ptr<UpstreamConnection> &connection : m_connections) {
+        if (!connection->isIdle())
+            continue;
+        connection->close();
+        countConnectionEvent(ConnectionEvent::ClosedHere);
+    }
     dropClosed();
 }
 
--- a/src/connection/ConnectionPool.h
+++ b/src/connection/ConnectionPool.h
@@ -1,6 +1,7 @@
 // The connections to one upstream, and the exchanges that wait for one.
 #pragma once
 
+#include "connection/ConnectionReport.h"
 #include "connection/UpstreamConnection.h"
 #include "hickoryspur/connection/ReconnectBackoff.h"
 
@@ -31,7 +32,6 @@
     void setLimit(uint32_t connections) { m_target.connections = std::max<uint32_t>(1, connections); }
     const HostAddress &address() const { return m_target.address; }
     void send(Exchange exchange);
-    void open();
     /** Opens a connection if there is none and the backoff allows an attempt. */
     void warm();
     void recordConnected() { m_backoff.recordSuccess(); }
@@ -49,6 +49,8 @@
     bool belongsTo(const UpstreamAnswer &answer, const std::string &id) const { return m_belongsTo(answer, id); }
 
 private:
+    /** Opens a connection if the limit allows; the event says what for. */
+    void open(ConnectionEvent purpose);
     std::shared_ptr<UpstreamConnection> findIdle(TimePoint now, bool fresh);
     void startWaiting();
     void dropClosed();
--- a/src/connection/UpstreamConnection.cpp
+++ b/src/connection/UpstreamConnection.cpp
@@ -1,6 +1,7 @@
 #include "connection/UpstreamConnection.h"
 
 #include "connection/ConnectionPool.h"
+#include "connection/ConnectionReport.h"
 #include "hickoryspur/process/Metrics.h"
 
 #include <boost/asio/write.hpp>
@@ -59,6 +60,13 @@
     return answer;
 }
 
+ConnectionEvent endOf(AttemptOutcome outcome)
+{
+    if (outcome == AttemptOutcome::Answered)
+        return ConnectionEvent::ClosedAfterAnswer;
+    return outcome == AttemptOutcome::Cancelled ? ConnectionEvent::ClosedHere : ConnectionEvent::Broken;
+}
+
 } // namespace
 
 UpstreamConnection::UpstreamConnection(asio::io_context &context, std::weak_ptr<ConnectionPool> pool)
@@ -91,6 +99,7 @@
     const std::shared_ptr<ConnectionPool> pool = m_pool.lock();
     if (error || !pool) {
         close();
+        countConnectionEvent(ConnectionEvent::ConnectFailed);
         if (pool)
             pool->onConnectFailure("connect failed: " + error.message());
         return;
@@ -125,11 +134,14 @@
         self->m_isWatching = false;
         if (self->m_state == State::Confirming) {
             self->close();
+            countConnectionEvent(ConnectionEvent::ClosedNew);
             if (const std::shared_ptr<ConnectionPool> pool = self->m_pool.lock())
                 pool->onConnectFailure("the upstream closed the new connection before a request was sent");
             return;
         }
         // Bytes on an idle connection belong to no request; an error means that the upstream closed it.
+        if (self->m_state == State::Idle)
+            countConnectionEvent(ConnectionEvent::ClosedIdle);
         if (self->m_state == State::Idle || (error && self->m_state != State::Busy))
             self->close();
     });
@@ -189,6 +201,7 @@
         m_stateSince = monotonicNow();
         watchForData();
     } else {
+        countConnectionEvent(endOf(result.outcome));
         close();
     }
     done(std::move(result));
--- a/src/connection/UpstreamConnections.cpp
+++ b/src/connection/UpstreamConnections.cpp
@@ -1,5 +1,7 @@
 #include "connection/UpstreamConnections.h"
 
+#include "connection/ConnectionReport.h"
+
 #include <boost/asio/post.hpp>
 
 #include <unordered_map>
@@ -15,6 +17,7 @@
     std::unordered_map<Handle, std::weak_ptr<ConnectionPool>> running;
     Handle nextHandle = 1;
     std::mt19937_64 random;
+    ConnectionReport report;
 
     std::shared_ptr<ConnectionPool> pool(const UpstreamTarget &target);
     /** Null if the exchange has ended. */
@@ -37,7 +40,7 @@
 }
 
 UpstreamConnections::UpstreamConnections(boost::asio::io_context &context, BelongsTo belongsTo, uint64_t seed)
-    : m_state(new State{context, std::move(belongsTo), {}, {}, 1, std::mt19937_64(seed)})
+    : m_state(new State{context, std::move(belongsTo), {}, {}, 1, std::mt19937_64(seed), {}})
 {
 }
 
@@ -111,8 +114,12 @@
     std::vector<std::shared_ptr<ConnectionPool>> pools;
     for (const auto &[id, pool] : m_state->pools)
         pools.push_back(pool);
-    for (const std::shared_ptr<ConnectionPool> &pool : pools)
+    size_t openConnections = 0;
+    for (const std::shared_ptr<ConnectionPool> &pool : pools) {
         pool->tick(now);
+        openConnections += pool->size();
+    }
+    m_state->report.tick(now, openConnections, pools.size());
 }
 
 } // namespace hickoryspur
