Let all control hosts select the same entries for callers

Cause: ActiveEntries ranks entries by the upstreams in their data centre, and each control host counted only those that announce themselves to it, which are those of its own data centre. Five control hosts offered five lists with almost nothing in common; callers used all, and entries shared out the upstreams' connections as if there were one list of 48. Change: control hosts tell each other their counts (UpstreamCounts) and rank by the sum. Test: controlHosts_hearDifferentUpstreams_selectSameEntries fails without the sum. Ruled out: connections closed for idleness (1,635 of 26,588 open in seconds 2 to 4).

--- a/include/hickoryspur/process/PeerMessage.h
+++ b/include/hickoryspur/process/PeerMessage.h
@@ -26,6 +26,8 @@
     Observations = 10,
     /** Between control hosts: the announcement of an upstream that is leaving or has ended. */
     Departure = 11,
+    /** Between control hosts: an UpstreamCountReport. */
+    UpstreamCounts = 12,
     Forward = 20,
     Reply = 21,
     EntryStatus = 30,
--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -165,6 +165,13 @@
         else if (registerReported(*announcement) == RegistryChange::Changed)
             broadcastAnnouncement(*announcement);
         return;
+    case PeerMessageType::UpstreamCounts:
+        if (std::optional<UpstreamCountReport> report = unpack<UpstreamCountReport>(message.payload))
+            m_upstreamCounts.recordReport(monotonicNow(), message.from, std::move(*report));
+        else
+            HS_LOG(WARNING, LogEvent::MessageUndecodable)
+                << "a count of upstreams from " << message.from << " cannot be decoded; dropped";
+        return;
     case PeerMessageType::Observations:
         if (const std::optional<ObservationBatch> batch = unpack<ObservationBatch>(message.payload); !batch)
             HS_LOG(WARNING, LogEvent::MessageUndecodable)
@@ -239,11 +246,16 @@
 
 std::vector<std::string> ControlHost::selectEntries(TimePoint now)
 {
-    std::map<DataCentreName, size_t> upstreams;
+    return m_activeEntries.select(now, m_sessions.offeredEntries(), m_upstreamCounts.total(now, countUpstreams()));
+}
+
+UpstreamCountReport ControlHost::countUpstreams() const
+{
+    UpstreamCountReport report;
     for (const auto &[id, known] : m_registry.all())
         if (known.takesWork())
-            ++upstreams[known.announcement.dataCentre];
-    return m_activeEntries.select(now, m_sessions.offeredEntries(), upstreams);
+            ++report.upstreams[known.announcement.dataCentre];
+    return report;
 }
 
 bool ControlHost::updateHosts()
@@ -314,6 +326,7 @@
     if (now >= m_nextRefresh) {
         m_nextRefresh = now + refreshInterval();
         m_links->sendToAll(PeerMessageType::Ping, "");
+        m_links->sendToAll(PeerMessageType::UpstreamCounts, pack(countUpstreams()));
         requestConfirmation();
         refreshSessions(now);
     }
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -9,6 +9,7 @@
 #include "hickoryspur/process/ActiveEntries.h"
 #include "hickoryspur/process/ControlHostDirectory.h"
 #include "hickoryspur/process/HostSettings.h"
+#include "hickoryspur/process/UpstreamCounts.h"
 #include "hickoryspur/version/MoveCoordinator.h"
 #include "process/FrameLink.h"
 #include "process/GroupThread.h"
@@ -53,6 +54,7 @@
     bool updateHosts();
     /** The addresses that callers may be sent to. */
     std::vector<std::string> selectEntries(TimePoint now);
+    UpstreamCountReport countUpstreams() const;
     bool isConfirmed(TimePoint now) const;
     void dialControlHosts();
 
@@ -97,6 +99,7 @@
     TimePoint m_nextRefresh;
     TimePoint m_nextSave;
     bool m_upstreamsChanged = false;
+    UpstreamCounts m_upstreamCounts;
     ActiveEntries m_activeEntries;
     /** Changed announcements, and unchanged heartbeats, that have not been sent to the entries yet. */
     std::vector<Announcement> m_newAnnouncements;
--- a/test/failure/ActiveEntriesFailureTest.cpp
+++ b/test/failure/ActiveEntriesFailureTest.cpp
@@ -1,10 +1,12 @@
 // Guards which entries callers are sent to: with hundreds of entries and a load that a few dozen serve, all others stay
 // without callers; a lost entry is replaced at once, and small deployments offer every entry.
 #include "hickoryspur/process/ActiveEntries.h"
+#include "hickoryspur/process/UpstreamCounts.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <set>
 
 using namespace hickoryspur;
 
@@ -14,6 +16,8 @@
     CPPUNIT_TEST(deployment_small_offersEveryEntry);
     CPPUNIT_TEST(deployment_large_offersAsManyAsLoadNeeds);
     CPPUNIT_TEST(entries_nearUpstreams_comeFirst);
+    CPPUNIT_TEST(controlHosts_hearDifferentUpstreams_selectSameEntries);
+    CPPUNIT_TEST(controlHost_silent_itsUpstreamsAreDropped);
     CPPUNIT_TEST(entry_lost_isReplacedAndOthersStay);
     CPPUNIT_TEST(load_falling_reducesEntriesOnlyAfterDelay);
     CPPUNIT_TEST(dataCentre_withAllUpstreamsLost_leavesEnoughEntries);
@@ -65,6 +69,38 @@
         CPPUNIT_ASSERT(countIn(selected, "10.2.") >= 14);
     }
 
+    /** Otherwise callers use the lists of all control hosts together, and upstreams get connections from all entries.
+     */
+    void controlHosts_hearDifferentUpstreams_selectSameEntries()
+    {
+        // Each upstream announces itself to the control host of its own data centre.
+        std::vector<UpstreamCounts> hosts(5);
+        std::vector<UpstreamCountReport> heard(5);
+        for (const auto &[dataCentre, count] : m_upstreams)
+            heard[static_cast<size_t>(dataCentre.value()[0] - 'a')].upstreams[dataCentre] =
+                static_cast<uint32_t>(count);
+        for (size_t from = 0; from < hosts.size(); ++from)
+            for (size_t to = 0; to < hosts.size(); ++to)
+                if (from != to)
+                    hosts[to].recordReport(m_now, NodeId("host" + std::to_string(from)), heard[from]);
+        std::set<std::string> offered;
+        for (size_t i = 0; i < hosts.size(); ++i)
+            for (const std::string &address :
+                 ActiveEntries().select(m_now, entries(291, 0), hosts[i].total(m_now + 1s, heard[i])))
+                offered.insert(address);
+        CPPUNIT_ASSERT_EQUAL(ActiveEntries::kMinEntries, offered.size());
+    }
+
+    void controlHost_silent_itsUpstreamsAreDropped()
+    {
+        UpstreamCounts counts;
+        const DataCentreName dataCentre("a");
+        counts.recordReport(m_now, NodeId("other"), {{{dataCentre, 90}}});
+        const UpstreamCountReport own{{{dataCentre, 1}}};
+        CPPUNIT_ASSERT_EQUAL(size_t(91), counts.total(m_now + 1s, own).at(dataCentre));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), counts.total(m_now + UpstreamCounts::kReportValidity + 1s, own).at(dataCentre));
+    }
+
     void entry_lost_isReplacedAndOthersStay()
     {
         ActiveEntries active;
