Keep no connections on an entry that callers are not sent to

Cause: any of 291 entries may get a request, as those that test which routes are in force do; the connections it opened for 90 shards stayed until the upstreams' idle timeout, and one more such entry used one more of the 193 that an upstream accepts. Change: ConnectionPlan holds what EntryTraffic decided about connections, and adds whether idle ones are kept: not on an entry that is not offered in a large deployment. It closes them after each answer, and all idle ones when it leaves the list.

--- a/src/connection/ConnectionPool.cpp
+++ b/src/connection/ConnectionPool.cpp
@@ -15,6 +15,12 @@
 
 } // namespace
 
+void ConnectionPool::setLimits(const UpstreamTarget &target)
+{
+    m_target.connections = std::max<uint32_t>(1, target.connections);
+    m_target.keepsIdle = target.keepsIdle;
+}
+
 std::shared_ptr<UpstreamConnection> ConnectionPool::findIdle(TimePoint now, bool fresh)
 {
     // The most recently used connection is the least likely to have been closed, and unused ones can expire.
@@ -89,6 +95,8 @@
 {
     dropClosed();
     startWaiting();
+    if (!m_target.keepsIdle && m_waiting.empty())
+        closeIdle();
 }
 
 void ConnectionPool::startWaiting()
--- a/src/connection/ConnectionPool.h
+++ b/src/connection/ConnectionPool.h
@@ -29,7 +29,8 @@
     {
     }
 
-    void setLimit(uint32_t connections) { m_target.connections = std::max<uint32_t>(1, connections); }
+    /** Sets how many connections there may be, and whether idle ones are kept. */
+    void setLimits(const UpstreamTarget &target);
     const HostAddress &address() const { return m_target.address; }
     void send(Exchange exchange);
     /** Opens a connection if there is none and the backoff allows an attempt. */
--- a/src/connection/UpstreamConnections.cpp
+++ b/src/connection/UpstreamConnections.cpp
@@ -29,7 +29,7 @@
     std::shared_ptr<ConnectionPool> &pool = pools[target.id];
     if (!pool || pool->address().text() != target.address.text())
         pool = std::make_shared<ConnectionPool>(context, target, belongsTo, random());
-    pool->setLimit(target.connections);
+    pool->setLimits(target);
     return pool;
 }
 
@@ -98,6 +98,12 @@
     return found == m_state->pools.end() || found->second->hasRoom();
 }
 
+void UpstreamConnections::closeIdle()
+{
+    for (const auto &[id, pool] : m_state->pools)
+        pool->closeIdle();
+}
+
 void UpstreamConnections::removeUpstream(const UpstreamId &id)
 {
     const auto found = m_state->pools.find(id);
--- a/src/connection/UpstreamConnections.h
+++ b/src/connection/UpstreamConnections.h
@@ -36,6 +36,8 @@
     void warm(const UpstreamTarget &target);
     /** Whether an exchange could start without waiting for another one to end. */
     bool hasRoom(const UpstreamTarget &target) const;
+    /** Closes all idle connections; running exchanges continue. */
+    void closeIdle();
     /** Closes the idle connections to an upstream that is gone; running exchanges continue. */
     void removeUpstream(const UpstreamId &id);
     /** Ends exchanges that are past their deadline and connection attempts that time out. */
--- a/src/connection/UpstreamExchange.h
+++ b/src/connection/UpstreamExchange.h
@@ -18,6 +18,8 @@
     HostAddress address;
     /** Maximum number of connections that this entry opens to the upstream. */
     uint32_t connections = 1;
+    /** Whether a connection stays open while no request runs. */
+    bool keepsIdle = true;
 };
 
 struct ExchangeRequest
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -1,6 +1,5 @@
 #include "request/EntryTraffic.h"
 
-#include "hickoryspur/process/ActiveEntries.h"
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/Metrics.h"
 #include "request/ActiveRequest.h"
@@ -20,13 +19,6 @@
  * budget windows of the entries are not aligned.
  */
 constexpr double kUsableBudgetShare = 0.85;
-/** Assumed number of entries until a control host reports the actual number. */
-constexpr uint32_t kInitialEntryCount = 8;
-/**
- * Share of an upstream's connection limit that all entries together use. The rest is for connections
- * of lost entries, which stay open for a while.
- */
-constexpr double kUsableConnectionShare = 0.6;
 /** Subtracted from the target latency: the network time to the caller and the answer's time in this process. */
 constexpr Duration kTargetLatencyMargin = 14ms;
 /** Subtracted from the caller's deadline for the same reason; a later answer would not reach the caller in time. */
@@ -46,8 +38,6 @@
 constexpr Duration kServiceCheckInterval = 500ms;
 /** Over so long the rate of sub-requests is averaged; about one request in this time comes to an entry at low load. */
 constexpr Duration kLoadWindow = 2s;
-/** While many entries start, the list of those that callers are sent to changes; connections wait until it has not. */
-constexpr Duration kOfferedSettleTime = 800ms;
 /** Retry delay while there are no routes: an entry has the routes in force about this long after its start. */
 constexpr Duration kStartupRetryAfter = 250ms;
 /** Retry delay given to refused callers. */
@@ -61,7 +51,7 @@
     : m_context(context)
     , m_config(std::move(config))
     , m_codec(std::move(codec))
-    , m_entryCount(kInitialEntryCount)
+    , m_entryCount(ConnectionPlan::kInitialEntryCount)
     , m_replicaTracker(m_config.seed)
     , m_versions(m_config.seed + 3)
     , m_connections(context, m_codec.belongsTo, m_config.seed + 2)
@@ -158,7 +148,7 @@
         return query;
     const auto service = m_routes->services.find(announcement.service);
     query.coldRequestsPerSecond = service == m_routes->services.end() ? 0 : service->second.coldRequestsPerSecond;
-    query.isHome = query.coldRequestsPerSecond <= 0 || m_subset.isHome(announcement.id);
+    query.isHome = query.coldRequestsPerSecond <= 0 || m_connectionPlan.isHome(announcement.id);
     return query;
 }
 
@@ -218,7 +208,7 @@
         candidate.cold = announcement.coldForMillis > 0;
         candidate.heartbeatAge = m_registry.heartbeatAge(id);
         all.push_back(candidate);
-        if (holdsConnections(announcement) && m_connections.hasRoom(*targetOf(id)))
+        if (keepsConnections(announcement) && m_connections.hasRoom(*targetOf(id)))
             withRoom.push_back(std::move(candidate));
     }
     const std::vector<ReplicaTracker::Candidate> &candidates = withRoom.empty() ? all : withRoom;
@@ -274,19 +264,11 @@
     return m_latencies.try_emplace(route.host + route.pathPrefix, quantile).first->second;
 }
 
-uint32_t EntryTraffic::connectionsFor(const ServiceName &service) const
-{
-    const auto found = m_routes ? m_routes->services.find(service) : decltype(m_routes->services.end())();
-    if (!m_routes || found == m_routes->services.end())
-        return 1;
-    const double limit = kUsableConnectionShare * found->second.connectionLimit / m_entryCount;
-    return std::max<uint32_t>(1, static_cast<uint32_t>(limit));
-}
-
-bool EntryTraffic::holdsConnections(const Announcement &announcement) const
+bool EntryTraffic::keepsConnections(const Announcement &announcement) const
 {
     const auto service = m_routes->services.find(announcement.service);
-    return service == m_routes->services.end() || m_subset.holds(announcement.id, service->second.connectionLimit);
+    return service == m_routes->services.end()
+        || m_connectionPlan.keepsConnections(announcement.id, service->second.connectionLimit);
 }
 
 std::optional<UpstreamTarget> EntryTraffic::targetOf(const UpstreamId &upstream) const
@@ -295,7 +277,14 @@
     if (!known)
         return std::nullopt;
     const Announcement &announcement = known->announcement;
-    return UpstreamTarget{upstream, {announcement.address, announcement.port}, connectionsFor(announcement.service)};
+    UpstreamTarget target{upstream, {announcement.address, announcement.port}};
+    if (!m_routes)
+        return target;
+    if (const auto service = m_routes->services.find(announcement.service); service != m_routes->services.end()) {
+        target.connections = m_connectionPlan.maxConnections(service->second.connectionLimit);
+        target.keepsIdle = m_connectionPlan.keepsConnections(upstream, service->second.connectionLimit);
+    }
+    return target;
 }
 
 void EntryTraffic::setRoutes(RouteTable table)
@@ -317,26 +306,18 @@
     if (entries == 0 || entries == m_entryCount)
         return;
     m_entryCount = entries;
+    m_connectionPlan.setEntryCount(entries);
     for (auto &[service, budget] : m_budgets)
         budget.setSlack(slackPerEntry());
     m_admission.setEntryCount(monotonicNow(), entries);
 }
 
-bool EntryTraffic::opensInAdvance(TimePoint now) const
-{
-    // With few entries each one that is ready is offered, and this one may know that before the list says so.
-    if (m_deploymentSize < ActiveEntries::kMinEntries)
-        return true;
-    return m_offeredSince && now - *m_offeredSince >= kOfferedSettleTime;
-}
-
 void EntryTraffic::setEntries(TimePoint now, const std::string &self, const std::vector<std::string> &entries)
 {
-    if (std::find(entries.begin(), entries.end(), self) == entries.end())
-        m_offeredSince.reset();
-    else if (!m_offeredSince)
-        m_offeredSince = now;
-    m_subset.setEntries(self, entries);
+    const bool wasOffered = m_connectionPlan.isOffered();
+    m_connectionPlan.setEntries(now, self, entries);
+    if (wasOffered && !m_connectionPlan.isOffered())
+        m_connections.closeIdle();
 }
 
 double EntryTraffic::subRequestsPerSecond(TimePoint now)
@@ -402,12 +383,12 @@
     if (!m_routes)
         return;
     updateServiceStatus(now);
-    if (!opensInAdvance(now))
+    if (!m_connectionPlan.opensInAdvance(now))
         return;
     // Connects to every upstream behind a route in advance, so that the first request need not wait for it.
     for (const auto &[id, known] : m_registry.all())
         if (known.takesWork() && m_routes->services.contains(known.announcement.service)
-            && holdsConnections(known.announcement)
+            && keepsConnections(known.announcement)
             && !m_admission.isWithdrawn(now, id, known.announcement.incarnation))
             m_connections.warm(*targetOf(id));
 }
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "connection/UpstreamConnections.h"
-#include "hickoryspur/connection/ReplicaSubset.h"
+#include "hickoryspur/connection/ConnectionPlan.h"
 #include "hickoryspur/connection/UpstreamAdmission.h"
 #include "hickoryspur/connection/UpstreamRegistry.h"
 #include "hickoryspur/request/LatencyQuantile.h"
@@ -73,7 +73,7 @@
     /** Sets the entries that callers are sent to, and so share the upstreams' connections, and this entry's address. */
     void setEntries(TimePoint now, const std::string &self, const std::vector<std::string> &entries);
     /** Sets how many entries there are, whether or not callers are sent to them. */
-    void setDeploymentSize(size_t entries) { m_deploymentSize = entries; }
+    void setDeploymentSize(size_t entries) { m_connectionPlan.setDeploymentSize(entries); }
     /** Rate of sub-requests sent, averaged over the last seconds. */
     double subRequestsPerSecond(TimePoint now);
     /** Registers or removes the announced upstream; drops idle connections to one that takes no requests. */
@@ -118,12 +118,8 @@
     std::optional<UpstreamTarget> targetOf(const UpstreamId &upstream) const;
     /** Logs which services have lost or regained their upstreams, and updates the metrics. */
     void updateServiceStatus(TimePoint now);
-    /** Connections that this entry may hold to one upstream of the service. */
-    uint32_t connectionsFor(const ServiceName &service) const;
-    /** Whether this entry will get callers, so that connections are worth opening in advance. */
-    bool opensInAdvance(TimePoint now) const;
-    /** False if the connections that the upstream accepts are assigned to other entries. */
-    bool holdsConnections(const Announcement &announcement) const;
+    /** Whether connections to the upstream are kept while no request runs; true if its limit is not known. */
+    bool keepsConnections(const Announcement &announcement) const;
     /** Returns a random number in [0, 1). */
     double randomFraction() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
@@ -133,9 +129,6 @@
     std::shared_ptr<const RouteTable> m_routes;
     std::set<std::string> m_dataCentresOut;
     uint32_t m_entryCount;
-    size_t m_deploymentSize = 0;
-    /** Since when callers are sent to this entry; nullopt if they are not. */
-    std::optional<TimePoint> m_offeredSince;
     uint64_t m_sentSubRequests = 0;
     TimePoint m_sentSince;
     double m_subRequestsPerSecond = 0;
@@ -143,7 +136,7 @@
     ReplicaTracker m_replicaTracker;
     VersionSplit m_versions;
     UpstreamConnections m_connections;
-    ReplicaSubset m_subset;
+    ConnectionPlan m_connectionPlan;
     UpstreamAdmission m_admission;
     std::map<ServiceName, RetryBudget> m_budgets;
     std::map<std::string, RouteLatency> m_latencies;
--- a/test/failure/UpstreamConnectionsFailureTest.cpp
+++ b/test/failure/UpstreamConnectionsFailureTest.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <thread>
 
 using namespace hickoryspur;
@@ -25,6 +26,7 @@
     CPPUNIT_TEST(connections_answerTruncated_exchangeFails);
     CPPUNIT_TEST(connections_newConnectionReset_requestNotSent);
     CPPUNIT_TEST(connections_connectionRefused_requestNotSent);
+    CPPUNIT_TEST(connections_entryToWhichNoCallersAreSent_keepsNoneAfterAnswer);
     CPPUNIT_TEST(connections_warmedWhileRefused_attemptsBackOff);
     CPPUNIT_TEST(connections_cancelledWhileWaiting_requestNotSent);
     CPPUNIT_TEST(connections_upstreamPausedWhileWaiting_requestNotSent);
@@ -247,6 +249,26 @@
         CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Failed);
     }
 
+    void connections_entryToWhichNoCallersAreSent_keepsNoneAfterAnswer()
+    {
+        Upstream upstream(m_context);
+        UpstreamTarget notKept = target(upstream, "u");
+        notKept.keepsIdle = false;
+        std::optional<ExchangeResult> result;
+        send(notKept, "r", [&](ExchangeResult ended) { result = std::move(ended); });
+        awaitRequest(upstream);
+        reply(upstream, answer("r"));
+        runUntil([&] { return result.has_value(); });
+        CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Answered);
+        boost::system::error_code error;
+        std::array<char, 1> byte{};
+        upstream.socket.non_blocking(true);
+        runUntil([&] {
+            upstream.socket.read_some(boost::asio::buffer(byte), error);
+            return error == boost::asio::error::eof;
+        });
+    }
+
     void connections_newConnectionReset_requestNotSent()
     {
         Upstream upstream(m_context);
