--- a/include/hickoryspur/request/RequestCodec.h
+++ b/include/hickoryspur/request/RequestCodec.h
@@ -19,6 +19,9 @@
 using HeaderFields = std::vector<std::pair<std::string, std::string>>;
 
 /** A caller's request, which is forwarded unchanged, with the properties that routing and retries need. */
+/** Identifies requests that are the same for an upstream: method, host, target and body. */
+using RequestFingerprint = StrongId<struct RequestFingerprintTag, uint64_t>;
+
 struct ForwardedRequest
 {
     std::string method;
