Keep a request that ends its upstreams from further upstreams

Cause: within a request each lost attempt was repeated at the next replica though no upstream had answered; between requests and between entries nothing was remembered. Change: ScatterGather holds shards whose upstream closed the connection until any upstream has answered; RequestQuarantine collects which upstreams ended under requests that no upstream answered, sends a suspected request to one upstream at a time, and rejects it as not run after a probe or a second request of the same contents has ended upstreams too. Entries tell each other through the control hosts, which keep it on disk. Answered requests leave no evidence, so those beside a lost data centre are not blamed; nor are those that ran on the same upstreams as a request that has ended more of them.

--- a/include/hickoryspur/process/Ids.h
+++ b/include/hickoryspur/process/Ids.h
@@ -58,6 +58,8 @@
 using LogIndex = StrongId<struct LogIndexTag, uint64_t>;
 /** Identifies a sub-request; unique within one incarnation of a process. */
 using SubRequestId = StrongId<struct SubRequestTag, uint64_t>;
+/** Identifies requests that are the same for an upstream; fingerprintOf() computes it. */
+using RequestFingerprint = StrongId<struct RequestFingerprintTag, std::string>;
 
 } // namespace hickoryspur
 
--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -63,6 +63,9 @@
     RequestFailed = 1900,
     RequestPartial = 1901,
     RequestRefused = 1902,
+    RequestSuspected = 1903,
+    RequestQuarantined = 1904,
+    RequestCleared = 1905,
 };
 
 /** Limit on log lines about single requests, for each thread; lines beyond it are dropped and counted. */
--- a/include/hickoryspur/process/SessionMessage.h
+++ b/include/hickoryspur/process/SessionMessage.h
@@ -6,6 +6,7 @@
 #include "hickoryspur/connection/Announcement.h"
 #include "hickoryspur/process/ControlState.h"
 #include "hickoryspur/process/LogQuorum.h"
+#include "hickoryspur/request/RequestQuarantine.h"
 
 #include <map>
 #include <string>
@@ -34,8 +35,10 @@
     bool readsCompressed = false;
     /** RoutesVersion::digest of the routes that the entry has in force. */
     uint64_t routesDigest = 0;
+    /** What the entry knows of requests that end upstreams. */
+    std::vector<SuspectReport> suspects;
     MSGPACK_DEFINE(entry, callerAddress, dataCentre, offered, needsState, routesNumber, subRequestsPerSecond,
-                   intervalMillis, readsCompressed, routesDigest)
+                   intervalMillis, readsCompressed, routesDigest, suspects)
 };
 
 /** From a control host to an entry: first its complete state, then the changes. */
@@ -70,8 +73,11 @@
     bool compressedRoutes = false;
     /** RoutesVersion::digest of the routes in the state at `applied`. */
     uint64_t routesDigest = 0;
+    /** What any entry has reported of requests that end upstreams. */
+    std::vector<SuspectReport> suspects;
     MSGPACK_DEFINE(confirmed, applied, routes, carriesState, dataCentresOut, upstreams, heartbeats, carriesHosts,
-                   entries, controlHosts, logReport, moves, routesNumber, sessions, compressedRoutes, routesDigest)
+                   entries, controlHosts, logReport, moves, routesNumber, sessions, compressedRoutes, routesDigest,
+                   suspects)
 };
 
 } // namespace hickoryspur
--- a/include/hickoryspur/request/ReplicaTracker.h
+++ b/include/hickoryspur/request/ReplicaTracker.h
@@ -22,6 +22,8 @@
     Answered,
     /** The request ran or may have run, and no successful answer was received. */
     Failed,
+    /** The upstream closed the connection before it had answered; it may have run the request, and may have ended. */
+    Lost,
     /** The upstream refused the request without running it. */
     Refused,
     /** Nothing was sent to the upstream. */
--- a/include/hickoryspur/request/RequestCodec.h
+++ b/include/hickoryspur/request/RequestCodec.h
@@ -19,9 +19,6 @@
 using HeaderFields = std::vector<std::pair<std::string, std::string>>;
 
 /** A caller's request, which is forwarded unchanged, with the properties that routing and retries need. */
-/** Identifies requests that are the same for an upstream: method, host, target and body. */
-using RequestFingerprint = StrongId<struct RequestFingerprintTag, uint64_t>;
-
 struct ForwardedRequest
 {
     std::string method;
@@ -37,6 +34,9 @@
     std::optional<Duration> timeout;
 };
 
+/** The same for requests of the same method, host, target and body, whichever entry gets them. */
+RequestFingerprint fingerprintOf(const ForwardedRequest &request);
+
 /** An upstream's answer as received. */
 struct UpstreamAnswer
 {
--- a/include/hickoryspur/request/ScatterGather.h
+++ b/include/hickoryspur/request/ScatterGather.h
@@ -8,6 +8,9 @@
 // other shards can answer: waiting for it would make the answer late, and sending to it would
 // lengthen the queues that already delay it.
 //
+// A request may end each upstream that begins to run it. While no upstream has answered, a shard whose upstream
+// closed the connection is held: another replica gets the request only after some upstream has answered it.
+//
 // It does no I/O. The caller reports time and finished attempts, and executes the returned actions.
 #pragma once
 
@@ -35,6 +38,8 @@
     TimePoint deadline;
     /** An attempt that runs longer than this is overdue; it is hedged if the request is idempotent. */
     Duration hedgeAfter = 50ms;
+    /** The request is suspected of ending upstreams: it is sent to one, and to the others once that has answered. */
+    bool probesFirst = false;
 };
 
 /** The replica selected for an attempt. */
@@ -130,12 +135,24 @@
         std::optional<ReplicaChoice> first;
         /** Nothing was sent to the shard because it is degraded; it counts as lost until its part is needed. */
         bool skipped = false;
+        /** No upstream gets the request for this shard until one has answered it for another shard. */
+        bool held = false;
     };
 
     /** Chooses the first replica of each shard, and skips shards without a good one as far as that is allowed. */
     void chooseFirst();
     void sendToSkipped(TimePoint now, ScatterActions &actions);
+    /** Sends the first attempts; of a probe only one, and the other shards are held. */
+    void sendFirst(TimePoint now, ScatterActions &actions);
     bool trySend(TimePoint now, uint32_t index, bool isExtra, ScatterActions &actions);
+    /** Whether the shard has to wait for an answer to another one after its upstream closed the connection. */
+    bool mustHold(const Shard &shard, AttemptOutcome outcome) const;
+    /** After the first answer: sends to the shards that were held. */
+    void releaseHeld(TimePoint now, ScatterActions &actions);
+    /** Once nothing runs any more: the next shard is probed if nothing has run, otherwise the held shards are lost. */
+    void resolveHeld(TimePoint now, ScatterActions &actions);
+    bool anyRunning() const;
+    void markLost(Shard &shard);
     void handleFailure(TimePoint now, uint32_t index, AttemptOutcome outcome, ScatterActions &actions);
     void hedgeOverdue(TimePoint now, ScatterActions &actions);
     void finishIfDue(TimePoint now, ScatterActions &actions);
@@ -151,6 +168,8 @@
     size_t m_possibleRuns = 0;
     /** Number of extra sub-requests that the budget denied. */
     size_t m_deniedExtras = 0;
+    /** Number of shards that are held. */
+    size_t m_held = 0;
     bool m_finished = false;
 };
 
--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -95,7 +95,7 @@
         asio::post(m_context, [this, status = std::move(status)]() mutable { updateGroupStatus(std::move(status)); });
     };
     hooks.restoreNotes = [this](std::string bytes) {
-        asio::post(m_context, [this, bytes = std::move(bytes)] { restoreUpstreams(bytes); });
+        asio::post(m_context, [this, bytes = std::move(bytes)] { restoreNotes(bytes); });
     };
     m_group = std::make_unique<GroupThread>(std::move(config), std::move(hooks));
 
@@ -195,6 +195,7 @@
         sendLogReport(link);
     if (m_sessions.lacksRoutes(now, m_status.leads, link))
         m_sessions.sendRoutes(now, link, makeLogStateUpdate(now));
+    mergeSuspects(now, status.suspects);
     // At the next tick, since many entries may change at the same time.
     if (change.offeredChanged && updateHosts())
         m_nextRefresh = now;
@@ -279,6 +280,7 @@
     EntryUpdate update = makeLogStateUpdate(now);
     for (const auto &[id, known] : m_registry.all())
         update.upstreams.push_back(known.announcement);
+    update.suspects = m_quarantine.reports(now);
     return update;
 }
 
@@ -320,7 +322,8 @@
     const TimePoint now = monotonicNow();
     m_links->tick(now);
     m_registry.removeExpired(now);
-    saveUpstreamsIfDue(now);
+    m_quarantine.tick(now);
+    saveNotesIfDue(now);
     advanceMoves(now);
     flushAnnouncements();
     if (now >= m_nextRefresh) {
@@ -372,29 +375,46 @@
     sendMissingRoutes(now);
 }
 
-void ControlHost::saveUpstreamsIfDue(TimePoint now)
+void ControlHost::saveNotesIfDue(TimePoint now)
 {
-    if (!m_upstreamsChanged || now < m_nextSave)
+    if (!m_notesChanged || now < m_nextSave)
         return;
-    m_upstreamsChanged = false;
+    m_notesChanged = false;
     m_nextSave = now + kSaveInterval;
-    std::vector<Announcement> upstreams;
+    HostNotes notes;
     for (const auto &[id, known] : m_registry.all())
-        upstreams.push_back(known.announcement);
-    m_group->saveNotes(pack(upstreams));
+        notes.upstreams.push_back(known.announcement);
+    notes.suspects = m_quarantine.reports(now);
+    m_group->saveNotes(pack(notes));
 }
 
-void ControlHost::restoreUpstreams(const std::string &bytes)
+void ControlHost::restoreNotes(const std::string &bytes)
 {
-    const auto upstreams = unpack<std::vector<Announcement>>(bytes);
-    if (!upstreams) {
+    const std::optional<HostNotes> notes = unpackNotes(bytes);
+    if (!notes) {
         HS_LOG(WARNING, LogEvent::MessageUndecodable)
             << "the saved list of upstreams cannot be decoded; waiting for their heartbeats";
         return;
     }
+    restoreUpstreams(notes->upstreams);
+    mergeSuspects(monotonicNow(), notes->suspects);
+}
+
+void ControlHost::mergeSuspects(TimePoint now, const std::vector<SuspectReport> &suspects)
+{
+    if (suspects.empty() || !m_quarantine.merge(now, suspects))
+        return;
+    m_notesChanged = true;
+    EntryUpdate update = makeStateUpdate(now);
+    update.suspects = m_quarantine.reports(now);
+    m_sessions.broadcast(update);
+}
+
+void ControlHost::restoreUpstreams(const std::vector<Announcement> &upstreams)
+{
     // Every request names its target upstream, so restoring one that has ended in the meantime does no harm.
     size_t restored = 0;
-    for (const Announcement &announcement : *upstreams)
+    for (const Announcement &announcement : upstreams)
         if (registerReported(announcement) == RegistryChange::Changed) {
             ++restored;
             broadcastAnnouncement(announcement);
@@ -412,7 +432,7 @@
 
 void ControlHost::broadcastAnnouncement(const Announcement &announcement)
 {
-    m_upstreamsChanged = true;
+    m_notesChanged = true;
     m_newAnnouncements.push_back(announcement);
     // Many arrive at the same time, and wait for the next tick. An upstream that leaves counts on the entries to know
     // it when its announcement is acknowledged, and on hosts that restart not to have forgotten it.
@@ -431,6 +451,7 @@
 Result<void> ControlHost::announce(const Announcement &announcement)
 {
     const RegistryChange change = m_registry.accept(monotonicNow(), announcement);
+    m_quarantine.recordHeartbeat(monotonicNow(), announcement.id, announcement.incarnation);
     if (change == RegistryChange::Refreshed)
         m_heartbeats.push_back(announcement.id);
     if (change != RegistryChange::Changed)
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -5,6 +5,7 @@
 
 #include "app/EntrySessions.h"
 #include "app/HostCodec.h"
+#include "app/HostNotes.h"
 #include "hickoryspur/connection/UpstreamRegistry.h"
 #include "hickoryspur/process/ActiveEntries.h"
 #include "hickoryspur/process/ControlHostDirectory.h"
@@ -68,8 +69,11 @@
     void reportDeparture(const Announcement &announcement);
     /** Registers an announcement, or the end of an upstream, that another control host or the disk reports. */
     RegistryChange registerReported(const Announcement &announcement);
-    void saveUpstreamsIfDue(TimePoint now);
-    void restoreUpstreams(const std::string &bytes);
+    /** Passes on what an entry knows of requests that end upstreams, if it is new. */
+    void mergeSuspects(TimePoint now, const std::vector<SuspectReport> &suspects);
+    void saveNotesIfDue(TimePoint now);
+    void restoreNotes(const std::string &bytes);
+    void restoreUpstreams(const std::vector<Announcement> &upstreams);
     Result<void> submit(Command command);
     Result<void> orderMove(const ServiceName &service, const VersionName &version, Duration within);
     /** On the leader: appends the next step of a move to the log, one at a time. */
@@ -98,9 +102,11 @@
     TimePoint m_confirmedAt;
     TimePoint m_nextRefresh;
     TimePoint m_nextSave;
-    bool m_upstreamsChanged = false;
+    bool m_notesChanged = false;
     UpstreamCounts m_upstreamCounts;
     ActiveEntries m_activeEntries;
+    /** What entries report of requests that end upstreams; passed on to all of them. */
+    RequestQuarantine m_quarantine;
     /** Changed announcements, and unchanged heartbeats, that have not been sent to the entries yet. */
     std::vector<Announcement> m_newAnnouncements;
     std::vector<UpstreamId> m_heartbeats;
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -5,6 +5,8 @@
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/MessageCodec.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 
 namespace hickoryspur {
@@ -74,6 +76,8 @@
             return tl::unexpected(directory.error());
         m_directoryServer = std::move(*directory);
     }
+    // At once: the caller may already be trying another entry.
+    m_traffic.setSuspectsChanged([this] { asio::post(m_context, [this] { sendStatus(); }); });
     onTimer();
     return {};
 }
@@ -154,6 +158,7 @@
         m_traffic.accept(now, announcement);
     for (const UpstreamId &upstream : update.heartbeats)
         m_traffic.recordHeartbeat(now, upstream);
+    m_traffic.mergeSuspects(now, update.suspects);
     m_entries.recordHeartbeat(now, from);
     if (update.carriesHosts) {
         m_entries.update(now, from, update.entries);
@@ -237,6 +242,7 @@
     status.routesNumber = m_traffic.routesNumber();
     status.routesDigest = m_applied.routes().digest;
     status.subRequestsPerSecond = m_traffic.subRequestsPerSecond(monotonicNow());
+    status.suspects = m_traffic.suspects(monotonicNow());
     status.intervalMillis = static_cast<uint32_t>(statusInterval() / 1ms);
     m_links->sendToAll(PeerMessageType::EntryStatus, pack(status));
 }
--- a/src/connection/UpstreamConnection.cpp
+++ b/src/connection/UpstreamConnection.cpp
@@ -203,7 +203,7 @@
 void UpstreamConnection::onWriteFailed(error_code error)
 {
     if (m_exchange)
-        finish({AttemptOutcome::Failed, {}, "write failed: " + error.message()}, false);
+        finish({AttemptOutcome::Lost, {}, "write failed: " + error.message()}, false);
 }
 
 void UpstreamConnection::startAnswer()
@@ -217,6 +217,8 @@
 void UpstreamConnection::parse(error_code readError)
 {
     error_code error = readError;
+    // An upstream that has begun to answer has not ended because of the request.
+    const AttemptOutcome failure = readError && !m_parser->got_some() ? AttemptOutcome::Lost : AttemptOutcome::Failed;
     if (error == asio::error::eof) {
         // An answer without a length ends with its connection.
         error = {};
@@ -234,7 +236,7 @@
         break;
     }
     if (error)
-        finish({AttemptOutcome::Failed, {}, "read failed: " + error.message()}, false);
+        finish({failure, {}, "read failed: " + error.message()}, false);
     else if (m_parser->is_done())
         onAnswer();
 }
--- a/src/connection/UpstreamExchange.h
+++ b/src/connection/UpstreamExchange.h
@@ -38,7 +38,8 @@
 
 struct ExchangeResult
 {
-    /** Answered, Failed, NotSent, Withheld, NoResponse or Cancelled; Answered says nothing about the answer's status.
+    /** Answered, Failed, Lost, NotSent, Withheld, NoResponse or Cancelled; Answered says nothing about the answer's
+     * status.
      */
     AttemptOutcome outcome = AttemptOutcome::Failed;
     UpstreamAnswer answer;
--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -1,5 +1,6 @@
 #include "request/ActiveRequest.h"
 
+#include "hickoryspur/process/Digest.h"
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/Metrics.h"
 #include "hickoryspur/request/TopRecords.h"
@@ -73,6 +74,7 @@
 CallerAnswer EntryTraffic::ActiveRequest::serve()
 {
     ScatterPlan plan = m_traffic.makePlan(m_started, m_route, m_request);
+    plan.probesFirst = m_isProbe;
     m_deadline = plan.deadline;
     m_shardCount = plan.shards.size();
     for (const ServiceName &service : plan.shards)
@@ -80,7 +82,9 @@
     m_scatter.emplace(std::move(plan), hooks());
     boost::fibers::future<CallerAnswer> answer = m_promise.get_future();
     execute(m_scatter->start(m_started));
-    return answer.get();
+    CallerAnswer result = answer.get();
+    reportLosses();
+    return result;
 }
 
 void EntryTraffic::ActiveRequest::execute(const ScatterActions &actions)
@@ -139,6 +143,7 @@
     if (verdict.signals)
         m_traffic.recordSignals(now, sent.upstream, sent.incarnation, *verdict.signals);
     const AttemptOutcome outcome = classifyOutcome(result, verdict);
+    noteSurvival(sent, outcome, result.outcome == AttemptOutcome::Answered && !verdict.notRun);
     RouteLatency &latency = m_traffic.latencyOf(m_route);
     const Duration took = now - sent.at;
     const Duration median = latency.median.value();
@@ -164,6 +169,23 @@
         execute(actions);
 }
 
+void EntryTraffic::ActiveRequest::noteSurvival(const SentAttempt &sent, AttemptOutcome outcome, bool hasRun)
+{
+    if (hasRun && !m_ranAndAnswered)
+        m_traffic.recordSurvivedRequest(m_request);
+    m_ranAndAnswered |= hasRun;
+    if (outcome == AttemptOutcome::Lost)
+        m_losses.push_back({sent.upstream, sent.incarnation, hash64(m_request.id), m_isProbe});
+}
+
+void EntryTraffic::ActiveRequest::reportLosses()
+{
+    if (!m_ranAndAnswered && !m_losses.empty())
+        m_traffic.recordLosses(monotonicNow(), m_request, m_losses);
+    if (m_isProbe)
+        m_traffic.endProbe(m_request);
+}
+
 void EntryTraffic::ActiveRequest::scheduleTimer()
 {
     if (m_finished && m_cancelRunningAt == TimePoint::max()) {
--- a/src/request/ActiveRequest.h
+++ b/src/request/ActiveRequest.h
@@ -20,11 +20,12 @@
 {
 public:
     ActiveRequest(EntryTraffic &traffic, std::shared_ptr<const RouteTable> routes, const Route &route,
-                  ForwardedRequest request, std::function<bool()> isCallerGone)
+                  ForwardedRequest request, bool isProbe, std::function<bool()> isCallerGone)
         : m_traffic(traffic)
         , m_routes(std::move(routes))
         , m_route(route)
         , m_request(std::move(request))
+        , m_isProbe(isProbe)
         , m_isCallerGone(std::move(isCallerGone))
         , m_timer(traffic.m_context)
         , m_started(monotonicNow())
@@ -48,6 +49,10 @@
     void execute(const ScatterActions &actions);
     void send(const SendAttempt &attempt);
     void onAttemptEnded(AttemptKey key, ExchangeResult result);
+    /** Notes whether an upstream has ended, or has not, while it ran the request. */
+    void noteSurvival(const SentAttempt &sent, AttemptOutcome outcome, bool hasRun);
+    /** Reports the upstreams that have ended, unless one has answered, and the end of a probe. */
+    void reportLosses();
     static AttemptOutcome classifyOutcome(const ExchangeResult &result, const AnswerVerdict &verdict);
     void scheduleTimer();
     void onTimer();
@@ -66,6 +71,12 @@
     std::shared_ptr<const RouteTable> m_routes;
     const Route &m_route;
     ForwardedRequest m_request;
+    /** The request is suspected of ending upstreams, see RequestQuarantine. */
+    bool m_isProbe;
+    /** An upstream has run the request and answered. */
+    bool m_ranAndAnswered = false;
+    /** The upstreams that closed the connection while they ran the request. */
+    std::vector<UpstreamLoss> m_losses;
     std::function<bool()> m_isCallerGone;
     boost::asio::steady_timer m_timer;
     TimePoint m_started;
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -78,7 +78,64 @@
     const Route *route = routes->find(request.host, request.path);
     if (!route)
         return makeRefusal(RefusalKind::NoRoute);
-    return std::make_shared<ActiveRequest>(*this, routes, *route, request, isCallerGone)->serve();
+    const QuarantineVerdict verdict = admit(monotonicNow(), request);
+    if (verdict.decision == QuarantineDecision::Reject)
+        return makeRefusal(RefusalKind::NotRunTryLater, verdict.retryAfter);
+    const bool isProbe = verdict.decision == QuarantineDecision::Probe;
+    return std::make_shared<ActiveRequest>(*this, routes, *route, request, isProbe, isCallerGone)->serve();
+}
+
+QuarantineVerdict EntryTraffic::admit(TimePoint now, const ForwardedRequest &request)
+{
+    static Counter &rejected = Metrics::counter("hickoryspur_requests_quarantined_total");
+    static Counter &probes = Metrics::counter("hickoryspur_request_probes_total");
+    if (m_quarantine.empty())
+        return {};
+    const RequestFingerprint fingerprint = fingerprintOf(request);
+    const QuarantineVerdict verdict = m_quarantine.admit(now, fingerprint);
+    if (verdict.decision == QuarantineDecision::Probe)
+        probes.add();
+    if (verdict.decision != QuarantineDecision::Reject)
+        return verdict;
+    rejected.add();
+    HS_LOG_REQUEST(LogEvent::RequestQuarantined) << "request=" << request.id << " fingerprint=" << fingerprint
+                                                 << " rejected-ms=" << toMilliseconds(verdict.retryAfter);
+    return verdict;
+}
+
+void EntryTraffic::recordSurvivedRequest(const ForwardedRequest &request)
+{
+    if (m_quarantine.empty())
+        return;
+    const RequestFingerprint fingerprint = fingerprintOf(request);
+    if (m_quarantine.recordAnswer(fingerprint))
+        HS_LOG_REQUEST(LogEvent::RequestCleared) << "request=" << request.id << " fingerprint=" << fingerprint;
+}
+
+void EntryTraffic::recordLosses(TimePoint now, const ForwardedRequest &request, const std::vector<UpstreamLoss> &losses)
+{
+    const RequestFingerprint fingerprint = fingerprintOf(request);
+    m_quarantine.recordLosses(now, fingerprint, losses);
+    HS_LOG_REQUEST(LogEvent::RequestSuspected)
+        << "request=" << request.id << " fingerprint=" << fingerprint << " upstreams=" << losses.size()
+        << " first=" << losses.front().upstream << " probe=" << losses.front().inProbe
+        << " quarantined=" << m_quarantine.isInQuarantine(now, fingerprint);
+    if (m_quarantine.isSuspect(fingerprint))
+        m_suspectsChanged();
+}
+
+void EntryTraffic::mergeSuspects(TimePoint now, const std::vector<SuspectReport> &reports)
+{
+    m_quarantine.merge(now, reports);
+}
+
+void EntryTraffic::recordHeartbeat(TimePoint now, const UpstreamId &upstream)
+{
+    m_registry.recordHeartbeat(now, upstream);
+    if (m_quarantine.empty())
+        return;
+    if (const KnownUpstream *known = m_registry.find(upstream))
+        m_quarantine.recordHeartbeat(now, upstream, known->announcement.incarnation);
 }
 
 ScatterPlan EntryTraffic::makePlan(TimePoint now, const Route &route, const ForwardedRequest &request)
@@ -386,6 +443,7 @@
     m_connections.tick(now);
     m_registry.removeExpired(now);
     updateAdmission(now);
+    m_quarantine.tick(now);
     if (!m_routes)
         return;
     updateServiceStatus(now);
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -11,6 +11,7 @@
 #include "hickoryspur/request/LatencyQuantile.h"
 #include "hickoryspur/request/ReplicaTracker.h"
 #include "hickoryspur/request/RequestCodec.h"
+#include "hickoryspur/request/RequestQuarantine.h"
 #include "hickoryspur/request/RetryBudget.h"
 #include "hickoryspur/request/ScatterGather.h"
 #include "hickoryspur/request/VersionSplit.h"
@@ -78,7 +79,13 @@
     double subRequestsPerSecond(TimePoint now);
     /** Registers or removes the announced upstream; drops idle connections to one that takes no requests. */
     void accept(TimePoint now, const Announcement &announcement);
-    void recordHeartbeat(TimePoint now, const UpstreamId &upstream) { m_registry.recordHeartbeat(now, upstream); }
+    void recordHeartbeat(TimePoint now, const UpstreamId &upstream);
+    /** Adds what other entries know of requests that end upstreams. */
+    void mergeSuspects(TimePoint now, const std::vector<SuspectReport> &reports);
+    /** What this entry knows of them. */
+    std::vector<SuspectReport> suspects(TimePoint now) const { return m_quarantine.reports(now); }
+    /** Called when suspects() has changed by what this entry has seen. */
+    void setSuspectsChanged(std::function<void()> hook) { m_suspectsChanged = std::move(hook); }
     void tick(TimePoint now);
     bool hasRoutes() const { return m_routes != nullptr; }
     uint64_t routesNumber() const { return m_routes ? m_routes->number : 0; }
@@ -89,6 +96,11 @@
     class ActiveRequest;
     friend class ActiveRequest;
 
+    QuarantineVerdict admit(TimePoint now, const ForwardedRequest &request);
+    void endProbe(const ForwardedRequest &request) { m_quarantine.endProbe(fingerprintOf(request)); }
+    void recordSurvivedRequest(const ForwardedRequest &request);
+    /** Records the upstreams that ended while they ran a request which none has answered. */
+    void recordLosses(TimePoint now, const ForwardedRequest &request, const std::vector<UpstreamLoss> &losses);
     ScatterPlan makePlan(TimePoint now, const Route &route, const ForwardedRequest &request);
     std::optional<ReplicaChoice> chooseReplica(const ServiceName &service, const std::vector<UpstreamId> &tried,
                                                VersionGroup group);
@@ -140,6 +152,8 @@
     UpstreamConnections m_connections;
     ConnectionPlan m_connectionPlan;
     UpstreamAdmission m_admission;
+    RequestQuarantine m_quarantine;
+    std::function<void()> m_suspectsChanged = [] {};
     std::map<ServiceName, RetryBudget> m_budgets;
     std::map<std::string, RouteLatency> m_latencies;
     /** Services that had an upstream at the last check. */
--- a/src/request/ScatterGather.cpp
+++ b/src/request/ScatterGather.cpp
@@ -59,16 +59,70 @@
     }
 }
 
-ScatterActions ScatterGather::start(TimePoint now)
+bool ScatterGather::anyRunning() const
+{
+    return std::any_of(m_shards.begin(), m_shards.end(), hasRunning);
+}
+
+void ScatterGather::markLost(Shard &shard)
+{
+    shard.lost = true;
+    ++m_lost;
+}
+
+void ScatterGather::sendFirst(TimePoint now, ScatterActions &actions)
 {
-    ScatterActions actions;
-    chooseFirst();
     for (uint32_t index = 0; index < m_shards.size(); ++index) {
-        if (m_shards[index].skipped || trySend(now, index, false, actions))
+        Shard &shard = m_shards[index];
+        if (shard.skipped)
             continue;
-        m_shards[index].lost = true;
-        ++m_lost;
+        if (m_plan.probesFirst && !actions.sends.empty()) {
+            shard.held = true;
+            ++m_held;
+        } else if (!trySend(now, index, false, actions)) {
+            markLost(shard);
+        }
+    }
+}
+
+bool ScatterGather::mustHold(const Shard &shard, AttemptOutcome outcome) const
+{
+    return outcome == AttemptOutcome::Lost && m_answered == 0 && m_shards.size() > 1 && !hasRunning(shard);
+}
+
+void ScatterGather::releaseHeld(TimePoint now, ScatterActions &actions)
+{
+    for (uint32_t index = 0; index < m_shards.size() && m_held > 0; ++index) {
+        Shard &shard = m_shards[index];
+        if (!shard.held)
+            continue;
+        shard.held = false;
+        --m_held;
+        if (!trySend(now, index, !shard.attempts.empty(), actions))
+            markLost(shard);
+    }
+    sendToSkipped(now, actions);
+}
+
+void ScatterGather::resolveHeld(TimePoint now, ScatterActions &actions)
+{
+    for (uint32_t index = 0; index < m_shards.size() && m_held > 0; ++index) {
+        Shard &shard = m_shards[index];
+        if (!shard.held)
+            continue;
+        shard.held = false;
+        --m_held;
+        if (m_possibleRuns == 0 && trySend(now, index, false, actions))
+            return;
+        markLost(shard);
     }
+}
+
+ScatterActions ScatterGather::start(TimePoint now)
+{
+    ScatterActions actions;
+    chooseFirst();
+    sendFirst(now, actions);
     sendToSkipped(now, actions);
     // Too few shards are reachable, so the request is refused before any upstream runs it.
     if (m_shards.size() - m_lost < m_plan.minParts) {
@@ -125,10 +179,13 @@
         return actions;
     if (outcome == AttemptOutcome::Answered) {
         shard.answered = true;
-        ++m_answered;
+        if (++m_answered == 1)
+            releaseHeld(now, actions);
     } else {
         handleFailure(now, key.shard, outcome, actions);
     }
+    if (m_held > 0 && !anyRunning())
+        resolveHeld(now, actions);
     finishIfDue(now, actions);
     return actions;
 }
@@ -142,16 +199,22 @@
         --shard.possibleRuns;
         --m_possibleRuns;
     }
-    const bool isRepeatable = provablyNotRun || m_plan.idempotent;
+    if (mustHold(shard, outcome)) {
+        shard.held = true;
+        ++m_held;
+        return;
+    }
+    const bool isProbe = m_plan.probesFirst && m_answered == 0;
+    const bool isRepeatable = provablyNotRun || (m_plan.idempotent && !isProbe);
     // An attempt that was not sent put no load on the service, so its replacement is not charged to the budget.
     const bool isExtra = !nothingSent;
     if (isRepeatable && now < m_plan.deadline && trySend(now, index, isExtra, actions))
         return;
     if (hasRunning(shard) || shard.lost)
         return;
-    shard.lost = true;
-    ++m_lost;
-    sendToSkipped(now, actions);
+    markLost(shard);
+    if (!isProbe)
+        sendToSkipped(now, actions);
 }
 
 ScatterActions ScatterGather::tick(TimePoint now)
@@ -175,7 +238,7 @@
             continue;
         latest.overdue = true;
         m_hooks.reportOverdue(latest.upstream);
-        if (m_plan.idempotent)
+        if (m_plan.idempotent && !(m_plan.probesFirst && m_answered == 0))
             trySend(now, index, true, actions);
     }
 }
--- a/src/request/VersionSplit.cpp
+++ b/src/request/VersionSplit.cpp
@@ -78,7 +78,7 @@
 {
     const Move *move = findMove(sample.service);
     const bool ran = sample.outcome == AttemptOutcome::Answered || sample.outcome == AttemptOutcome::Failed
-        || sample.outcome == AttemptOutcome::NoResponse;
+        || sample.outcome == AttemptOutcome::Lost || sample.outcome == AttemptOutcome::NoResponse;
     if (!move || (!ran && sample.outcome != AttemptOutcome::Refused))
         return;
     const bool isNew = sample.version.value() == move->state.to;
--- a/test/failure/ScatterGatherFailureTest.cpp
+++ b/test/failure/ScatterGatherFailureTest.cpp
@@ -33,6 +33,10 @@
     CPPUNIT_TEST(scatter_unreachableReplicas_doNotUseAttemptsOrBudget);
     CPPUNIT_TEST(scatter_replicaPausedBeforeTheSend_isSentElsewhereWithoutBudget);
     CPPUNIT_TEST(scatter_deadlinePassed_timesOut);
+    CPPUNIT_TEST(scatter_upstreamsEndUnderIt_noOtherReplicaGetsIt);
+    CPPUNIT_TEST(scatter_upstreamLostAfterAnAnswer_isSentToAnotherReplica);
+    CPPUNIT_TEST(scatter_probeNotSent_probesAnotherShard);
+    CPPUNIT_TEST(scatter_probeAnswered_isSentToAllShards);
     CPPUNIT_TEST_SUITE_END();
 
     ScatterPlan plan(size_t shards, size_t minParts, bool idempotent = true) const
@@ -233,6 +237,58 @@
         CPPUNIT_ASSERT_EQUAL(UpstreamId("shard0c"), actions.sends.front().upstream);
     }
 
+    /** Otherwise one request ends every replica of every shard. */
+    void scatter_upstreamsEndUnderIt_noOtherReplicaGetsIt()
+    {
+        ScatterGather run(plan(3, 2), hooks());
+        CPPUNIT_ASSERT_EQUAL(size_t(3), run.start(m_now).sends.size());
+        CPPUNIT_ASSERT(run.attemptEnded(m_now + 5ms, {0, 0}, AttemptOutcome::Lost).sends.empty());
+        CPPUNIT_ASSERT(run.attemptEnded(m_now + 5ms, {1, 0}, AttemptOutcome::Lost).sends.empty());
+        const ScatterActions last = run.attemptEnded(m_now + 6ms, {2, 0}, AttemptOutcome::Lost);
+        CPPUNIT_ASSERT(last.sends.empty());
+        CPPUNIT_ASSERT(last.outcome == ScatterOutcome::Failed);
+    }
+
+    void scatter_upstreamLostAfterAnAnswer_isSentToAnotherReplica()
+    {
+        ScatterGather run(plan(3, 3), hooks());
+        run.start(m_now);
+        run.attemptEnded(m_now + 4ms, {1, 0}, AttemptOutcome::Answered);
+        const ScatterActions actions = run.attemptEnded(m_now + 5ms, {0, 0}, AttemptOutcome::Lost);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), actions.sends.size());
+        CPPUNIT_ASSERT_EQUAL(UpstreamId("shard0b"), actions.sends.front().upstream);
+    }
+
+    void scatter_probeNotSent_probesAnotherShard()
+    {
+        ScatterPlan probe = plan(3, 2);
+        probe.probesFirst = true;
+        ScatterGather run(probe, hooks());
+        CPPUNIT_ASSERT_EQUAL(size_t(1), run.start(m_now).sends.size());
+        size_t tries = 0;
+        ScatterActions actions;
+        for (AttemptKey key{0, 0}; key.shard == 0; ++tries) {
+            actions = run.attemptEnded(m_now + 1ms, key, AttemptOutcome::NotSent);
+            CPPUNIT_ASSERT_EQUAL(size_t(1), actions.sends.size());
+            key = actions.sends.front().key;
+        }
+        CPPUNIT_ASSERT_EQUAL(size_t(3), tries);
+        CPPUNIT_ASSERT(run.attemptEnded(m_now + 2ms, {1, 0}, AttemptOutcome::Lost).outcome == ScatterOutcome::Failed);
+    }
+
+    void scatter_probeAnswered_isSentToAllShards()
+    {
+        ScatterPlan probe = plan(3, 3);
+        probe.probesFirst = true;
+        ScatterGather run(probe, hooks());
+        CPPUNIT_ASSERT_EQUAL(size_t(1), run.start(m_now).sends.size());
+        CPPUNIT_ASSERT(run.tick(m_now + 20ms).sends.empty());
+        CPPUNIT_ASSERT_EQUAL(size_t(2), run.attemptEnded(m_now + 25ms, {0, 0}, AttemptOutcome::Answered).sends.size());
+        run.attemptEnded(m_now + 30ms, {1, 0}, AttemptOutcome::Answered);
+        CPPUNIT_ASSERT(run.attemptEnded(m_now + 31ms, {2, 0}, AttemptOutcome::Answered).outcome
+                       == ScatterOutcome::Complete);
+    }
+
     void scatter_deadlinePassed_timesOut()
     {
         ScatterGather run(plan(3, 2), hooks());
