Say that a request has not run where nothing of it was sent

Cause: when too many shards were lost, attempts that still waited for a connection counted as possibly run. Change: ScatterGather withdraws them first, and the outcome is NotRun if nothing else may have run. Test: scatter_lostBeforeAnythingWasSent_endsAsNotRun, scatter_lostAfterOneWasSent_endsAsFailed.

--- a/include/hickoryspur/request/ScatterGather.h
+++ b/include/hickoryspur/request/ScatterGather.h
@@ -50,6 +50,13 @@
     bool degraded = false;
 };
 
+struct AttemptKey
+{
+    uint32_t shard = 0;
+    uint32_t attempt = 0;
+    auto operator<=>(const AttemptKey &) const = default;
+};
+
 struct ScatterHooks
 {
     /** Selects a replica of the service that has not been tried; nullopt if none is left. */
@@ -58,13 +65,8 @@
     std::function<bool(const ServiceName &)> tryConsumeBudget;
     /** Called when an attempt at this replica becomes overdue. */
     std::function<void(const UpstreamId &)> reportOverdue;
-};
-
-struct AttemptKey
-{
-    uint32_t shard = 0;
-    uint32_t attempt = 0;
-    auto operator<=>(const AttemptKey &) const = default;
+    /** Cancels a running attempt unless its request has been sent; returns true if it provably has not run. */
+    std::function<bool(AttemptKey)> tryWithdraw = [](AttemptKey) { return false; };
 };
 
 struct SendAttempt
@@ -155,6 +157,9 @@
     void markLost(Shard &shard);
     void handleFailure(TimePoint now, uint32_t index, AttemptOutcome outcome, ScatterActions &actions);
     void hedgeOverdue(TimePoint now, ScatterActions &actions);
+    /** Ends the attempts whose requests have not been sent, so that a request that has not run is not called failed. */
+    void withdrawUnsent(ScatterActions &actions);
+    void withdraw(AttemptKey key);
     void finishIfDue(TimePoint now, ScatterActions &actions);
     std::optional<ReplicaChoice> choose(uint32_t index);
     static bool hasRunning(const Shard &shard);
--- a/src/connection/UpstreamConnections.cpp
+++ b/src/connection/UpstreamConnections.cpp
@@ -72,10 +72,10 @@
         pool->cancel(handle);
 }
 
-void UpstreamConnections::cancelIfNotSent(Handle handle)
+bool UpstreamConnections::cancelIfNotSent(Handle handle)
 {
-    if (const std::shared_ptr<ConnectionPool> pool = m_state->poolOf(handle))
-        pool->cancelIfNotSent(handle);
+    const std::shared_ptr<ConnectionPool> pool = m_state->poolOf(handle);
+    return pool && pool->cancelIfNotSent(handle);
 }
 
 void UpstreamConnections::withdrawWaiting(const UpstreamId &id)
--- a/src/connection/UpstreamConnections.h
+++ b/src/connection/UpstreamConnections.h
@@ -28,8 +28,9 @@
     Handle send(const UpstreamTarget &target, ExchangeRequest request, Done done);
     /** Ends an exchange as Cancelled. If its request has been sent, the connection is closed. */
     void cancel(Handle handle);
-    /** Ends an exchange that still waits for a connection; one whose request has been sent continues. */
-    void cancelIfNotSent(Handle handle);
+    /** Ends an exchange that still waits for a connection; returns false if its request has been sent, and continues.
+     */
+    bool cancelIfNotSent(Handle handle);
     /** Ends the exchanges that wait for a connection to this upstream as Withheld; sent ones continue. */
     void withdrawWaiting(const UpstreamId &id);
     /** Opens a connection if there is none, unless the reconnection backoff forbids it. */
--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -60,6 +60,10 @@
     };
     hooks.tryConsumeBudget = [this](const ServiceName &service) { return m_traffic.tryConsumeBudget(service); };
     hooks.reportOverdue = [this](const UpstreamId &upstream) { m_traffic.m_replicaTracker.recordOverdue(upstream); };
+    hooks.tryWithdraw = [this](AttemptKey key) {
+        const auto sent = m_runningAttempts.find(key);
+        return sent != m_runningAttempts.end() && m_traffic.m_connections.cancelIfNotSent(sent->second.handle);
+    };
     return hooks;
 }
 
@@ -152,7 +156,7 @@
     if (outcome == AttemptOutcome::Answered) {
         latency.median.add(took);
         latency.hedgeDelay.add(took);
-    } else {
+    } else if (outcome != AttemptOutcome::Cancelled) {
         m_lastReason = sent.upstream.value() + ": "
             + (result.reason.empty() ? "status " + std::to_string(result.answer.status) : result.reason);
     }
--- a/src/request/ScatterGather.cpp
+++ b/src/request/ScatterGather.cpp
@@ -124,14 +124,7 @@
     chooseFirst();
     sendFirst(now, actions);
     sendToSkipped(now, actions);
-    // Too few shards are reachable, so the request is refused before any upstream runs it.
-    if (m_shards.size() - m_lost < m_plan.minParts) {
-        actions.sends.clear();
-        m_possibleRuns = 0;
-        m_finished = true;
-        actions.outcome = ScatterOutcome::NotRun;
-        return actions;
-    }
+    // If too few shards are reachable, this refuses the request before any upstream runs it.
     finishIfDue(now, actions);
     return actions;
 }
@@ -243,20 +236,43 @@
     }
 }
 
+void ScatterGather::withdraw(AttemptKey key)
+{
+    Shard &shard = m_shards[key.shard];
+    shard.attempts[key.attempt].running = false;
+    --shard.possibleRuns;
+    --m_possibleRuns;
+}
+
+void ScatterGather::withdrawUnsent(ScatterActions &actions)
+{
+    for (const SendAttempt &send : actions.sends)
+        withdraw(send.key);
+    actions.sends.clear();
+    for (uint32_t index = 0; index < m_shards.size(); ++index)
+        for (uint32_t number = 0; number < m_shards[index].attempts.size(); ++number)
+            if (m_shards[index].attempts[number].running && m_hooks.tryWithdraw({index, number}))
+                withdraw({index, number});
+}
+
 void ScatterGather::finishIfDue(TimePoint now, ScatterActions &actions)
 {
     if (m_finished)
         return;
     const bool hasMinParts = m_answered >= m_plan.minParts;
+    const bool cannotBeServed = m_shards.size() - m_lost < m_plan.minParts;
     if (m_answered == m_shards.size())
         actions.outcome = ScatterOutcome::Complete;
     else if (hasMinParts && (now >= m_plan.targetTime || m_answered + m_lost == m_shards.size()))
         actions.outcome = ScatterOutcome::Partial;
-    else if (m_shards.size() - m_lost < m_plan.minParts)
-        actions.outcome = provablyNotRun() ? ScatterOutcome::NotRun : ScatterOutcome::Failed;
-    else if (now >= m_plan.deadline)
-        actions.outcome = ScatterOutcome::TimedOut;
+    else if (cannotBeServed || now >= m_plan.deadline)
+        actions.outcome = cannotBeServed ? ScatterOutcome::Failed : ScatterOutcome::TimedOut;
     m_finished = actions.outcome.has_value();
+    if (!m_finished || hasMinParts)
+        return;
+    withdrawUnsent(actions);
+    if (provablyNotRun())
+        actions.outcome = ScatterOutcome::NotRun;
 }
 
 std::string ScatterGather::describeUnanswered(TimePoint now) const
--- a/test/failure/ScatterGatherFailureTest.cpp
+++ b/test/failure/ScatterGatherFailureTest.cpp
@@ -35,6 +35,8 @@
     CPPUNIT_TEST(scatter_deadlinePassed_timesOut);
     CPPUNIT_TEST(scatter_upstreamsEndUnderIt_noOtherReplicaGetsIt);
     CPPUNIT_TEST(scatter_upstreamLostAfterAnAnswer_isSentToAnotherReplica);
+    CPPUNIT_TEST(scatter_lostBeforeAnythingWasSent_endsAsNotRun);
+    CPPUNIT_TEST(scatter_lostAfterOneWasSent_endsAsFailed);
     CPPUNIT_TEST(scatter_probeNotSent_probesAnotherShard);
     CPPUNIT_TEST(scatter_probeAnswered_isSentToAllShards);
     CPPUNIT_TEST_SUITE_END();
@@ -259,6 +261,34 @@
         CPPUNIT_ASSERT_EQUAL(UpstreamId("shard0b"), actions.sends.front().upstream);
     }
 
+    /** A caller may send again a request that has not run, whatever it is; after a failure it may not. */
+    void scatter_lostBeforeAnythingWasSent_endsAsNotRun()
+    {
+        ScatterHooks unsent = hooks();
+        size_t withdrawn = 0;
+        unsent.tryWithdraw = [&](AttemptKey) { return ++withdrawn > 0; };
+        ScatterGather run(plan(3, 3), unsent);
+        run.start(m_now);
+        ScatterActions actions;
+        for (uint32_t attempt = 0; attempt < 3; ++attempt)
+            actions = run.attemptEnded(m_now + 1ms, {0, attempt}, AttemptOutcome::NotSent);
+        CPPUNIT_ASSERT(actions.outcome == ScatterOutcome::NotRun);
+        CPPUNIT_ASSERT_EQUAL(size_t(2), withdrawn);
+        CPPUNIT_ASSERT(run.provablyNotRun());
+    }
+
+    void scatter_lostAfterOneWasSent_endsAsFailed()
+    {
+        ScatterHooks oneSent = hooks();
+        oneSent.tryWithdraw = [](AttemptKey key) { return key.shard != 1; };
+        ScatterGather run(plan(3, 3), oneSent);
+        run.start(m_now);
+        ScatterActions actions;
+        for (uint32_t attempt = 0; attempt < 3; ++attempt)
+            actions = run.attemptEnded(m_now + 1ms, {0, attempt}, AttemptOutcome::NotSent);
+        CPPUNIT_ASSERT(actions.outcome == ScatterOutcome::Failed);
+    }
+
     void scatter_probeNotSent_probesAnotherShard()
     {
         ScatterPlan probe = plan(3, 2);
