--- a/include/hickoryspur/connection/Announcement.h
+++ b/include/hickoryspur/connection/Announcement.h
@@ -44,6 +44,9 @@
     bool equalsExceptSequence(const Announcement &other) const;
 };
 
+/** Checks that the names are of a length that every host can store and send on; an error is MalformedRequest. */
+Result<void> checkNames(const Announcement &announcement);
+
 /** Parses the JSON body of an announcement; an error is MalformedRequest. */
 Result<Announcement> parseAnnouncement(const std::string &json);
 
--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -24,6 +24,7 @@
     PeerSilent = 1300,
     PeerBack = 1301,
     MessageUndecodable = 1302,
+    RequestHandlerFailed = 1303,
     DocumentAccepted = 1400,
     DocumentInForce = 1401,
     LeaseLost = 1402,
--- a/src/connection/Announcement.cpp
+++ b/src/connection/Announcement.cpp
@@ -76,6 +76,17 @@
 
 } // namespace
 
+Result<void> checkNames(const Announcement &announcement)
+{
+    bool valid = announcement.version.value().size() <= kMaxNameBytes;
+    for (const std::string &name :
+         {announcement.id.value(), announcement.service.value(), announcement.dataCentre.value(), announcement.address})
+        valid = valid && !name.empty() && name.size() <= kMaxNameBytes;
+    if (valid)
+        return {};
+    return HS_USER_ERROR(ResultCode::MalformedRequest) << "announcement: a name must have 1 to 200 bytes";
+}
+
 bool Announcement::equalsExceptSequence(const Announcement &other) const
 {
     Announcement copy = other;
--- a/src/request/HttpCallerServer.cpp
+++ b/src/request/HttpCallerServer.cpp
@@ -1,5 +1,6 @@
 #include "request/HttpCallerServer.h"
 
+#include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/Metrics.h"
 #include "process/HttpLimits.h"
 #include "request/AnswerJson.h"
@@ -112,6 +113,8 @@
     return response;
 }
 
+constexpr size_t kMaxLoggedPath = 200;
+
 bool isProtocolError(error_code error)
 {
     return error.category() == http::make_error_code(http::error::bad_method).category()
@@ -144,6 +147,8 @@
     static void serveConnection(const std::shared_ptr<State> &state, beast::tcp_stream stream);
     bool serveRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer);
     CallerResponse handle(beast::tcp_stream &stream, CallerRequest request);
+    /** Contents that a handler cannot bear fail their own request, and not the process with all others. */
+    CallerResponse runHandler(const CallerRequest &request) const;
 };
 
 std::string CallerRequest::header(const std::string &name) const
@@ -208,6 +213,19 @@
     return !written && keepAlive;
 }
 
+CallerResponse HttpCallerServer::State::runHandler(const CallerRequest &request) const
+{
+    try {
+        return handler(request);
+    } catch (const std::exception &error) {
+        HS_LOG(ERROR, LogEvent::RequestHandlerFailed)
+            << request.method << ' ' << request.path.substr(0, kMaxLoggedPath) << ": " << error.what();
+        CallerResponse response;
+        response.status = 500;
+        return response;
+    }
+}
+
 CallerResponse HttpCallerServer::State::handle(beast::tcp_stream &stream, CallerRequest request)
 {
     // While the request runs, a readable socket without bytes means that the caller has disconnected.
@@ -222,7 +240,7 @@
         ended.set_value();
     });
     request.isCallerGone = [callerGone] { return *callerGone; };
-    CallerResponse response = handler(request);
+    CallerResponse response = runHandler(request);
     error_code ignored;
     socket.cancel(ignored);
     watch.wait();
--- a/test/failure/PlatformCodecFailureTest.cpp
+++ b/test/failure/PlatformCodecFailureTest.cpp
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <map>
+#include <sstream>
 
 using namespace hickoryspur;
 
@@ -16,6 +18,8 @@
     CPPUNIT_TEST(request_deadlineInAnyLetterCase_isReplacedByRemainingTime);
     CPPUNIT_TEST(request_callerSetsTargetInstance_isReplacedByChosenUpstream);
     CPPUNIT_TEST(request_hopByHopFields_areNotForwarded);
+    CPPUNIT_TEST(heartbeat_oddEntryOfAnotherWriter_isRefusedAndOthersHold);
+    CPPUNIT_TEST(configuration_numbersTooLarge_isRefused);
     CPPUNIT_TEST_SUITE_END();
 
     static CallerRequest request(std::vector<std::pair<std::string, std::string>> fields)
@@ -52,7 +56,90 @@
         return found;
     }
 
+    /** The status of the answer to a heartbeat with one field replaced; accepted ones are collected. */
+    unsigned announce(const std::string &field, const std::string &value, std::vector<Announcement> &accepted) const
+    {
+        std::map<std::string, std::string> fields{
+            {"service", "\"s\""},     {"address", "\"10.0.0.9:8080\""}, {"zone", "\"a\""},       {"version", "\"v1\""},
+            {"max-concurrency", "2"}, {"state", "\"ready\""},           {"warmup-left-ms", "0"}, {"sequence", "4"},
+            {"born", "1773185738000"}};
+        fields[field] = value;
+        std::string body = "{";
+        for (const auto &[name, content] : fields)
+            body += (body.size() > 1 ? ",\"" : "\"") + name + "\":" + content;
+        CallerRequest request;
+        request.method = "POST";
+        request.target = request.path = "/instances/i-1/heartbeat";
+        request.body = body + "}";
+        ControlApi api;
+        api.announce = [&](const Announcement &announcement) -> Result<void> {
+            accepted.push_back(announcement);
+            return {};
+        };
+        api.leader = [] { return std::optional<HostAddress>(); };
+        return m_codec.control(request, api).status;
+    }
+
 public:
+    /** Hosts that read such an entry must neither end nor pass it on, nor miss the next good one. */
+    void heartbeat_oddEntryOfAnotherWriter_isRefusedAndOthersHold()
+    {
+        const std::string nested = std::string(100000, '[') + std::string(100000, ']');
+        std::string tooLong(5002, '"');
+        std::fill(tooLong.begin() + 1, tooLong.end() - 1, 's');
+        const std::vector<std::pair<std::string, std::string>> odd = {
+            {"service", nested},
+            {"service", "7"},
+            {"service", "\"\""},
+            {"service", tooLong},
+            {"address", "\"10.0.0.9:99999\""},
+            {"address", "\"10.0.0.9:0\""},
+            {"address", "\"10.0.0.9:-1\""},
+            {"address", "\"somewhere:80\""},
+            {"max-concurrency", "4294967298"},
+            {"max-concurrency", "-1"},
+            {"warmup-left-ms", "1e300"},
+            {"warmup-left-ms", "1e999"},
+            {"sequence", "18446744073709551615"},
+            {"sequence", "18446744073709551616"},
+            {"born", "18446744073709551615"},
+            {"born", "1e30"},
+            {"state", "\"resting\""},
+            {"zone", "null"},
+            {"version", "\"\xff\xfe\""},
+        };
+        std::vector<Announcement> accepted;
+        for (const auto &[field, value] : odd) {
+            const unsigned status = announce(field, value, accepted);
+            CPPUNIT_ASSERT_MESSAGE(field + " " + value.substr(0, 30), status >= 400 && status < 500);
+            CPPUNIT_ASSERT_MESSAGE(field + " " + value.substr(0, 30), accepted.empty());
+        }
+        CPPUNIT_ASSERT_EQUAL(200U, announce("sequence", "5", accepted));
+        // What this release does not know of is nobody's fault, however deep.
+        CPPUNIT_ASSERT_EQUAL(200U, announce("labels", nested, accepted));
+        CPPUNIT_ASSERT_EQUAL(size_t(2), accepted.size());
+    }
+
+    void configuration_numbersTooLarge_isRefused()
+    {
+        for (const char *timeout : {"1e300", "1e999", "-1e300"}) {
+            CallerRequest request;
+            request.method = "POST";
+            request.target = request.path = "/config/replace";
+            std::ostringstream body;
+            body << R"({"version":1,"services":[{"name":"s","max-connections":4}],"routes":[{"name":"r","host":"h",)"
+                 << R"("path-prefix":"/a/","kind":"idempotent","service":"s","timeout-ms":)" << timeout << "}]}";
+            request.body = body.str();
+            ControlApi api;
+            api.replaceRoutes = [](uint64_t, const std::string &) -> Result<void> {
+                CPPUNIT_FAIL("a configuration with an absurd number was accepted");
+                return {};
+            };
+            api.leader = [] { return std::optional<HostAddress>(); };
+            CPPUNIT_ASSERT_EQUAL(400U, m_codec.control(request, api).status);
+        }
+    }
+
     void request_deadlineInAnyLetterCase_isReplacedByRemainingTime()
     {
         for (const char *name : {"Hickoryspur-Deadline-Ms", "hickoryspur-deadline-ms", "HICKORYSPUR-DEADLINE-MS"}) {
