Refuse requests that cannot be answered before a planned stop, and answer those that run

Here: shown by shutdown_requestLateInGrace_isRefusedAndNotCut with real processes, which fails with the product of: a request sent 4.5 s after the signal, to upstreams that take 1.9 s, got no answer. Cause: a stopping entry served whatever came until its process ended. Change: from the signal on, a request is refused as not run unless its timeout, or for a repeatable one its target latency, fits before the stop; what still runs 150 ms before it is answered with what there is.

--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -89,9 +89,10 @@
     dialControlHosts();
 }
 
-void EntryHost::setClosing()
+void EntryHost::setClosing(TimePoint stopAt)
 {
     m_closing = true;
+    m_traffic.setStopTime(stopAt);
     m_callerServer->setClosing();
     sendStatus();
 }
--- a/src/app/EntryHost.h
+++ b/src/app/EntryHost.h
@@ -29,8 +29,8 @@
 
     Result<void> start();
     void reload(const HostSettings &settings);
-    /** Withdraws this entry from the addresses given to callers; requests are still served. */
-    void setClosing();
+    /** Withdraws this entry from the addresses given to callers; requests are still served, and answered by stopAt. */
+    void setClosing(TimePoint stopAt);
     /** Accepts no more connections; requests on open connections continue. */
     void stopAccepting();
     size_t openRequests() const { return m_callerServer->openRequests(); }
--- a/src/app/HostProcess.cpp
+++ b/src/app/HostProcess.cpp
@@ -24,6 +24,8 @@
 constexpr Duration kStopPollInterval = 20ms;
 /** Requests still running this long before the end of the grace period are abandoned. */
 constexpr Duration kStopMargin = 250ms;
+/** Requests that still run are answered this long before that, since an answer takes time to send. */
+constexpr Duration kStopAnswerTime = 150ms;
 /** A stopping control host still answers for this long while its clients switch to other control hosts. */
 constexpr Duration kControlDrainTime = 300ms;
 
@@ -164,7 +166,7 @@
             boost::this_fiber::sleep_for(kStopPollInterval);
         return;
     }
-    m_entry->setClosing();
+    m_entry->setClosing(deadline - kStopAnswerTime);
     sleepUntil(std::min(deadline, requested + m_settings.callerDrainTime()));
     m_entry->stopAccepting();
     while (m_entry->openRequests() > 0 && monotonicNow() < deadline)
--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -220,7 +220,9 @@
         return;
     }
     if (!m_isCallerGone()) {
-        execute(m_scatter->tick(monotonicNow()));
+        const TimePoint now = monotonicNow();
+        // An answer, whichever it is, is worth more to the caller than a connection that ends without one.
+        execute(m_scatter->tick(now >= m_traffic.m_stopTime ? std::max(now, m_deadline) : now));
         return;
     }
     // The caller has disconnected: nothing new is sent, and attempts still running are cancelled after a delay.
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -78,6 +78,8 @@
     const Route *route = routes->find(request.host, request.path);
     if (!route)
         return makeRefusal(RefusalKind::NoRoute);
+    if (!canFinish(monotonicNow(), *route, request))
+        return makeRefusal(RefusalKind::NotRunTryLater);
     const QuarantineVerdict verdict = admit(monotonicNow(), request);
     if (verdict.decision == QuarantineDecision::Reject)
         return makeRefusal(RefusalKind::NotRunTryLater, verdict.retryAfter);
@@ -85,6 +87,17 @@
     return std::make_shared<ActiveRequest>(*this, routes, *route, request, isProbe, isCallerGone)->serve();
 }
 
+bool EntryTraffic::canFinish(TimePoint now, const Route &route, const ForwardedRequest &request) const
+{
+    if (m_stopTime == TimePoint::max())
+        return true;
+    Duration needed = std::min(request.timeout.value_or(route.timeout), route.timeout);
+    // One that may be repeated is taken until later: if it takes longer than usual, its caller can send it again.
+    if (route.idempotent)
+        needed = std::min(needed, route.targetLatency);
+    return now + needed <= m_stopTime;
+}
+
 QuarantineVerdict EntryTraffic::admit(TimePoint now, const ForwardedRequest &request)
 {
     static Counter &rejected = Metrics::counter("hickoryspur_requests_quarantined_total");
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -86,6 +86,8 @@
     std::vector<SuspectReport> suspects(TimePoint now) const { return m_quarantine.reports(now); }
     /** Called when suspects() has changed by what this entry has seen. */
     void setSuspectsChanged(std::function<void()> hook) { m_suspectsChanged = std::move(hook); }
+    /** Every request is answered by then; one that may take longer is turned away, while it can be sent elsewhere. */
+    void setStopTime(TimePoint at) { m_stopTime = at; }
     void tick(TimePoint now);
     bool hasRoutes() const { return m_routes != nullptr; }
     uint64_t routesNumber() const { return m_routes ? m_routes->number : 0; }
@@ -96,6 +98,8 @@
     class ActiveRequest;
     friend class ActiveRequest;
 
+    /** Whether the request will probably be answered before this process stops. */
+    bool canFinish(TimePoint now, const Route &route, const ForwardedRequest &request) const;
     QuarantineVerdict admit(TimePoint now, const ForwardedRequest &request);
     void endProbe(const ForwardedRequest &request) { m_quarantine.endProbe(fingerprintOf(request)); }
     void recordSurvivedRequest(const ForwardedRequest &request);
@@ -158,6 +162,8 @@
     std::map<std::string, RouteLatency> m_latencies;
     /** Services that had an upstream at the last check. */
     std::set<ServiceName> m_servicesWithUpstreams;
+    /** When this process stops; max() while it is not asked to. */
+    TimePoint m_stopTime = TimePoint::max();
     TimePoint m_nextServiceCheck;
     TimePoint m_nextAdvanceOpening;
     std::mt19937_64 m_random;
