Probe one replica when all connections of a request end before any answer

Change: once nothing runs any more, one part is sent to another replica as a probe. If that answers, the others follow; if it ends too, the request fails, and the loss counts as that of a probe, so a request that ends upstreams is in quarantine after its first scatter. Test: scatter_allConnectionsEnded_isServedByOtherReplicas; scatter_upstreamsEndUnderIt_noOtherReplicaGetsIt now expects the one probe, and still that no other replica gets it.

--- a/include/hickoryspur/request/ScatterGather.h
+++ b/include/hickoryspur/request/ScatterGather.h
@@ -9,7 +9,8 @@
 // lengthen the queues that already delay it.
 //
 // A request may end each upstream that begins to run it. While no upstream has answered, a shard whose upstream
-// closed the connection is held: another replica gets the request only after some upstream has answered it.
+// closed the connection is held: another replica gets the request only after some upstream has answered it. If
+// all of them did, which may also be due to connections that were idle for too long, one replica is probed.
 //
 // It does no I/O. The caller reports time and finished attempts, and executes the returned actions.
 #pragma once
@@ -73,6 +74,8 @@
 {
     AttemptKey key;
     UpstreamId upstream;
+    /** Sent alone, since the request may end the upstreams that run it. */
+    bool isProbe = false;
 };
 
 enum class ScatterOutcome {
@@ -151,8 +154,13 @@
     bool mustHold(const Shard &shard, AttemptOutcome outcome) const;
     /** After the first answer: sends to the shards that were held. */
     void releaseHeld(TimePoint now, ScatterActions &actions);
-    /** Once nothing runs any more: the next shard is probed if nothing has run, otherwise the held shards are lost. */
+    /**
+     * Once nothing runs any more: one of the held shards is probed at another replica, as long as only one probe may
+     * have run; otherwise they are lost.
+     */
     void resolveHeld(TimePoint now, ScatterActions &actions);
+    /** Whether what is sent now is a probe. */
+    bool isProbing() const;
     bool anyRunning() const;
     void markLost(Shard &shard);
     void handleFailure(TimePoint now, uint32_t index, AttemptOutcome outcome, ScatterActions &actions);
@@ -175,6 +183,8 @@
     size_t m_deniedExtras = 0;
     /** Number of shards that are held. */
     size_t m_held = 0;
+    /** All first attempts ended with their connections, and one shard was probed after that. */
+    bool m_probedAfterLosses = false;
     bool m_finished = false;
 };
 
--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -120,7 +120,7 @@
     const Announcement &announcement = m_traffic.m_registry.find(attempt.upstream)->announcement;
     m_traffic.m_admission.recordSent(now, m_traffic.admissionQuery(announcement));
     SentAttempt &sent = m_runningAttempts[attempt.key];
-    sent = {attempt.upstream, announcement.incarnation, now, 0};
+    sent = {attempt.upstream, announcement.incarnation, now, 0, attempt.isProbe};
     sent.handle = m_traffic.m_connections.send(*target, std::move(request),
                                                [self = shared_from_this(), key = attempt.key](ExchangeResult result) {
                                                    self->onAttemptEnded(key, std::move(result));
@@ -179,7 +179,7 @@
         m_traffic.recordSurvivedRequest(m_request);
     m_ranAndAnswered |= hasRun;
     if (outcome == AttemptOutcome::Lost)
-        m_losses.push_back({sent.upstream, sent.incarnation, hash64(m_request.id), m_isProbe});
+        m_losses.push_back({sent.upstream, sent.incarnation, hash64(m_request.id), sent.isProbe});
 }
 
 void EntryTraffic::ActiveRequest::reportLosses()
--- a/src/request/ActiveRequest.h
+++ b/src/request/ActiveRequest.h
@@ -41,6 +41,7 @@
         uint64_t incarnation = 0;
         TimePoint at;
         UpstreamConnections::Handle handle = 0;
+        bool isProbe = false;
     };
 
     ScatterHooks hooks();
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -131,7 +131,7 @@
     m_quarantine.recordLosses(now, fingerprint, losses);
     HS_LOG_REQUEST(LogEvent::RequestSuspected)
         << "request=" << request.id << " fingerprint=" << fingerprint << " upstreams=" << losses.size()
-        << " first=" << losses.front().upstream << " probe=" << losses.front().inProbe
+        << " first=" << losses.front().upstream << " probe=" << losses.back().inProbe
         << " quarantined=" << m_quarantine.isInQuarantine(now, fingerprint);
     if (m_quarantine.isSuspect(fingerprint))
         m_suspectsChanged();
--- a/src/request/ScatterGather.cpp
+++ b/src/request/ScatterGather.cpp
@@ -106,18 +106,25 @@
 
 void ScatterGather::resolveHeld(TimePoint now, ScatterActions &actions)
 {
+    const bool hasRun = m_possibleRuns > 0;
+    const bool mayProbe = !hasRun || !(m_plan.probesFirst || std::exchange(m_probedAfterLosses, true));
     for (uint32_t index = 0; index < m_shards.size() && m_held > 0; ++index) {
         Shard &shard = m_shards[index];
         if (!shard.held)
             continue;
         shard.held = false;
         --m_held;
-        if (m_possibleRuns == 0 && trySend(now, index, false, actions))
+        if (mayProbe && trySend(now, index, hasRun, actions))
             return;
         markLost(shard);
     }
 }
 
+bool ScatterGather::isProbing() const
+{
+    return m_answered == 0 && (m_plan.probesFirst || m_probedAfterLosses);
+}
+
 ScatterActions ScatterGather::start(TimePoint now)
 {
     ScatterActions actions;
@@ -157,7 +164,7 @@
     // The attempt counts as possibly run until its outcome proves that it did not run.
     ++shard.possibleRuns;
     ++m_possibleRuns;
-    actions.sends.push_back({{index, static_cast<uint32_t>(shard.attempts.size() - 1)}, choice->id});
+    actions.sends.push_back({{index, static_cast<uint32_t>(shard.attempts.size() - 1)}, choice->id, isProbing()});
     return true;
 }
 
@@ -197,8 +204,7 @@
         ++m_held;
         return;
     }
-    const bool isProbe = m_plan.probesFirst && m_answered == 0;
-    const bool isRepeatable = provablyNotRun || (m_plan.idempotent && !isProbe);
+    const bool isRepeatable = provablyNotRun || (m_plan.idempotent && !isProbing());
     // An attempt that was not sent put no load on the service, so its replacement is not charged to the budget.
     const bool isExtra = !nothingSent;
     if (isRepeatable && now < m_plan.deadline && trySend(now, index, isExtra, actions))
@@ -206,7 +212,7 @@
     if (hasRunning(shard) || shard.lost)
         return;
     markLost(shard);
-    if (!isProbe)
+    if (!isProbing())
         sendToSkipped(now, actions);
 }
 
@@ -231,7 +237,7 @@
             continue;
         latest.overdue = true;
         m_hooks.reportOverdue(latest.upstream);
-        if (m_plan.idempotent && !(m_plan.probesFirst && m_answered == 0))
+        if (m_plan.idempotent && !isProbing())
             trySend(now, index, true, actions);
     }
 }
