Bound what hosts tell each other of suspected requests

Cause: found while reading the change: each entry repeated in every status all evidence that it had, also what others had reported; on 291 entries an incident would have grown into traffic of its own. Change: an entry reports what it has seen itself, of the 32 requests suspected last, and only of those to blame; control hosts pass on the sum, with the same bound. Test: evidence_encodedAndMerged_isTheSame and evidence_manyRequests_isBounded are stricter.

--- a/include/hickoryspur/request/RequestQuarantine.h
+++ b/include/hickoryspur/request/RequestQuarantine.h
@@ -82,6 +82,8 @@
     /** Bounds the memory; the requests with the oldest losses are dropped first. */
     static constexpr size_t kMaxSuspects = 200;
     static constexpr size_t kMaxLossesPerRequest = 64;
+    /** Bounds the messages between hosts. */
+    static constexpr size_t kMaxReports = 32;
 
     /** True if nothing is known of any request, so callers need not compute a fingerprint. */
     bool empty() const { return m_suspects.empty(); }
@@ -96,8 +98,10 @@
     void recordHeartbeat(TimePoint now, const UpstreamId &upstream, uint64_t incarnation);
     /** Adds what another host knows; returns true if any of it is new. */
     bool merge(TimePoint now, const std::vector<SuspectReport> &reports);
-    /** All that is known of requests that are suspected. */
+    /** All that is known of the requests that were suspected last, kMaxReports at most. */
     std::vector<SuspectReport> reports(TimePoint now) const;
+    /** The part of it that was recorded here and not merged: hundreds of entries need not report the same. */
+    std::vector<SuspectReport> ownReports(TimePoint now) const;
     bool isSuspect(const RequestFingerprint &fingerprint) const;
     bool isInQuarantine(TimePoint now, const RequestFingerprint &fingerprint) const;
     /** Drops evidence that is too old, and what exceeds kMaxSuspects. */
@@ -110,6 +114,8 @@
         TimePoint at;
         uint64_t request = 0;
         bool inProbe = false;
+        /** Recorded here; otherwise another host has reported it. */
+        bool isOwn = false;
     };
     /** The losses for which a request is to blame. */
     struct Blame
@@ -131,6 +137,7 @@
     static bool addLoss(Suspect &suspect, const UpstreamKey &upstream, Loss loss);
     static TimePoint lastLoss(const Suspect &suspect);
     Blame blame(const Suspect &suspect) const;
+    std::vector<SuspectReport> makeReports(TimePoint now, bool onlyOwn) const;
     /** Whether a request that has ended more upstreams ran on this one too. */
     bool isExplained(const Suspect &suspect, const UpstreamKey &upstream) const;
     /** Until when the request is rejected; a time in the past if it is not. */
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -82,8 +82,8 @@
     void recordHeartbeat(TimePoint now, const UpstreamId &upstream);
     /** Adds what other entries know of requests that end upstreams. */
     void mergeSuspects(TimePoint now, const std::vector<SuspectReport> &reports);
-    /** What this entry knows of them. */
-    std::vector<SuspectReport> suspects(TimePoint now) const { return m_quarantine.reports(now); }
+    /** What this entry has seen of them itself. */
+    std::vector<SuspectReport> suspects(TimePoint now) const { return m_quarantine.ownReports(now); }
     /** Called when suspects() has changed by what this entry has seen. */
     void setSuspectsChanged(std::function<void()> hook) { m_suspectsChanged = std::move(hook); }
     /** Every request is answered by then; one that may take longer is turned away, while it can be sent elsewhere. */
--- a/src/request/RequestQuarantine.cpp
+++ b/src/request/RequestQuarantine.cpp
@@ -89,7 +89,7 @@
                                      const std::vector<UpstreamLoss> &losses)
 {
     for (const UpstreamLoss &loss : losses)
-        addLoss(m_suspects[fingerprint], {loss.upstream, loss.incarnation}, {now, loss.request, loss.inProbe});
+        addLoss(m_suspects[fingerprint], {loss.upstream, loss.incarnation}, {now, loss.request, loss.inProbe, true});
 }
 
 bool RequestQuarantine::recordAnswer(const RequestFingerprint &fingerprint)
@@ -120,23 +120,44 @@
             const Duration age = std::chrono::milliseconds(loss.ageMillis);
             if (age < kEvidenceLifetime)
                 isNew |= addLoss(m_suspects[report.fingerprint], {loss.upstream, loss.incarnation},
-                                 {now - age, loss.request, loss.inProbe});
+                                 {now - age, loss.request, loss.inProbe, false});
         }
     return isNew;
 }
 
 std::vector<SuspectReport> RequestQuarantine::reports(TimePoint now) const
 {
-    std::vector<SuspectReport> reports;
+    return makeReports(now, false);
+}
+
+std::vector<SuspectReport> RequestQuarantine::ownReports(TimePoint now) const
+{
+    return makeReports(now, true);
+}
+
+std::vector<SuspectReport> RequestQuarantine::makeReports(TimePoint now, bool onlyOwn) const
+{
+    std::vector<std::pair<TimePoint, SuspectReport>> byTime;
     for (const auto &[fingerprint, suspect] : m_suspects) {
-        if (suspect.losses.size() < kSuspectLosses)
+        const Blame evidence = blame(suspect);
+        if (evidence.losses < kSuspectLosses)
             continue;
         SuspectReport report{fingerprint, {}};
-        for (const auto &[upstream, loss] : suspect.losses)
-            report.losses.push_back({upstream.first, upstream.second, loss.request, loss.inProbe,
-                                     static_cast<uint32_t>(std::max<Duration>(now - loss.at, Duration::zero()) / 1ms)});
-        reports.push_back(std::move(report));
+        for (const auto &[upstream, loss] : suspect.losses) {
+            const Duration age = std::max<Duration>(now - loss.at, Duration::zero());
+            if (loss.isOwn || !onlyOwn)
+                report.losses.push_back(
+                    {upstream.first, upstream.second, loss.request, loss.inProbe, static_cast<uint32_t>(age / 1ms)});
+        }
+        if (!report.losses.empty())
+            byTime.emplace_back(evidence.last, std::move(report));
     }
+    std::sort(byTime.begin(), byTime.end(),
+              [](const auto &left, const auto &right) { return left.first > right.first; });
+    byTime.resize(std::min(byTime.size(), kMaxReports));
+    std::vector<SuspectReport> reports;
+    for (auto &[at, report] : byTime)
+        reports.push_back(std::move(report));
     return reports;
 }
 
--- a/test/failure/RequestQuarantineFailureTest.cpp
+++ b/test/failure/RequestQuarantineFailureTest.cpp
@@ -154,7 +154,7 @@
             RequestQuarantine &entry = entries[random() % entries.size()];
             const size_t before = fleet.ended;
             if (serveDeadly(entry, fleet))
-                onTheWay.emplace_back(m_now + 300ms, entry.reports(m_now));
+                onTheWay.emplace_back(m_now + 300ms, entry.ownReports(m_now));
             sends += m_now >= settled ? fleet.ended - before : 0;
             m_now += 250ms;
         }
@@ -255,6 +255,9 @@
         RequestQuarantine second;
         CPPUNIT_ASSERT(second.merge(m_now + 1s, *reports));
         CPPUNIT_ASSERT(!second.merge(m_now + 1s, *reports));
+        // What others have reported is not reported once more by every entry.
+        CPPUNIT_ASSERT(second.ownReports(m_now + 1s).empty());
+        CPPUNIT_ASSERT_EQUAL(size_t(1), first.ownReports(m_now + 1s).size());
         CPPUNIT_ASSERT(second.admit(m_now + 1s, m_deadly).retryAfter == first.admit(m_now + 1s, m_deadly).retryAfter);
     }
 
@@ -266,7 +269,7 @@
                                     losses(2, false, i));
         loseUpstreams(quarantine, 3 * RequestQuarantine::kMaxLossesPerRequest);
         quarantine.tick(m_now + 1s);
-        CPPUNIT_ASSERT(quarantine.reports(m_now).size() <= RequestQuarantine::kMaxSuspects);
+        CPPUNIT_ASSERT(quarantine.reports(m_now).size() <= RequestQuarantine::kMaxReports);
         for (const SuspectReport &report : quarantine.reports(m_now))
             CPPUNIT_ASSERT(report.losses.size() <= RequestQuarantine::kMaxLossesPerRequest);
         quarantine.tick(m_now + RequestQuarantine::kEvidenceLifetime + 1min);
