--- a/src/request/RequestQuarantine.cpp
+++ b/src/request/RequestQuarantine.cpp
@@ -156,6 +156,7 @@
               [](const auto &left, const auto &right) { return left.first > right.first; });
     byTime.resize(std::min(byTime.size(), kMaxReports));
     std::vector<SuspectReport> reports;
+    reports.reserve(byTime.size());
     for (auto &[at, report] : byTime)
         reports.push_back(std::move(report));
     return reports;
