Read the change once more: state kept twice, a message encoded in vain, a count defined twice

Cause: EntryTraffic kept the number of entries beside ConnectionPlan; each broadcast to entries encoded an empty update, which only waiting sessions get; the number of connection events stood in two files; a leftover comment in EntrySessions.h stood twice. Change: one copy of each; the empty update is encoded only while a session waits. Behaviour as before, no test is changed.

--- a/include/hickoryspur/connection/ConnectionPlan.h
+++ b/include/hickoryspur/connection/ConnectionPlan.h
@@ -32,6 +32,7 @@
     void setEntries(TimePoint now, const std::string &self, const std::vector<std::string> &entries);
     /** Sets among how many entries the upstreams' connections are divided. */
     void setEntryCount(uint32_t entries) { m_entryCount = entries; }
+    uint32_t entryCount() const { return m_entryCount; }
     /** Sets how many entries there are, whether or not callers are sent to them. */
     void setDeploymentSize(size_t entries) { m_deploymentSize = entries; }
 
--- a/src/app/EntrySessions.cpp
+++ b/src/app/EntrySessions.cpp
@@ -146,7 +146,7 @@
 void EntrySessions::broadcast(const EntryUpdate &update)
 {
     const PeerMessage message = encode(update);
-    const PeerMessage empty = encode(EntryUpdate());
+    const PeerMessage empty = anyAwaitsState() ? encode(EntryUpdate()) : PeerMessage();
     for (auto &[link, session] : m_sessions) {
         if (session.awaitsState)
             session.link->send(empty);
--- a/src/app/EntrySessions.h
+++ b/src/app/EntrySessions.h
@@ -75,8 +75,6 @@
     void sendRoutes(TimePoint now, const Link &link, EntryUpdate update);
 
     /** Marks that the entry waits for a report on the log; returns false if it does already or has no session. */
-    /** Whether the entry was asked to wait for a report on the log; set by beginLogReport(), cleared by endLogReport().
-     */
     bool beginLogReport(const Link &link);
     /** Clears that mark; returns false if the session has ended. */
     bool endLogReport(const Link &link);
--- a/src/connection/ConnectionReport.cpp
+++ b/src/connection/ConnectionReport.cpp
@@ -12,18 +12,16 @@
 
 constexpr Duration kLineInterval = 5s;
 
-constexpr size_t kEventCount = static_cast<size_t>(ConnectionEvent::Count);
-
 /** Names in the metrics and in the log, in the order of ConnectionEvent. */
-constexpr std::array<const char *, kEventCount> kNames = {
+constexpr std::array<const char *, kConnectionEventCount> kNames = {
     "opened-in-advance", "opened-for-request",  "reused", "closed-idle", "closed-new",
     "connect-failed",    "closed-after-answer", "broken", "closed-here"};
 
 Counter &counterOf(size_t event)
 {
-    static const std::array<Counter *, kEventCount> kCounters = [] {
-        std::array<Counter *, kEventCount> counters{};
-        for (size_t i = 0; i < kEventCount; ++i)
+    static const std::array<Counter *, kConnectionEventCount> kCounters = [] {
+        std::array<Counter *, kConnectionEventCount> counters{};
+        for (size_t i = 0; i < kConnectionEventCount; ++i)
             counters[i] = &Metrics::counter(std::string("hickoryspur_upstream_connection_events_total{event=\"")
                                             + kNames[i] + "\"}");
         return counters;
@@ -44,7 +42,7 @@
         return;
     m_nextLine = now + kLineInterval;
     std::ostringstream counts;
-    for (size_t i = 0; i < kEvents; ++i) {
+    for (size_t i = 0; i < kConnectionEventCount; ++i) {
         const int64_t count = counterOf(i).value();
         if (count != m_lastCounts[i])
             counts << ' ' << kNames[i] << '=' << count - m_lastCounts[i];
--- a/src/connection/ConnectionReport.h
+++ b/src/connection/ConnectionReport.h
@@ -30,6 +30,8 @@
     Count
 };
 
+constexpr size_t kConnectionEventCount = static_cast<size_t>(ConnectionEvent::Count);
+
 /** Adds one to the counter of the event, for all connections of the process. */
 void countConnectionEvent(ConnectionEvent event);
 
@@ -40,10 +42,8 @@
     void tick(TimePoint now, size_t openConnections, size_t upstreams);
 
 private:
-    static constexpr size_t kEvents = static_cast<size_t>(ConnectionEvent::Count);
-
     TimePoint m_nextLine;
-    std::array<int64_t, kEvents> m_lastCounts{};
+    std::array<int64_t, kConnectionEventCount> m_lastCounts{};
 };
 
 } // namespace hickoryspur
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -53,14 +53,13 @@
     : m_context(context)
     , m_config(std::move(config))
     , m_codec(std::move(codec))
-    , m_entryCount(ConnectionPlan::kInitialEntryCount)
     , m_replicaTracker(m_config.seed)
     , m_versions(m_config.seed + 3)
     , m_connections(context, m_codec.belongsTo, m_config.seed + 2)
     , m_admission(m_config.seed + 4, m_config.upstreamDrainTime)
     , m_random(m_config.seed + 1)
 {
-    m_admission.setEntryCount(monotonicNow(), m_entryCount);
+    m_admission.setEntryCount(monotonicNow(), m_connectionPlan.entryCount());
 }
 
 CallerAnswer EntryTraffic::makeRefusal(RefusalKind kind, Duration minDelay)
@@ -230,7 +229,7 @@
     const SignalChanges changes = m_admission.recordSignals(now, upstream, incarnation, signals);
     if (!changes.any())
         return;
-    reportSignals(upstream, incarnation, signals, changes, m_entryCount);
+    reportSignals(upstream, incarnation, signals, changes, m_connectionPlan.entryCount());
     reportCounts(m_admission.counts());
     if (changes.pauseBegun)
         m_connections.withdrawWaiting(upstream);
@@ -328,7 +327,7 @@
 
 double EntryTraffic::slackPerEntry() const
 {
-    return m_config.extraSlack * kUsableBudgetShare / m_entryCount;
+    return m_config.extraSlack * kUsableBudgetShare / m_connectionPlan.entryCount();
 }
 
 RouteLatency &EntryTraffic::latencyOf(const Route &route)
@@ -379,9 +378,8 @@
 
 void EntryTraffic::setEntryCount(uint32_t entries)
 {
-    if (entries == 0 || entries == m_entryCount)
+    if (entries == 0 || entries == m_connectionPlan.entryCount())
         return;
-    m_entryCount = entries;
     m_connectionPlan.setEntryCount(entries);
     for (auto &[service, budget] : m_budgets)
         budget.setSlack(slackPerEntry());
@@ -448,7 +446,7 @@
     upstreams.set(replicas);
     unservedServices.set(unservedCount);
     routes.set(static_cast<int64_t>(routesNumber()));
-    entries.set(m_entryCount);
+    entries.set(m_connectionPlan.entryCount());
 }
 
 void EntryTraffic::tick(TimePoint now)
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -146,7 +146,6 @@
     RequestCodec m_codec;
     std::shared_ptr<const RouteTable> m_routes;
     std::set<std::string> m_dataCentresOut;
-    uint32_t m_entryCount;
     uint64_t m_sentSubRequests = 0;
     TimePoint m_sentSince;
     double m_subRequestsPerSecond = 0;
