--- a/include/hickoryspur/connection/ConnectionPlan.h
+++ b/include/hickoryspur/connection/ConnectionPlan.h
@@ -43,7 +43,9 @@
     /** Whether this entry keeps connections to an upstream that accepts connectionLimit from all entries together. */
     bool keepsConnections(const UpstreamId &upstream, uint32_t connectionLimit) const;
     /** The largest number of connections that this entry opens to such an upstream; at least 1. */
-    uint32_t maxConnections(uint32_t connectionLimit) const;
+    uint32_t maxConnections(uint32_t connectionLimit) const { return maxConnections(connectionLimit, m_entryCount); }
+    /** The same for an upstream whose connections are divided among so many entries only. */
+    static uint32_t maxConnections(uint32_t connectionLimit, size_t holders);
     /** Whether this entry alone sends to an upstream that takes requests from one entry only. */
     bool isHome(const UpstreamId &upstream) const { return m_subset.isHome(upstream); }
 
--- a/include/hickoryspur/process/ActiveEntries.h
+++ b/include/hickoryspur/process/ActiveEntries.h
@@ -10,6 +10,7 @@
 // It does no I/O and reads no clock.
 #pragma once
 
+#include "hickoryspur/process/EntryLocation.h"
 #include "hickoryspur/process/Ids.h"
 #include "hickoryspur/process/Time.h"
 
@@ -21,9 +22,7 @@
 
 struct OfferedEntry
 {
-    /** Where callers connect, as ip:port. */
-    std::string address;
-    DataCentreName dataCentre;
+    EntryLocation location;
     double subRequestsPerSecond = 0;
 };
 
@@ -38,12 +37,12 @@
     static constexpr Duration kShrinkDelay = 15s;
 
     /**
-     * Returns the addresses that callers may be sent to, sorted.
+     * Returns the entries that callers may be sent to, sorted by address.
      * @param entries All entries that are ready.
      * @param upstreams The number of upstreams in each data centre.
      */
-    std::vector<std::string> select(TimePoint now, const std::vector<OfferedEntry> &entries,
-                                    const std::map<DataCentreName, size_t> &upstreams);
+    std::vector<EntryLocation> select(TimePoint now, const std::vector<OfferedEntry> &entries,
+                                      const std::map<DataCentreName, size_t> &upstreams);
 
 private:
     size_t targetCount(TimePoint now, const std::vector<OfferedEntry> &entries);
--- a/include/hickoryspur/process/EntryDirectory.h
+++ b/include/hickoryspur/process/EntryDirectory.h
@@ -6,6 +6,7 @@
 // hosts instead, minus those entries; if none is left, it uses the current reports.
 #pragma once
 
+#include "hickoryspur/process/EntryLocation.h"
 #include "hickoryspur/process/Ids.h"
 #include "hickoryspur/process/Time.h"
 
@@ -22,8 +23,8 @@
     /** Control hosts send updates more often than once a second; a report without one for this long is stale. */
     static constexpr Duration kHeartbeatTimeout = 1500ms;
 
-    /** Replaces the addresses that a control host reports. */
-    void update(TimePoint now, const NodeId &source, std::vector<std::string> addresses);
+    /** Replaces the entries that a control host reports. */
+    void update(TimePoint now, const NodeId &source, std::vector<EntryLocation> entries);
     /** Records an update of a control host whose addresses are unchanged. */
     void recordHeartbeat(TimePoint now, const NodeId &source);
     /**
@@ -41,14 +42,14 @@
      */
     std::vector<std::string> addresses(TimePoint now, size_t controlHosts) const;
     /** The longest list among the current reports; if all reports are stale, a stale list. */
-    const std::vector<std::string> &mostCompleteList(TimePoint now) const;
+    const std::vector<EntryLocation> &mostCompleteList(TimePoint now) const;
     /** Number of entries in mostCompleteList(). */
     uint32_t count(TimePoint now) const { return static_cast<uint32_t>(mostCompleteList(now).size()); }
 
 private:
     struct Report
     {
-        std::vector<std::string> addresses;
+        std::vector<EntryLocation> entries;
         TimePoint lastHeartbeat;
     };
 
--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -67,6 +67,7 @@
     RequestSuspected = 1903,
     RequestQuarantined = 1904,
     RequestCleared = 1905,
+    GroupLost = 1906,
 };
 
 /** Limit on log lines about single requests, for each thread; lines beyond it are dropped and counted. */
--- a/include/hickoryspur/process/PeerMessage.h
+++ b/include/hickoryspur/process/PeerMessage.h
@@ -30,6 +30,10 @@
     UpstreamCounts = 12,
     Forward = 20,
     Reply = 21,
+    /** Between entries: a PeerCall, the replies to it, and its cancellation. */
+    Call = 22,
+    CallReply = 23,
+    CallCancel = 24,
     EntryStatus = 30,
     EntryUpdate = 31,
 };
--- a/include/hickoryspur/process/SessionMessage.h
+++ b/include/hickoryspur/process/SessionMessage.h
@@ -5,6 +5,7 @@
 
 #include "hickoryspur/connection/Announcement.h"
 #include "hickoryspur/process/ControlState.h"
+#include "hickoryspur/process/EntryLocation.h"
 #include "hickoryspur/process/LogQuorum.h"
 #include "hickoryspur/request/RequestQuarantine.h"
 
@@ -75,9 +76,14 @@
     uint64_t routesDigest = 0;
     /** What any entry has reported of requests that end upstreams. */
     std::vector<SuspectReport> suspects;
+    /** The data centre of each of `entries`; empty from a host of an earlier release. */
+    std::vector<DataCentreName> entryDataCentres;
     MSGPACK_DEFINE(confirmed, applied, routes, carriesState, dataCentresOut, upstreams, heartbeats, carriesHosts,
                    entries, controlHosts, logReport, moves, routesNumber, sessions, compressedRoutes, routesDigest,
-                   suspects)
+                   suspects, entryDataCentres)
+
+    void setEntries(const std::vector<EntryLocation> &locations);
+    std::vector<EntryLocation> entryLocations() const;
 };
 
 } // namespace hickoryspur
--- a/include/hickoryspur/request/RequestCodec.h
+++ b/include/hickoryspur/request/RequestCodec.h
@@ -7,6 +7,8 @@
 #include "hickoryspur/process/Ids.h"
 #include "hickoryspur/process/Time.h"
 
+#include <msgpack.hpp>
+
 #include <functional>
 #include <optional>
 #include <string>
@@ -30,8 +32,9 @@
     HeaderFields fields;
     std::string body;
     std::string id;
-    /** How long the caller waits, if the request states it. */
+    /** How long the caller waits, if the request states it. It is not packed, since it has to be reduced by a hop. */
     std::optional<Duration> timeout;
+    MSGPACK_DEFINE(method, target, path, host, fields, body, id)
 };
 
 /** The same for requests of the same method, host, target and body, whichever entry gets them. */
--- a/include/hickoryspur/request/ScatterGather.h
+++ b/include/hickoryspur/request/ScatterGather.h
@@ -39,6 +39,13 @@
     TimePoint deadline;
     /** An attempt that runs longer than this is overdue; it is hedged if the request is idempotent. */
     Duration hedgeAfter = 50ms;
+    /** Shards without a good replica that are left out at first; by default as many as minParts allows. */
+    std::optional<size_t> maxSkipped;
+    /**
+     * The shards are a group of a larger request, whose coverage is decided elsewhere (GroupGather): minParts is zero,
+     * and the request ends when each shard has answered or is lost, and at the deadline.
+     */
+    bool waitsForAll = false;
     /** The request is suspected of ending upstreams: it is sent to one, and to the others once that has answered. */
     bool probesFirst = false;
 };
--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -256,7 +256,7 @@
     return update;
 }
 
-std::vector<std::string> ControlHost::selectEntries(TimePoint now)
+std::vector<EntryLocation> ControlHost::selectEntries(TimePoint now)
 {
     return m_activeEntries.select(now, m_sessions.offeredEntries(), m_upstreamCounts.total(now, countUpstreams()));
 }
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -56,7 +56,7 @@
     /** Updates the offered entries and the control hosts; returns whether they have changed. */
     bool updateHosts();
     /** The addresses that callers may be sent to. */
-    std::vector<std::string> selectEntries(TimePoint now);
+    std::vector<EntryLocation> selectEntries(TimePoint now);
     UpstreamCountReport countUpstreams() const;
     bool isConfirmed(TimePoint now) const;
     void dialControlHosts();
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -31,7 +31,8 @@
 
 TrafficConfig trafficConfig(const HostSettings &settings, uint64_t incarnation)
 {
-    return {settings.dataCentre, settings.extraShare, settings.extraSlack, settings.upstreamDrainTime, incarnation};
+    return {settings.dataCentre,        settings.extraShare,      settings.extraSlack,
+            settings.upstreamDrainTime, settings.internalAddress, incarnation};
 }
 
 } // namespace
@@ -56,6 +57,8 @@
     m_links = std::make_unique<OutgoingLinks>(m_context, m_settings.id(), std::move(hooks));
     m_hosts.setSeeds(m_settings.seedIds());
     dialControlHosts();
+    if (Result<void> listening = m_traffic.listen(); !listening)
+        return listening;
     auto callers = HttpCallerServer::listen(m_context, *m_settings.callerAddress, ServerLimits(),
                                             [this](const CallerRequest &request) { return handle(request); });
     if (!callers)
@@ -162,7 +165,7 @@
     m_traffic.mergeSuspects(now, update.suspects);
     m_entries.recordHeartbeat(now, from);
     if (update.carriesHosts) {
-        m_entries.update(now, from, update.entries);
+        m_entries.update(now, from, update.entryLocations());
         m_traffic.setEntries(now, m_settings.callerAddress->text(), m_entries.mostCompleteList(now));
         if (m_hosts.updateReportedHosts(from, update.controlHosts))
             dialControlHosts();
@@ -172,6 +175,7 @@
     m_traffic.setDeploymentSize(m_entries.deploymentSize());
     // The state of a confirmed leader is applied at this point, so the entry cannot serve with an older one.
     m_confirmed = m_confirmed || (update.confirmed && m_applied.covers(update.applied, routes));
+    m_traffic.setServing(m_confirmed);
     if (isReady() != m_wasReady) {
         m_wasReady = isReady();
         sendStatus();
--- a/src/app/EntryHost.h
+++ b/src/app/EntryHost.h
@@ -33,7 +33,8 @@
     void setClosing(TimePoint stopAt);
     /** Accepts no more connections; requests on open connections continue. */
     void stopAccepting();
-    size_t openRequests() const { return m_callerServer->openRequests(); }
+    /** Requests of callers, and those that other entries have delegated to this one. */
+    size_t openRequests() const { return m_callerServer->openRequests() + m_traffic.delegatedRequests(); }
 
 private:
     CallerResponse handle(const CallerRequest &request);
--- a/src/app/EntrySessions.cpp
+++ b/src/app/EntrySessions.cpp
@@ -55,7 +55,7 @@
 void EntrySessions::sendState(size_t maxSessions, EntryUpdate update)
 {
     update.carriesHosts = true;
-    update.entries = m_offeredEntries;
+    update.setEntries(m_offeredEntries);
     update.controlHosts = m_controlHosts;
     const PeerMessage message = encode(update);
     for (size_t sent = 0; sent < maxSessions && !m_awaitingState.empty();) {
@@ -83,7 +83,7 @@
     for (const auto &[link, session] : m_sessions)
         if (session.status.offered && !session.link->isClosed())
             offered.push_back(
-                {session.status.callerAddress, session.status.dataCentre, session.status.subRequestsPerSecond});
+                {{session.status.callerAddress, session.status.dataCentre}, session.status.subRequestsPerSecond});
     return offered;
 }
 
@@ -104,7 +104,7 @@
     m_routesVersion = {routes.number, hash64(routes.text)};
 }
 
-bool EntrySessions::setHosts(std::vector<std::string> entries, std::vector<NodeId> controlHosts)
+bool EntrySessions::setHosts(std::vector<EntryLocation> entries, std::vector<NodeId> controlHosts)
 {
     if (m_hostsVersion > 0 && entries == m_offeredEntries && controlHosts == m_controlHosts)
         return false;
@@ -130,7 +130,7 @@
     if (session.sentHostsVersion != m_hostsVersion) {
         session.sentHostsVersion = m_hostsVersion;
         update.carriesHosts = true;
-        update.entries = m_offeredEntries;
+        update.setEntries(m_offeredEntries);
         update.controlHosts = m_controlHosts;
     }
     session.link->send(encode(update));
--- a/src/app/EntrySessions.h
+++ b/src/app/EntrySessions.h
@@ -58,8 +58,8 @@
     /** Sets the routes in force. */
     void setRoutes(TimePoint now, const AcceptedRoutes &routes);
     const RoutesVersion &routes() const { return m_routesVersion; }
-    /** Sets the addresses that callers may be sent to and the control hosts; returns whether they have changed. */
-    bool setHosts(std::vector<std::string> entries, std::vector<NodeId> controlHosts);
+    /** Sets the entries that callers may be sent to and the control hosts; returns whether they have changed. */
+    bool setHosts(std::vector<EntryLocation> entries, std::vector<NodeId> controlHosts);
 
     /** Sends an update, with the lists of hosts if the entry lacks them. Does nothing without an open session. */
     void send(const Link &link, EntryUpdate update);
@@ -108,7 +108,7 @@
     TimePoint m_routesChangedAt;
     /** Increases with each change of the lists. */
     uint64_t m_hostsVersion = 0;
-    std::vector<std::string> m_offeredEntries;
+    std::vector<EntryLocation> m_offeredEntries;
     std::vector<NodeId> m_controlHosts;
 };
 
--- a/src/connection/ConnectionPlan.cpp
+++ b/src/connection/ConnectionPlan.cpp
@@ -40,9 +40,9 @@
     return (isSmallDeployment() || m_offeredSince) && m_subset.holds(upstream, connectionLimit);
 }
 
-uint32_t ConnectionPlan::maxConnections(uint32_t connectionLimit) const
+uint32_t ConnectionPlan::maxConnections(uint32_t connectionLimit, size_t holders)
 {
-    const double share = kUsableConnectionShare * connectionLimit / m_entryCount;
+    const double share = kUsableConnectionShare * connectionLimit / static_cast<double>(std::max<size_t>(1, holders));
     return std::max<uint32_t>(1, static_cast<uint32_t>(share));
 }
 
--- a/src/process/ActiveEntries.cpp
+++ b/src/process/ActiveEntries.cpp
@@ -32,7 +32,7 @@
     std::vector<Ranked> ranked;
     ranked.reserve(entries.size());
     for (const OfferedEntry &entry : entries)
-        ranked.push_back({0, hash64(entry.address), &entry});
+        ranked.push_back({0, hash64(entry.location.address), &entry});
     std::sort(ranked.begin(), ranked.end(),
               [](const Ranked &left, const Ranked &right) { return left.hash < right.hash; });
     size_t total = 0;
@@ -40,8 +40,8 @@
         total += count;
     std::map<DataCentreName, size_t> places;
     for (Ranked &item : ranked)
-        item.order =
-            static_cast<double>(++places[item.entry->dataCentre]) / shareOf(upstreams, item.entry->dataCentre, total);
+        item.order = static_cast<double>(++places[item.entry->location.dataCentre])
+            / shareOf(upstreams, item.entry->location.dataCentre, total);
     std::stable_sort(ranked.begin(), ranked.end(),
                      [](const Ranked &left, const Ranked &right) { return left.order < right.order; });
     return ranked;
@@ -62,14 +62,14 @@
     return m_target;
 }
 
-std::vector<std::string> ActiveEntries::select(TimePoint now, const std::vector<OfferedEntry> &entries,
-                                               const std::map<DataCentreName, size_t> &upstreams)
+std::vector<EntryLocation> ActiveEntries::select(TimePoint now, const std::vector<OfferedEntry> &entries,
+                                                 const std::map<DataCentreName, size_t> &upstreams)
 {
     const size_t count = std::min(entries.size(), targetCount(now, entries));
     const std::vector<Ranked> ranked = rank(entries, upstreams);
-    std::vector<std::string> selected;
+    std::vector<EntryLocation> selected;
     for (size_t i = 0; i < count; ++i)
-        selected.push_back(ranked[i].entry->address);
+        selected.push_back(ranked[i].entry->location);
     std::sort(selected.begin(), selected.end());
     return selected;
 }
--- a/src/process/EntryDirectory.cpp
+++ b/src/process/EntryDirectory.cpp
@@ -5,9 +5,9 @@
 
 namespace hickoryspur {
 
-void EntryDirectory::update(TimePoint now, const NodeId &source, std::vector<std::string> addresses)
+void EntryDirectory::update(TimePoint now, const NodeId &source, std::vector<EntryLocation> entries)
 {
-    m_reports[source] = {std::move(addresses), now};
+    m_reports[source] = {std::move(entries), now};
 }
 
 void EntryDirectory::recordHeartbeat(TimePoint now, const NodeId &source)
@@ -33,7 +33,8 @@
     for (const auto &[id, report] : m_reports) {
         const bool current = now - report.lastHeartbeat <= kHeartbeatTimeout;
         currentReports += current ? 1 : 0;
-        (current ? currentAddresses : staleAddresses).insert(report.addresses.begin(), report.addresses.end());
+        for (const EntryLocation &entry : report.entries)
+            (current ? currentAddresses : staleAddresses).insert(entry.address);
     }
     const bool isConfirmed = m_confirmedAt && now - *m_confirmedAt <= kHeartbeatTimeout;
     if (isConfirmed || currentReports > controlHosts / 2)
@@ -44,16 +45,16 @@
     return staleOnly.empty() ? std::vector<std::string>(currentAddresses.begin(), currentAddresses.end()) : staleOnly;
 }
 
-const std::vector<std::string> &EntryDirectory::mostCompleteList(TimePoint now) const
+const std::vector<EntryLocation> &EntryDirectory::mostCompleteList(TimePoint now) const
 {
-    static const std::vector<std::string> kNone;
-    const std::vector<std::string> *longest = &kNone;
+    static const std::vector<EntryLocation> kNone;
+    const std::vector<EntryLocation> *longest = &kNone;
     for (const auto &[id, report] : m_reports)
-        if (now - report.lastHeartbeat <= kHeartbeatTimeout && report.addresses.size() > longest->size())
-            longest = &report.addresses;
+        if (now - report.lastHeartbeat <= kHeartbeatTimeout && report.entries.size() > longest->size())
+            longest = &report.entries;
     for (const auto &[id, report] : m_reports)
         if (longest->empty())
-            longest = &report.addresses;
+            longest = &report.entries;
     return *longest;
 }
 
--- a/src/process/FrameLink.cpp
+++ b/src/process/FrameLink.cpp
@@ -47,6 +47,7 @@
 void FrameLink::start()
 {
     m_state = State::Open;
+    m_wasOpen = true;
     m_lastReceiveTime = monotonicNow();
     error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
--- a/src/process/FrameLink.h
+++ b/src/process/FrameLink.h
@@ -38,6 +38,8 @@
     void close();
     bool isOpen() const { return m_state == State::Open; }
     bool isClosed() const { return m_state == State::Closed; }
+    /** Whether the connection was ever open, so that the peer may have received messages. */
+    bool wasOpen() const { return m_wasOpen; }
     /** Time of the last message or, before the first one, of the start of the connection. */
     TimePoint lastReceiveTime() const { return m_lastReceiveTime; }
 
@@ -52,6 +54,7 @@
     Receive m_receive;
     Closed m_closed;
     State m_state = State::New;
+    bool m_wasOpen = false;
     TimePoint m_lastReceiveTime;
     uint32_t m_length = 0;
     std::string m_body;
--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -15,6 +15,9 @@
 /** An attempt may run this long after its caller has disconnected; then its connection is closed. */
 constexpr Duration kCallerGoneGrace = 250ms;
 constexpr Duration kCallerGoneCheckInterval = 100ms;
+
+} // namespace
+
 const char *outcomeName(ScatterOutcome outcome)
 {
     switch (outcome) {
@@ -32,6 +35,8 @@
     return "unknown";
 }
 
+namespace {
+
 /** Upper bounds of the request time histogram, in milliseconds. */
 constexpr std::array<int64_t, 9> kRequestBounds = {10, 20, 40, 80, 160, 320, 640, 1280, 2560};
 
@@ -52,6 +57,19 @@
 
 } // namespace
 
+void countRequest(Duration took, ScatterOutcome outcome)
+{
+    static Counter &requests = Metrics::counter("hickoryspur_requests_total");
+    static Counter &partial = Metrics::counter("hickoryspur_requests_partial_total");
+    static Counter &failed = Metrics::counter("hickoryspur_requests_failed_total");
+    requests.add();
+    observeRequest(took);
+    if (outcome == ScatterOutcome::Partial)
+        partial.add();
+    else if (outcome != ScatterOutcome::Complete)
+        failed.add();
+}
+
 ScatterHooks EntryTraffic::ActiveRequest::hooks()
 {
     ScatterHooks hooks;
@@ -79,16 +97,34 @@
 {
     ScatterPlan plan = m_traffic.makePlan(m_started, m_route, m_request);
     plan.probesFirst = m_isProbe;
+    boost::fibers::future<CallerAnswer> answer = m_promise.get_future();
+    start(std::move(plan));
+    CallerAnswer result = answer.get();
+    reportLosses();
+    return result;
+}
+
+void EntryTraffic::ActiveRequest::serveGroup(GroupOrder order)
+{
+    ScatterPlan plan = m_traffic.makePlan(m_started, m_route, m_request);
+    plan.shards = order.shards;
+    plan.minParts = 0;
+    plan.maxSkipped = order.maxSkipped;
+    plan.waitsForAll = true;
+    plan.targetTime = order.reportAt;
+    plan.deadline = order.deadline;
+    m_group = std::move(order);
+    start(std::move(plan));
+}
+
+void EntryTraffic::ActiveRequest::start(ScatterPlan plan)
+{
     m_deadline = plan.deadline;
     m_shardCount = plan.shards.size();
     for (const ServiceName &service : plan.shards)
         m_traffic.budget(service).recordFirstSubRequests(m_started, 1);
     m_scatter.emplace(std::move(plan), hooks());
-    boost::fibers::future<CallerAnswer> answer = m_promise.get_future();
     execute(m_scatter->start(m_started));
-    CallerAnswer result = answer.get();
-    reportLosses();
-    return result;
 }
 
 void EntryTraffic::ActiveRequest::execute(const ScatterActions &actions)
@@ -163,6 +199,8 @@
     if (!m_finished && outcome == AttemptOutcome::Answered && !m_answers.contains(key.shard)) {
         m_signatures[key.shard] = std::move(verdict.signature);
         m_answers[key.shard] = std::move(result.answer);
+        if (m_group)
+            m_unreported.push_back(key.shard);
     } else if (!m_finished && outcome == AttemptOutcome::Failed && result.outcome == AttemptOutcome::Answered) {
         m_failure = std::move(result.answer);
     }
@@ -171,6 +209,7 @@
     // After the caller has been answered or has disconnected, results only update the statistics above.
     if (!m_finished)
         execute(actions);
+    reportGroupIfDue(now);
 }
 
 void EntryTraffic::ActiveRequest::noteSurvival(const SentAttempt &sent, AttemptOutcome outcome, bool hasRun)
@@ -223,12 +262,20 @@
         const TimePoint now = monotonicNow();
         // An answer, whichever it is, is worth more to the caller than a connection that ends without one.
         execute(m_scatter->tick(now >= m_traffic.m_stopTime ? std::max(now, m_deadline) : now));
+        reportGroupIfDue(now);
         return;
     }
-    // The caller has disconnected: nothing new is sent, and attempts still running are cancelled after a delay.
+    abandon();
+}
+
+void EntryTraffic::ActiveRequest::abandon()
+{
+    if (m_finished)
+        return;
     m_finished = true;
     m_cancelRunningAt = m_runningAttempts.empty() ? TimePoint::max() : monotonicNow() + kCallerGoneGrace;
-    m_promise.set_value(m_traffic.m_codec.refusal(RefusalKind::TimedOut, Duration::zero()));
+    if (!m_group)
+        m_promise.set_value(m_traffic.m_codec.refusal(RefusalKind::TimedOut, Duration::zero()));
     cancelQueuedAttempts();
     scheduleTimer();
 }
@@ -256,18 +303,14 @@
 
 void EntryTraffic::ActiveRequest::finish(ScatterOutcome outcome)
 {
-    static Counter &requests = Metrics::counter("hickoryspur_requests_total");
-    static Counter &partial = Metrics::counter("hickoryspur_requests_partial_total");
-    static Counter &failed = Metrics::counter("hickoryspur_requests_failed_total");
     m_finished = true;
-    requests.add();
-    observeRequest(monotonicNow() - m_started);
-    if (outcome == ScatterOutcome::Partial)
-        partial.add();
-    else if (outcome != ScatterOutcome::Complete)
-        failed.add();
     if (outcome != ScatterOutcome::Complete)
         logOutcome(outcome);
+    if (m_group) {
+        reportGroup(true);
+        return cancelQueuedAttempts();
+    }
+    countRequest(monotonicNow() - m_started, outcome);
     m_promise.set_value(m_route.isScattered()
                                 && (outcome == ScatterOutcome::Complete || outcome == ScatterOutcome::Partial)
                             ? mergedAnswer()
@@ -275,6 +318,29 @@
     cancelQueuedAttempts();
 }
 
+void EntryTraffic::ActiveRequest::reportGroup(bool ended)
+{
+    GroupReport report;
+    std::vector<std::string_view> parts;
+    for (const uint32_t shard : m_unreported) {
+        report.signatures.push_back(m_signatures.at(shard));
+        parts.emplace_back(m_answers.at(shard).body);
+    }
+    m_unreported.clear();
+    report.records = mergeTopRecords(parts, m_route.topRecords);
+    report.ended = ended;
+    report.mayHaveRun = !m_scatter->provablyNotRun();
+    if (ended)
+        report.losses = m_losses;
+    m_group->report(std::move(report));
+}
+
+void EntryTraffic::ActiveRequest::reportGroupIfDue(TimePoint now)
+{
+    if (m_group && !m_finished && now >= m_group->reportAt && !m_unreported.empty())
+        reportGroup(false);
+}
+
 CallerAnswer EntryTraffic::ActiveRequest::mergedAnswer() const
 {
     std::vector<std::string> signatures;
--- a/src/request/ActiveRequest.h
+++ b/src/request/ActiveRequest.h
@@ -1,7 +1,9 @@
-// One caller's request on an entry while its attempts at upstreams run. It executes the actions of its
-// ScatterGather: sends attempts, reads their answers, and gives the final answer to the caller's fiber.
+// One caller's request on an entry while its attempts at upstreams run, or a group of its shards. It executes the
+// actions of its ScatterGather: sends attempts, reads their answers, and gives the final answer to the caller's
+// fiber, or reports the parts of the group to whoever merges them.
 #pragma once
 
+#include "hickoryspur/request/Delegation.h"
 #include "request/EntryTraffic.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -15,6 +17,24 @@
 
 namespace hickoryspur {
 
+/** Counts a caller's request that has ended, and the time that it took. */
+void countRequest(Duration took, ScatterOutcome outcome);
+/** The outcome as it stands in the log. */
+const char *outcomeName(ScatterOutcome outcome);
+
+/** Shards of a request whose parts are merged elsewhere. */
+struct GroupOrder
+{
+    std::vector<ServiceName> shards;
+    /** How many of them may be left out because they have no good replica. */
+    size_t maxSkipped = 0;
+    /** From this time on, parts are reported as they come. */
+    TimePoint reportAt;
+    TimePoint deadline;
+    /** Called at reportAt at the earliest, or once all shards have ended; also from within serveGroup(). */
+    std::function<void(GroupReport)> report;
+};
+
 /** Outlives the caller's fiber while attempts run. */
 class EntryTraffic::ActiveRequest : public std::enable_shared_from_this<ActiveRequest>
 {
@@ -32,7 +52,12 @@
     {
     }
 
+    /** Must be called on a fiber; blocks it until the final answer. */
     CallerAnswer serve();
+    /** Asks the shards of the group only, and does not block. */
+    void serveGroup(GroupOrder order);
+    /** The caller has disconnected: nothing new is sent, and attempts still running are cancelled after a delay. */
+    void abandon();
 
 private:
     struct SentAttempt
@@ -44,6 +69,7 @@
         bool isProbe = false;
     };
 
+    void start(ScatterPlan plan);
     ScatterHooks hooks();
     /** The versions for an attempt; all first attempts at a service use the same ones. */
     VersionGroup versionGroup(const ServiceName &service, bool isExtra);
@@ -63,6 +89,9 @@
     void cancelQueuedAttempts();
     std::vector<UpstreamConnections::Handle> runningHandles() const;
     void finish(ScatterOutcome outcome);
+    /** Reports the parts of the group that have come since the last report. */
+    void reportGroup(bool ended);
+    void reportGroupIfDue(TimePoint now);
     CallerAnswer mergedAnswer() const;
     CallerAnswer singleAnswer(ScatterOutcome outcome) const;
     void logOutcome(ScatterOutcome outcome) const;
@@ -92,6 +121,10 @@
     std::map<ServiceName, VersionGroup> m_versionGroups;
     std::map<uint32_t, UpstreamAnswer> m_answers;
     std::map<uint32_t, std::string> m_signatures;
+    /** Set if this is a group of a request. */
+    std::optional<GroupOrder> m_group;
+    /** Shards of the group that have answered since the last report. */
+    std::vector<uint32_t> m_unreported;
     std::optional<UpstreamAnswer> m_failure;
     std::string m_lastReason;
     boost::fibers::promise<CallerAnswer> m_promise;
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -3,6 +3,7 @@
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/Metrics.h"
 #include "request/ActiveRequest.h"
+#include "request/GroupedRequest.h"
 #include "request/SignalReport.h"
 
 #include <algorithm>
@@ -58,6 +59,10 @@
     , m_connections(context, m_codec.belongsTo, m_config.seed + 2)
     , m_admission(m_config.seed + 4, m_config.upstreamDrainTime)
     , m_random(m_config.seed + 1)
+    , m_delegations(context, m_config.internalAddress,
+                    [this](DelegatedRequest order, std::function<void(DelegatedReply)> reply) {
+                        return serveDelegated(std::move(order), std::move(reply));
+                    })
 {
     m_admission.setEntryCount(monotonicNow(), m_connectionPlan.entryCount());
 }
@@ -83,9 +88,46 @@
     if (verdict.decision == QuarantineDecision::Reject)
         return makeRefusal(RefusalKind::NotRunTryLater, verdict.retryAfter);
     const bool isProbe = verdict.decision == QuarantineDecision::Probe;
+    // A probe goes to one upstream first, so it is not divided.
+    const std::shared_ptr<const std::vector<ShardGroup>> groups = isProbe ? nullptr : groupsOf(*route);
+    if (groups)
+        return std::make_shared<GroupedRequest>(*this, routes, *route, request, groups, isCallerGone)->serve();
     return std::make_shared<ActiveRequest>(*this, routes, *route, request, isProbe, isCallerGone)->serve();
 }
 
+std::function<void()> EntryTraffic::serveDelegated(DelegatedRequest order, std::function<void(DelegatedReply)> reply)
+{
+    const TimePoint now = monotonicNow();
+    if (order.timeoutMicros > 0)
+        order.request.timeout = Duration(order.timeoutMicros);
+    const std::shared_ptr<const RouteTable> routes = m_routes;
+    const Route *route = m_serving && routes ? routes->find(order.request.host, order.request.path) : nullptr;
+    const bool isServable = route && route->isScattered() && !order.shards.empty() && order.deadlineMicros > 0;
+    if (!isServable || !canFinish(now, *route, order.request)) {
+        DelegatedReply refusal;
+        refusal.refused = true;
+        reply(std::move(refusal));
+        return [] {};
+    }
+    auto active =
+        std::make_shared<ActiveRequest>(*this, routes, *route, std::move(order.request), false, [] { return false; });
+    GroupOrder group;
+    group.shards = std::move(order.shards);
+    group.maxSkipped = order.maxSkipped;
+    group.reportAt = now + Duration(order.targetMicros);
+    group.deadline = now + Duration(order.deadlineMicros);
+    group.report = [reply = std::move(reply)](GroupReport report) {
+        DelegatedReply message;
+        message.group = std::move(report);
+        reply(std::move(message));
+    };
+    active->serveGroup(std::move(group));
+    return [weak = std::weak_ptr<ActiveRequest>(active)] {
+        if (const std::shared_ptr<ActiveRequest> running = weak.lock())
+            running->abandon();
+    };
+}
+
 bool EntryTraffic::canFinish(TimePoint now, const Route &route, const ForwardedRequest &request) const
 {
     if (m_stopTime == TimePoint::max())
@@ -268,7 +310,6 @@
     std::vector<ReplicaTracker::Candidate> all;
     std::vector<ReplicaTracker::Candidate> withRoom;
     const TimePoint now = monotonicNow();
-    const std::optional<uint32_t> limit = connectionLimit(service);
     for (const KnownUpstream *known : usableReplicas(now, service, group)) {
         const Announcement &announcement = known->announcement;
         const UpstreamId &id = announcement.id;
@@ -280,7 +321,7 @@
         candidate.cold = announcement.coldForMillis > 0;
         candidate.heartbeatAge = m_registry.heartbeatAge(*known);
         all.push_back(candidate);
-        if (keepsConnections(id, limit) && m_connections.hasRoom(id))
+        if (keepsConnections(id, service) && m_connections.hasRoom(id))
             withRoom.push_back(std::move(candidate));
     }
     const std::vector<ReplicaTracker::Candidate> &candidates = withRoom.empty() ? all : withRoom;
@@ -344,11 +385,60 @@
     return found == m_routes->services.end() ? std::nullopt : std::optional(found->second.connectionLimit);
 }
 
-bool EntryTraffic::keepsConnections(const UpstreamId &upstream, std::optional<uint32_t> limit) const
+bool EntryTraffic::keepsConnections(const UpstreamId &upstream, const ServiceName &service) const
 {
+    const auto grouped = m_groupedShards.find(service);
+    if (grouped != m_groupedShards.end())
+        return grouped->second;
+    const std::optional<uint32_t> limit = connectionLimit(service);
     return !limit || m_connectionPlan.keepsConnections(upstream, *limit);
 }
 
+uint32_t EntryTraffic::maxConnections(const ServiceName &service, uint32_t limit) const
+{
+    const auto grouped = m_groupedShards.find(service);
+    // The entries of this data centre alone keep connections to the shard's upstreams.
+    if (grouped != m_groupedShards.end() && grouped->second)
+        return ConnectionPlan::maxConnections(limit, m_shardGroups.members(m_config.dataCentre).size());
+    return m_connectionPlan.maxConnections(limit);
+}
+
+std::set<DataCentreName> EntryTraffic::placesOf(const ServiceName &service) const
+{
+    std::set<DataCentreName> places;
+    for (const UpstreamId &id : m_registry.replicas(service)) {
+        const DataCentreName &place = m_registry.find(id)->announcement.dataCentre;
+        if (!m_dataCentresOut.contains(place.value()))
+            places.insert(place);
+    }
+    return places;
+}
+
+void EntryTraffic::updateGroups()
+{
+    m_groupsOutdated = false;
+    m_groups.clear();
+    m_groupedShards.clear();
+    if (!m_routes)
+        return;
+    for (const Route &route : m_routes->routes) {
+        std::vector<ShardGroup> groups =
+            m_shardGroups.divide(route.shards, [this](const ServiceName &shard) { return placesOf(shard); });
+        if (groups.size() < 2)
+            continue;
+        for (const ShardGroup &group : groups)
+            for (const ServiceName &shard : group.shards)
+                m_groupedShards[shard] = m_shardGroups.isMember(group.dataCentre);
+        m_groups[route.name] = std::make_shared<const std::vector<ShardGroup>>(std::move(groups));
+    }
+}
+
+std::shared_ptr<const std::vector<ShardGroup>> EntryTraffic::groupsOf(const Route &route) const
+{
+    const auto found = m_groups.find(route.name);
+    return found == m_groups.end() ? nullptr : found->second;
+}
+
 std::optional<UpstreamTarget> EntryTraffic::targetOf(const UpstreamId &upstream) const
 {
     const KnownUpstream *known = m_registry.find(upstream);
@@ -357,8 +447,8 @@
     const Announcement &announcement = known->announcement;
     UpstreamTarget target{upstream, {announcement.address, announcement.port}};
     const std::optional<uint32_t> limit = connectionLimit(announcement.service);
-    target.connections = limit ? m_connectionPlan.maxConnections(*limit) : 1;
-    target.keepsIdle = keepsConnections(upstream, limit);
+    target.connections = limit ? maxConnections(announcement.service, *limit) : 1;
+    target.keepsIdle = keepsConnections(upstream, announcement.service);
     return target;
 }
 
@@ -369,11 +459,13 @@
     HS_LOG(INFO, LogEvent::RoutesApplied)
         << "routes=" << table.number << " before=" << routesNumber() << " count=" << table.routes.size();
     m_routes = std::make_shared<const RouteTable>(std::move(table));
+    updateGroups();
 }
 
 void EntryTraffic::setDataCentresOut(std::vector<std::string> out)
 {
     m_dataCentresOut = std::set<std::string>(out.begin(), out.end());
+    m_groupsOutdated = true;
 }
 
 void EntryTraffic::setEntryCount(uint32_t entries)
@@ -386,10 +478,15 @@
     m_admission.setEntryCount(monotonicNow(), entries);
 }
 
-void EntryTraffic::setEntries(TimePoint now, const std::string &self, const std::vector<std::string> &entries)
+void EntryTraffic::setEntries(TimePoint now, const std::string &self, const std::vector<EntryLocation> &entries)
 {
     const bool wasOffered = m_connectionPlan.isOffered();
-    m_connectionPlan.setEntries(now, self, entries);
+    std::vector<std::string> addresses;
+    for (const EntryLocation &entry : entries)
+        addresses.push_back(entry.address);
+    m_connectionPlan.setEntries(now, self, addresses);
+    if (m_shardGroups.setEntries({self, m_config.dataCentre}, entries))
+        updateGroups();
     if (wasOffered && !m_connectionPlan.isOffered())
         m_connections.closeIdle();
 }
@@ -412,6 +509,7 @@
         : m_registry.accept(now, announcement);
     if (change != RegistryChange::Changed)
         return;
+    m_groupsOutdated = true;
     const KnownUpstream *known = m_registry.find(announcement.id);
     if (!known || known->announcement.coldForMillis <= 0)
         m_admission.endCold(announcement.id);
@@ -452,19 +550,22 @@
 void EntryTraffic::tick(TimePoint now)
 {
     m_connections.tick(now);
+    m_delegations.tick(now);
     m_registry.removeExpired(now);
     updateAdmission(now);
     m_quarantine.tick(now);
     if (!m_routes)
         return;
     updateServiceStatus(now);
+    if (m_groupsOutdated)
+        updateGroups();
     if (now < m_nextAdvanceOpening || !m_connectionPlan.opensInAdvance(now))
         return;
     m_nextAdvanceOpening = now + kAdvanceOpeningInterval;
     // Connects to every upstream behind a route in advance, so that the first request need not wait for it.
     for (const auto &[id, known] : m_registry.all())
         if (known.takesWork() && m_routes->services.contains(known.announcement.service)
-            && keepsConnections(id, connectionLimit(known.announcement.service))
+            && keepsConnections(id, known.announcement.service)
             && !m_admission.isWithdrawn(now, id, known.announcement.incarnation))
             m_connections.warm(*targetOf(id));
 }
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -6,6 +6,7 @@
 
 #include "connection/UpstreamConnections.h"
 #include "hickoryspur/connection/ConnectionPlan.h"
+#include "hickoryspur/connection/ShardGroups.h"
 #include "hickoryspur/connection/UpstreamAdmission.h"
 #include "hickoryspur/connection/UpstreamRegistry.h"
 #include "hickoryspur/request/LatencyQuantile.h"
@@ -16,6 +17,7 @@
 #include "hickoryspur/request/ScatterGather.h"
 #include "hickoryspur/request/VersionSplit.h"
 #include "hickoryspur/version/RouteTable.h"
+#include "request/Delegations.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -37,6 +39,8 @@
     double extraSlack = 50;
     /** How long an upstream goes on serving after it has said that it is leaving. */
     Duration upstreamDrainTime = 3s;
+    /** Where this entry accepts requests that other entries delegate to it. */
+    HostAddress internalAddress;
     /** Seeds replica selection, route splits, reconnect backoff and retry jitter. */
     uint64_t seed = 0;
 };
@@ -58,6 +62,8 @@
 public:
     EntryTraffic(boost::asio::io_context &context, TrafficConfig config, RequestCodec codec);
 
+    /** Accepts requests that other entries delegate to this one. */
+    Result<void> listen() { return m_delegations.listen(); }
     /** Must be called on a fiber; blocks it until the final answer or until isCallerGone returns true. */
     CallerAnswer serve(const ForwardedRequest &request, const std::function<bool()> &isCallerGone);
     /** An answer that refuses a request, with a jittered delay after which the caller may retry; at least minDelay. */
@@ -72,7 +78,11 @@
     /** Sets how many entries share the extra sub-requests and the upstreams' connections. */
     void setEntryCount(uint32_t entries);
     /** Sets the entries that callers are sent to, and so share the upstreams' connections, and this entry's address. */
-    void setEntries(TimePoint now, const std::string &self, const std::vector<std::string> &entries);
+    void setEntries(TimePoint now, const std::string &self, const std::vector<EntryLocation> &entries);
+    /** Sets whether this entry knows what is in force, so that it may serve what others delegate to it. */
+    void setServing(bool serving) { m_serving = serving; }
+    /** Requests of other entries that this one is serving. */
+    size_t delegatedRequests() const { return m_delegations.serving(); }
     /** Sets how many entries there are, whether or not callers are sent to them. */
     void setDeploymentSize(size_t entries) { m_connectionPlan.setDeploymentSize(entries); }
     /** Rate of sub-requests sent, averaged over the last seconds. */
@@ -97,7 +107,11 @@
 private:
     class ActiveRequest;
     friend class ActiveRequest;
+    class GroupedRequest;
+    friend class GroupedRequest;
 
+    /** Serves a group of shards that another entry has delegated; returns what cancels it. */
+    std::function<void()> serveDelegated(DelegatedRequest order, std::function<void(DelegatedReply)> reply);
     /** Whether the request will probably be answered before this process stops. */
     bool canFinish(TimePoint now, const Route &route, const ForwardedRequest &request) const;
     QuarantineVerdict admit(TimePoint now, const ForwardedRequest &request);
@@ -105,6 +119,12 @@
     void recordSurvivedRequest(const ForwardedRequest &request);
     /** Records the upstreams that ended while they ran a request which none has answered. */
     void recordLosses(TimePoint now, const ForwardedRequest &request, const std::vector<UpstreamLoss> &losses);
+    /** The data centres with replicas of the service that take requests. */
+    std::set<DataCentreName> placesOf(const ServiceName &service) const;
+    /** Divides the routes over many shards, and determines which of the shards this entry serves. */
+    void updateGroups();
+    /** The groups of a request on the route; null if it is not divided. */
+    std::shared_ptr<const std::vector<ShardGroup>> groupsOf(const Route &route) const;
     ScatterPlan makePlan(TimePoint now, const Route &route, const ForwardedRequest &request);
     std::optional<ReplicaChoice> chooseReplica(const ServiceName &service, const std::vector<UpstreamId> &tried,
                                                VersionGroup group);
@@ -136,8 +156,10 @@
     void updateServiceStatus(TimePoint now);
     /** Connections that an upstream of the service accepts from all entries together; nullopt if that is not known. */
     std::optional<uint32_t> connectionLimit(const ServiceName &service) const;
-    /** Whether connections to the upstream with that limit are kept while no request runs. */
-    bool keepsConnections(const UpstreamId &upstream, std::optional<uint32_t> limit) const;
+    /** How many connections this entry opens to an upstream of the service, which accepts limit from all entries. */
+    uint32_t maxConnections(const ServiceName &service, uint32_t limit) const;
+    /** Whether connections to an upstream of the service are kept while no request runs. */
+    bool keepsConnections(const UpstreamId &upstream, const ServiceName &service) const;
     /** Returns a random number in [0, 1). */
     double randomFraction() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
@@ -154,6 +176,14 @@
     VersionSplit m_versions;
     UpstreamConnections m_connections;
     ConnectionPlan m_connectionPlan;
+    ShardGroups m_shardGroups;
+    /** The groups of each divided route, by its name. */
+    std::map<std::string, std::shared_ptr<const std::vector<ShardGroup>>> m_groups;
+    /** The shards of divided routes, and whether this entry serves the group of each. */
+    std::unordered_map<ServiceName, bool> m_groupedShards;
+    /** What the groups depend on has changed since they were determined. */
+    bool m_groupsOutdated = false;
+    bool m_serving = false;
     UpstreamAdmission m_admission;
     RequestQuarantine m_quarantine;
     std::function<void()> m_suspectsChanged = [] {};
@@ -166,6 +196,7 @@
     TimePoint m_nextServiceCheck;
     TimePoint m_nextAdvanceOpening;
     std::mt19937_64 m_random;
+    Delegations m_delegations;
 };
 
 } // namespace hickoryspur
--- a/src/request/ScatterGather.cpp
+++ b/src/request/ScatterGather.cpp
@@ -30,7 +30,7 @@
 
 void ScatterGather::chooseFirst()
 {
-    size_t omittable = m_shards.size() - m_plan.minParts;
+    size_t omittable = m_plan.maxSkipped.value_or(m_shards.size() - m_plan.minParts);
     for (uint32_t index = 0; index < m_shards.size(); ++index) {
         Shard &shard = m_shards[index];
         shard.first = m_hooks.choose(m_plan.shards[index], {});
@@ -274,7 +274,9 @@
     const bool cannotBeServed = m_shards.size() - m_lost < m_plan.minParts;
     if (m_answered == m_shards.size())
         actions.outcome = ScatterOutcome::Complete;
-    else if (hasMinParts && (now >= m_plan.targetTime || m_answered + m_lost == m_shards.size()))
+    else if (hasMinParts
+             && (now >= (m_plan.waitsForAll ? m_plan.deadline : m_plan.targetTime)
+                 || m_answered + m_lost == m_shards.size()))
         actions.outcome = ScatterOutcome::Partial;
     else if (cannotBeServed || now >= m_plan.deadline)
         actions.outcome = cannotBeServed ? ScatterOutcome::Failed : ScatterOutcome::TimedOut;
--- a/test/failure/ActiveEntriesFailureTest.cpp
+++ b/test/failure/ActiveEntriesFailureTest.cpp
@@ -32,15 +32,16 @@
         static const std::vector<std::string> dataCentres = {"a", "b", "c", "d", "e"};
         std::vector<OfferedEntry> result;
         for (size_t i = 0; i < count; ++i)
-            result.push_back({"10." + std::to_string(i % 5) + ".0." + std::to_string(i) + ":80",
-                              DataCentreName(dataCentres[i % 5]), load});
+            result.push_back({{"10." + std::to_string(i % 5) + ".0." + std::to_string(i) + ":80",
+                               DataCentreName(dataCentres[i % 5])},
+                              load});
         return result;
     }
 
-    static size_t countIn(const std::vector<std::string> &addresses, const std::string &prefix)
+    static size_t countIn(const std::vector<EntryLocation> &entries, const std::string &prefix)
     {
-        return static_cast<size_t>(std::count_if(addresses.begin(), addresses.end(), [&](const std::string &address) {
-            return address.rfind(prefix, 0) == 0;
+        return static_cast<size_t>(std::count_if(entries.begin(), entries.end(), [&](const EntryLocation &entry) {
+            return entry.address.rfind(prefix, 0) == 0;
         }));
     }
 
@@ -63,7 +64,7 @@
     void entries_nearUpstreams_comeFirst()
     {
         ActiveEntries active;
-        const std::vector<std::string> selected = active.select(m_now, entries(291, 0), m_upstreams);
+        const std::vector<EntryLocation> selected = active.select(m_now, entries(291, 0), m_upstreams);
         CPPUNIT_ASSERT(countIn(selected, "10.0.") >= 14);
         CPPUNIT_ASSERT(countIn(selected, "10.1.") >= 14);
         CPPUNIT_ASSERT(countIn(selected, "10.2.") >= 14);
@@ -85,9 +86,9 @@
                     hosts[to].recordReport(m_now, NodeId("host" + std::to_string(from)), heard[from]);
         std::set<std::string> offered;
         for (size_t i = 0; i < hosts.size(); ++i)
-            for (const std::string &address :
+            for (const EntryLocation &entry :
                  ActiveEntries().select(m_now, entries(291, 0), hosts[i].total(m_now + 1s, heard[i])))
-                offered.insert(address);
+                offered.insert(entry.address);
         CPPUNIT_ASSERT_EQUAL(ActiveEntries::kMinEntries, offered.size());
     }
 
@@ -105,11 +106,11 @@
     {
         ActiveEntries active;
         std::vector<OfferedEntry> all = entries(291, 0);
-        const std::vector<std::string> before = active.select(m_now, all, m_upstreams);
-        std::erase_if(all, [&](const OfferedEntry &entry) { return entry.address == before.front(); });
-        const std::vector<std::string> after = active.select(m_now, all, m_upstreams);
+        const std::vector<EntryLocation> before = active.select(m_now, all, m_upstreams);
+        std::erase_if(all, [&](const OfferedEntry &entry) { return entry.location == before.front(); });
+        const std::vector<EntryLocation> after = active.select(m_now, all, m_upstreams);
         CPPUNIT_ASSERT_EQUAL(before.size(), after.size());
-        std::vector<std::string> kept;
+        std::vector<EntryLocation> kept;
         std::set_intersection(before.begin(), before.end(), after.begin(), after.end(), std::back_inserter(kept));
         CPPUNIT_ASSERT_EQUAL(before.size() - 1, kept.size());
     }
@@ -128,7 +129,7 @@
     {
         ActiveEntries active;
         std::vector<OfferedEntry> all = entries(291, 0);
-        std::erase_if(all, [](const OfferedEntry &entry) { return entry.dataCentre.value() <= "c"; });
+        std::erase_if(all, [](const OfferedEntry &entry) { return entry.location.dataCentre.value() <= "c"; });
         CPPUNIT_ASSERT_EQUAL(ActiveEntries::kMinEntries, active.select(m_now, all, m_upstreams).size());
     }
 };
--- a/test/failure/EntryDirectoryFailureTest.cpp
+++ b/test/failure/EntryDirectoryFailureTest.cpp
@@ -18,6 +18,14 @@
     CPPUNIT_TEST_SUITE_END();
 
     using Addresses = std::vector<std::string>;
+
+    static std::vector<EntryLocation> entries(const Addresses &addresses)
+    {
+        std::vector<EntryLocation> list;
+        for (const std::string &address : addresses)
+            list.push_back({address, DataCentreName("a")});
+        return list;
+    }
     static inline const NodeId kFirst{"10.0.0.1:7000"};
     static inline const NodeId kSecond{"10.0.0.2:7000"};
 
@@ -35,8 +43,8 @@
     void addresses_oneReportStale_ignoresIt()
     {
         EntryDirectory directory;
-        directory.update(m_now, kFirst, {"a", "killed"});
-        directory.update(m_now, kSecond, {"a"});
+        directory.update(m_now, kFirst, entries({"a", "killed"}));
+        directory.update(m_now, kSecond, entries({"a"}));
         directory.recordHeartbeat(m_now + 2s, kSecond);
         CPPUNIT_ASSERT(directory.addresses(m_now + 2s, 1) == Addresses{"a"});
         CPPUNIT_ASSERT_EQUAL(1U, directory.count(m_now + 2s));
@@ -45,8 +53,8 @@
     void addresses_entryMissingInOneReport_isIncluded()
     {
         EntryDirectory directory;
-        directory.update(m_now, kFirst, {"a", "b"});
-        directory.update(m_now, kSecond, {"a"});
+        directory.update(m_now, kFirst, entries({"a", "b"}));
+        directory.update(m_now, kSecond, entries({"a"}));
         CPPUNIT_ASSERT((directory.addresses(m_now, 2) == Addresses{"a", "b"}));
         CPPUNIT_ASSERT_EQUAL(2U, directory.count(m_now));
     }
@@ -54,16 +62,16 @@
     void addresses_allReportsStale_returnsLastReport()
     {
         EntryDirectory directory;
-        directory.update(m_now, kFirst, {"a", "b"});
+        directory.update(m_now, kFirst, entries({"a", "b"}));
         CPPUNIT_ASSERT((directory.addresses(m_now + 60s, 1) == Addresses{"a", "b"}));
     }
 
     void addresses_onlyMinorityOfControlHostsReachable_returnsEntriesTheyDoNotReport()
     {
         EntryDirectory directory;
-        directory.update(m_now, kFirst, {"far", "near"});
-        directory.update(m_now, kSecond, {"far", "near"});
-        directory.update(m_now + 5s, NodeId("third"), {"near"});
+        directory.update(m_now, kFirst, entries({"far", "near"}));
+        directory.update(m_now, kSecond, entries({"far", "near"}));
+        directory.update(m_now + 5s, NodeId("third"), entries({"near"}));
         CPPUNIT_ASSERT(directory.addresses(m_now + 5s, 3) == Addresses{"far"});
     }
 
@@ -71,9 +79,9 @@
     void addresses_halfOfTheKnownControlHostsEnded_namesRunningEntries()
     {
         EntryDirectory directory;
-        directory.update(m_now, NodeId("ended"), {"gone", "running"});
-        directory.update(m_now + 9s, kFirst, {"running"});
-        directory.update(m_now + 9s, kSecond, {"running"});
+        directory.update(m_now, NodeId("ended"), entries({"gone", "running"}));
+        directory.update(m_now + 9s, kFirst, entries({"running"}));
+        directory.update(m_now + 9s, kSecond, entries({"running"}));
         directory.recordConfirmation(m_now + 9s);
         CPPUNIT_ASSERT(directory.addresses(m_now + 9s, 4) == Addresses{"running"});
         // Without word from a leader the reachable half may be the one that is partitioned.
--- /dev/null
+++ b/test/failure/PeerCallsFailureTest.cpp
@@ -0,0 +1,169 @@
+#include "connection/PeerCalls.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <thread>
+
+using namespace hickoryspur;
+
+/**
+ * Guards calls between entries against an entry that is not there, that ends, or that falls silent: each call ends
+ * once, and it is told truly whether the other entry can have received it.
+ */
+class PeerCallsFailureTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PeerCallsFailureTest);
+    CPPUNIT_TEST(call_answeredTwice_bothRepliesArrive);
+    CPPUNIT_TEST(call_nobodyListens_isLostAndNotSent);
+    CPPUNIT_TEST(call_entryEnds_isLostAndMayHaveBeenSent);
+    CPPUNIT_TEST(call_entrySilent_isNotUsedAndThenLost);
+    CPPUNIT_TEST(call_cancelled_isCancelledThereAndReplyIsDropped);
+    CPPUNIT_TEST(call_callerEnds_isCancelledThere);
+    CPPUNIT_TEST_SUITE_END();
+
+    using tcp = boost::asio::ip::tcp;
+
+    boost::asio::io_context m_context;
+    PeerCalls::Respond m_respond;
+    std::vector<std::string> m_served;
+    size_t m_cancelled = 0;
+    std::vector<std::string> m_replies;
+    std::vector<bool> m_lost;
+
+    HostAddress freeAddress()
+    {
+        tcp::acceptor acceptor(m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+        return {"127.0.0.1", acceptor.local_endpoint().port()};
+    }
+
+    std::unique_ptr<PeerCalls> makeServer(const HostAddress &address)
+    {
+        auto server = std::make_unique<PeerCalls>(m_context, NodeId("server"),
+                                                  [this](const std::string &payload, PeerCalls::Respond respond) {
+                                                      m_served.push_back(payload);
+                                                      m_respond = std::move(respond);
+                                                      return [this] { ++m_cancelled; };
+                                                  });
+        CPPUNIT_ASSERT(server->listen(address));
+        return server;
+    }
+
+    std::unique_ptr<PeerCalls> makeClient()
+    {
+        return std::make_unique<PeerCalls>(m_context, NodeId("client"),
+                                           [](const std::string &, const PeerCalls::Respond &) { return [] {}; });
+    }
+
+    PeerCalls::CallHooks hooks()
+    {
+        PeerCalls::CallHooks result;
+        result.reply = [this](const std::string &payload, bool last) {
+            m_replies.push_back(payload + (last ? "." : ""));
+        };
+        result.lost = [this](bool sent) { m_lost.push_back(sent); };
+        return result;
+    }
+
+    template <typename Condition> void runUntil(Condition condition)
+    {
+        const TimePoint end = monotonicNow() + 5s;
+        while (!condition() && monotonicNow() < end) {
+            m_context.poll();
+            m_context.restart();
+            std::this_thread::sleep_for(1ms);
+        }
+        CPPUNIT_ASSERT(condition());
+    }
+
+public:
+    void call_answeredTwice_bothRepliesArrive()
+    {
+        const HostAddress address = freeAddress();
+        const auto server = makeServer(address);
+        const auto client = makeClient();
+        client->call(monotonicNow(), address, "question", hooks());
+        runUntil([&] { return !m_served.empty(); });
+        m_respond("first", false);
+        m_respond("second", true);
+        m_respond("third", true);
+        runUntil([&] { return m_replies.size() == 2; });
+        CPPUNIT_ASSERT((m_replies == std::vector<std::string>{"first", "second."}));
+        CPPUNIT_ASSERT(m_lost.empty());
+    }
+
+    void call_nobodyListens_isLostAndNotSent()
+    {
+        const HostAddress address = freeAddress();
+        const auto client = makeClient();
+        client->call(monotonicNow(), address, "question", hooks());
+        runUntil([&] { return !m_lost.empty(); });
+        CPPUNIT_ASSERT(m_lost == std::vector<bool>{false});
+        CPPUNIT_ASSERT(!client->isUsable(monotonicNow(), address));
+        CPPUNIT_ASSERT(client->isUsable(monotonicNow() + PeerCalls::kRedialDelay, address));
+    }
+
+    void call_entryEnds_isLostAndMayHaveBeenSent()
+    {
+        const HostAddress address = freeAddress();
+        tcp::acceptor acceptor(m_context, tcp::endpoint(boost::asio::ip::make_address(address.address), address.port));
+        const auto client = makeClient();
+        client->call(monotonicNow(), address, "question", hooks());
+        tcp::socket socket(m_context);
+        acceptor.accept(socket);
+        runUntil([&] { return socket.available() > 0; });
+        socket.close();
+        runUntil([&] { return !m_lost.empty(); });
+        CPPUNIT_ASSERT(m_lost == std::vector<bool>{true});
+    }
+
+    void call_entrySilent_isNotUsedAndThenLost()
+    {
+        const HostAddress address = freeAddress();
+        tcp::acceptor acceptor(m_context, tcp::endpoint(boost::asio::ip::make_address(address.address), address.port));
+        const auto client = makeClient();
+        const TimePoint start = monotonicNow();
+        client->call(start, address, "question", hooks());
+        tcp::socket socket(m_context);
+        acceptor.accept(socket);
+        runUntil([&] { return socket.available() > 0; });
+        CPPUNIT_ASSERT(client->isUsable(start, address));
+        client->tick(start + 200ms);
+        CPPUNIT_ASSERT(!client->isUsable(start + 200ms + PeerCalls::kSuspectAfter, address));
+        client->tick(start + 201ms + PeerCalls::kCloseAfter);
+        runUntil([&] { return !m_lost.empty(); });
+        CPPUNIT_ASSERT(m_lost == std::vector<bool>{true});
+    }
+
+    void call_cancelled_isCancelledThereAndReplyIsDropped()
+    {
+        const HostAddress address = freeAddress();
+        const auto server = makeServer(address);
+        const auto client = makeClient();
+        const PeerCalls::CallId id = client->call(monotonicNow(), address, "question", hooks());
+        runUntil([&] { return !m_served.empty(); });
+        client->cancel(id);
+        runUntil([&] { return m_cancelled == 1; });
+        m_respond("late", true);
+        m_context.poll();
+        CPPUNIT_ASSERT(m_replies.empty());
+        CPPUNIT_ASSERT(m_lost.empty());
+    }
+
+    void call_callerEnds_isCancelledThere()
+    {
+        const HostAddress address = freeAddress();
+        const auto server = makeServer(address);
+        tcp::socket socket(m_context);
+        {
+            const auto client = makeClient();
+            client->call(monotonicNow(), address, "question", hooks());
+            runUntil([&] { return !m_served.empty(); });
+            client->tick(monotonicNow() + 200ms);
+            client->tick(monotonicNow() + 201ms + PeerCalls::kCloseAfter);
+        }
+        runUntil([&] { return m_cancelled == 1; });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerCallsFailureTest);
