Let other entries serve the callers of an entry that is cut off from all upstreams

Cause: each request found out for itself that the upstreams were out of reach, the entry knew no other way for it, and the directory went on naming the entry.

Change: UpstreamReachability tells a lost way from upstreams that have ended, by probing with new connections those whose heartbeats still arrive; RemoteRequest hands a request to another entry as a whole, and to a next one only where it has provably not run; an entry that is cut off refuses what others delegate; control hosts offer it only if there is no other.

--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -47,6 +47,8 @@
     UpstreamSaysLeaving = 1512,
     UpstreamPaused = 1513,
     UpstreamPauseEnded = 1514,
+    UpstreamsUnreachable = 1515,
+    UpstreamsReachable = 1516,
     ConnectionSilent = 1600,
     ReplyMismatch = 1601,
     ConnectionsReported = 1602,
--- a/include/hickoryspur/process/SessionMessage.h
+++ b/include/hickoryspur/process/SessionMessage.h
@@ -38,8 +38,10 @@
     uint64_t routesDigest = 0;
     /** What the entry knows of requests that end upstreams. */
     std::vector<SuspectReport> suspects;
+    /** The entry reaches no upstream; other entries serve its callers' requests. */
+    bool cutOff = false;
     MSGPACK_DEFINE(entry, callerAddress, dataCentre, offered, needsState, routesNumber, subRequestsPerSecond,
-                   intervalMillis, readsCompressed, routesDigest, suspects)
+                   intervalMillis, readsCompressed, routesDigest, suspects, cutOff)
 };
 
 /** From a control host to an entry: first its complete state, then the changes. */
--- a/include/hickoryspur/request/Delegation.h
+++ b/include/hickoryspur/request/Delegation.h
@@ -1,5 +1,6 @@
-// What one entry asks another one to do for a caller's request, and the replies. What has been delegated is
-// never delegated again.
+// What one entry asks another one to do for a caller's request, and the replies: to ask some of its shards, or
+// to serve all of it where the entry is cut off from the upstreams. A request that has been delegated as a whole
+// may be divided, and is never delegated as a whole again; a group is never delegated again.
 #pragma once
 
 #include "hickoryspur/request/RequestCodec.h"
@@ -19,7 +20,7 @@
     ForwardedRequest request;
     /** How long the caller still waits, in microseconds; zero if it has not said so. */
     int64_t timeoutMicros = 0;
-    /** The shards to ask. */
+    /** The shards to ask; empty for the whole request. */
     std::vector<ServiceName> shards;
     /** Of the shards, how many may be left out because they have no good replica. */
     uint32_t maxSkipped = 0;
@@ -49,8 +50,11 @@
 {
     /** The request has not run here and will not run; nothing else is set. */
     bool refused = false;
+    /** For a group of shards. */
     GroupReport group;
-    MSGPACK_DEFINE(refused, group)
+    /** For a whole request: its one answer. */
+    std::vector<CallerAnswer> answer;
+    MSGPACK_DEFINE(refused, group, answer)
 };
 
 } // namespace hickoryspur
--- a/include/hickoryspur/request/RequestCodec.h
+++ b/include/hickoryspur/request/RequestCodec.h
@@ -73,6 +73,7 @@
     unsigned status = 200;
     HeaderFields fields;
     std::string body;
+    MSGPACK_DEFINE(status, fields, body)
 };
 
 enum class RefusalKind {
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -248,6 +248,7 @@
     status.routesDigest = m_applied.routes().digest;
     status.subRequestsPerSecond = m_traffic.subRequestsPerSecond(monotonicNow());
     status.suspects = m_traffic.suspects(monotonicNow());
+    status.cutOff = m_traffic.isCutOff();
     status.intervalMillis = static_cast<uint32_t>(statusInterval() / 1ms);
     m_links->sendToAll(PeerMessageType::EntryStatus, pack(status));
 }
@@ -296,6 +297,10 @@
     const TimePoint now = monotonicNow();
     m_links->tick(now);
     m_traffic.tick(now);
+    if (m_traffic.isCutOff() != m_wasCutOff) {
+        m_wasCutOff = m_traffic.isCutOff();
+        m_nextStatus = now;
+    }
     if (now >= m_nextStatus) {
         if (!m_confirmed)
             m_stateRequestInterval =
--- a/src/app/EntryHost.h
+++ b/src/app/EntryHost.h
@@ -76,6 +76,7 @@
     bool m_confirmed = false;
     bool m_closing = false;
     bool m_wasReady = false;
+    bool m_wasCutOff = false;
     TimePoint m_nextStatus;
     Duration m_stateRequestInterval;
 };
--- a/src/app/EntrySessions.cpp
+++ b/src/app/EntrySessions.cpp
@@ -26,14 +26,15 @@
 {
     const auto [found, isNew] = m_sessions.try_emplace(link.get());
     Session &session = found->second;
-    const StatusChange change{isNew, isNew || session.status.offered != status.offered};
+    const StatusChange change{
+        isNew, isNew || session.status.offered != status.offered || session.status.cutOff != status.cutOff};
     session.link = link;
     session.status = status;
     if (isNew)
         m_awaitingState.push_back(link);
     if (change.offeredChanged)
-        HS_LOG(INFO, LogEvent::SessionOpened)
-            << "entry=" << status.entry << " callers=" << status.callerAddress << " offered=" << status.offered;
+        HS_LOG(INFO, LogEvent::SessionOpened) << "entry=" << status.entry << " callers=" << status.callerAddress
+                                              << " offered=" << status.offered << " cut-off=" << status.cutOff;
     return change;
 }
 
@@ -80,11 +81,13 @@
 std::vector<OfferedEntry> EntrySessions::offeredEntries() const
 {
     std::vector<OfferedEntry> offered;
+    std::vector<OfferedEntry> cutOff;
     for (const auto &[link, session] : m_sessions)
         if (session.status.offered && !session.link->isClosed())
-            offered.push_back(
-                {{session.status.callerAddress, session.status.dataCentre}, session.status.subRequestsPerSecond});
-    return offered;
+            (session.status.cutOff ? cutOff : offered)
+                .push_back(
+                    {{session.status.callerAddress, session.status.dataCentre}, session.status.subRequestsPerSecond});
+    return offered.empty() ? cutOff : offered;
 }
 
 Duration EntrySessions::timeout(const Link &link) const
--- a/src/app/EntrySessions.h
+++ b/src/app/EntrySessions.h
@@ -50,7 +50,8 @@
     size_t size() const { return m_sessions.size(); }
     /** Whether any entry would receive what is sent now. */
     bool hasOpenSession() const;
-    /** The entries to which callers may be sent. */
+    /** The entries to which callers may be sent; those that are cut off from the upstreams only if there is no other.
+     */
     std::vector<OfferedEntry> offeredEntries() const;
     /** How long the peer of an inbound link may be silent: longer for an entry that reports at a longer interval. */
     Duration timeout(const Link &link) const;
--- a/src/connection/ConnectionPool.cpp
+++ b/src/connection/ConnectionPool.cpp
@@ -165,6 +165,7 @@
         if (connection->isOpening() && now - connection->stateSince() > kConnectTimeout) {
             connection->close();
             countConnectionEvent(ConnectionEvent::ConnectFailed);
+            reportConnected(false);
             onConnectFailure("connect timed out");
         } else if (connection->isBusy() && now >= connection->deadline()) {
             connection->finish({AttemptOutcome::NoResponse, {}, "no answer before the deadline"}, false);
--- a/src/connection/ConnectionPool.h
+++ b/src/connection/ConnectionPool.h
@@ -21,10 +21,15 @@
     /** Whether the answer is the one to the request with this id. */
     using BelongsTo = std::function<bool(const UpstreamAnswer &, const std::string &)>;
 
-    ConnectionPool(boost::asio::io_context &context, const UpstreamTarget &target, BelongsTo belongsTo, uint64_t seed)
+    /** Called when a connection to the upstream has been opened, or could not be opened. */
+    using Connected = std::function<void(const UpstreamId &, bool opened)>;
+
+    ConnectionPool(boost::asio::io_context &context, const UpstreamTarget &target, BelongsTo belongsTo,
+                   Connected connected, uint64_t seed)
         : m_context(context)
         , m_target(target)
         , m_belongsTo(std::move(belongsTo))
+        , m_connected(std::move(connected))
         , m_backoff(seed)
     {
     }
@@ -35,6 +40,8 @@
     void send(Exchange exchange);
     /** Opens a connection if there is none and the backoff allows an attempt. */
     void warm();
+    /** A connection was opened, or could not be; an upstream at its limit opens it and closes it again. */
+    void reportConnected(bool opened) const { m_connected(m_target.id, opened); }
     void recordConnected() { m_backoff.recordSuccess(); }
     void onConnectionIdle();
     void onConnectFailure(const std::string &reason);
@@ -59,6 +66,7 @@
     boost::asio::io_context &m_context;
     UpstreamTarget m_target;
     BelongsTo m_belongsTo;
+    Connected m_connected;
     std::vector<std::shared_ptr<UpstreamConnection>> m_connections;
     std::deque<Exchange> m_waiting;
     ReconnectBackoff m_backoff;
--- a/src/connection/UpstreamConnection.cpp
+++ b/src/connection/UpstreamConnection.cpp
@@ -103,10 +103,13 @@
     if (error || !pool) {
         close();
         countConnectionEvent(ConnectionEvent::ConnectFailed);
-        if (pool)
+        if (pool) {
+            pool->reportConnected(false);
             pool->onConnectFailure("connect failed: " + error.message());
+        }
         return;
     }
+    pool->reportConnected(true);
     error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
     m_socket.non_blocking(true, ignored);
--- a/src/connection/UpstreamConnections.cpp
+++ b/src/connection/UpstreamConnections.cpp
@@ -13,6 +13,7 @@
 {
     boost::asio::io_context &context;
     BelongsTo belongsTo;
+    Connected connected;
     std::unordered_map<UpstreamId, std::shared_ptr<ConnectionPool>> pools;
     std::unordered_map<Handle, std::weak_ptr<ConnectionPool>> running;
     Handle nextHandle = 1;
@@ -28,7 +29,7 @@
 {
     std::shared_ptr<ConnectionPool> &pool = pools[target.id];
     if (!pool || pool->address().text() != target.address.text())
-        pool = std::make_shared<ConnectionPool>(context, target, belongsTo, random());
+        pool = std::make_shared<ConnectionPool>(context, target, belongsTo, connected, random());
     pool->setLimits(target);
     return pool;
 }
@@ -39,8 +40,9 @@
     return found == running.end() ? nullptr : found->second.lock();
 }
 
-UpstreamConnections::UpstreamConnections(boost::asio::io_context &context, BelongsTo belongsTo, uint64_t seed)
-    : m_state(new State{context, std::move(belongsTo), {}, {}, 1, std::mt19937_64(seed), {}})
+UpstreamConnections::UpstreamConnections(boost::asio::io_context &context, BelongsTo belongsTo, uint64_t seed,
+                                         Connected connected)
+    : m_state(new State{context, std::move(belongsTo), std::move(connected), {}, {}, 1, std::mt19937_64(seed), {}})
 {
 }
 
--- a/src/connection/UpstreamConnections.h
+++ b/src/connection/UpstreamConnections.h
@@ -16,10 +16,13 @@
 public:
     using Done = std::function<void(ExchangeResult)>;
     using BelongsTo = ConnectionPool::BelongsTo;
+    using Connected = ConnectionPool::Connected;
     using Handle = ExchangeHandle;
 
     /** The seed of the reconnection jitter; entries with different seeds reconnect at different times. */
-    UpstreamConnections(boost::asio::io_context &context, BelongsTo belongsTo, uint64_t seed);
+    UpstreamConnections(
+        boost::asio::io_context &context, BelongsTo belongsTo, uint64_t seed,
+        Connected connected = [](const UpstreamId &, bool) {});
     ~UpstreamConnections();
     UpstreamConnections(const UpstreamConnections &) = delete;
     UpstreamConnections &operator=(const UpstreamConnections &) = delete;
--- a/src/request/Delegations.cpp
+++ b/src/request/Delegations.cpp
@@ -9,7 +9,7 @@
 
 bool isLast(const DelegatedReply &reply)
 {
-    return reply.refused || reply.group.ended;
+    return reply.refused || reply.group.ended || !reply.answer.empty();
 }
 
 /** Counts a request that is being served, until the last copy of it is gone. */
--- a/src/request/Delegations.h
+++ b/src/request/Delegations.h
@@ -19,7 +19,7 @@
     using CallId = PeerCalls::CallId;
     struct Hooks
     {
-        /** Replies that follow each other until one is refused or reports a group that has ended. */
+        /** Replies that follow each other until one refuses, reports a group that has ended, or has the answer. */
         std::function<void(DelegatedReply)> reply;
         /** The other entry cannot be heard; `sent` tells whether it may have received the request. */
         std::function<void(bool sent)> lost;
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -1,11 +1,15 @@
 #include "request/EntryTraffic.h"
 
+#include "connection/ConnectProbe.h"
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/Metrics.h"
 #include "request/ActiveRequest.h"
 #include "request/GroupedRequest.h"
+#include "request/RemoteRequest.h"
 #include "request/SignalReport.h"
 
+#include <boost/fiber/fiber.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -39,6 +43,9 @@
 constexpr Duration kServiceCheckInterval = 500ms;
 /** How often connections are opened in advance; a closed one is missed for so long. */
 constexpr Duration kAdvanceOpeningInterval = 200ms;
+/** An upstream whose last heartbeat is older may have ended; it is not used to find out whether this entry is cut off.
+ */
+constexpr Duration kAliveTime = 3s;
 /** Over so long the rate of sub-requests is averaged; about one request in this time comes to an entry at low load. */
 constexpr Duration kLoadWindow = 2s;
 /** Retry delay while there are no routes: an entry has the routes in force about this long after its start. */
@@ -56,13 +63,19 @@
     , m_codec(std::move(codec))
     , m_replicaTracker(m_config.seed)
     , m_versions(m_config.seed + 3)
-    , m_connections(context, m_codec.belongsTo, m_config.seed + 2)
+    , m_reachability(m_config.seed + 5)
+    , m_connections(context, m_codec.belongsTo, m_config.seed + 2,
+                    [this](const UpstreamId &upstream, bool opened) {
+                        if (opened)
+                            m_reachability.recordConnected();
+                        else
+                            m_reachability.recordConnectFailed(monotonicNow(), upstream);
+                    })
     , m_admission(m_config.seed + 4, m_config.upstreamDrainTime)
     , m_random(m_config.seed + 1)
-    , m_delegations(context, m_config.internalAddress,
-                    [this](DelegatedRequest order, std::function<void(DelegatedReply)> reply) {
-                        return serveDelegated(std::move(order), std::move(reply));
-                    })
+    , m_delegations(context, m_config.internalAddress, [this](DelegatedRequest order, const ReplyHook &reply) {
+        return serveDelegated(std::move(order), reply);
+    })
 {
     m_admission.setEntryCount(monotonicNow(), m_connectionPlan.entryCount());
 }
@@ -84,39 +97,68 @@
         return makeRefusal(RefusalKind::NoRoute);
     if (!canFinish(monotonicNow(), *route, request))
         return makeRefusal(RefusalKind::NotRunTryLater);
+    if (isCutOff()) {
+        std::vector<std::string> others = shuffledEntries();
+        if (!others.empty())
+            return std::make_shared<RemoteRequest>(*this, *route, request, std::move(others), isCallerGone)->serve();
+    }
+    return serveHere(routes, *route, request, isCallerGone);
+}
+
+std::vector<std::string> EntryTraffic::shuffledEntries()
+{
+    std::vector<std::string> entries = m_otherEntries;
+    std::shuffle(entries.begin(), entries.end(), m_random);
+    return entries;
+}
+
+CallerAnswer EntryTraffic::serveHere(const std::shared_ptr<const RouteTable> &routes, const Route &route,
+                                     const ForwardedRequest &request, const std::function<bool()> &isCallerGone)
+{
     const QuarantineVerdict verdict = admit(monotonicNow(), request);
     if (verdict.decision == QuarantineDecision::Reject)
         return makeRefusal(RefusalKind::NotRunTryLater, verdict.retryAfter);
     const bool isProbe = verdict.decision == QuarantineDecision::Probe;
     // A probe goes to one upstream first, so it is not divided.
-    const std::shared_ptr<const std::vector<ShardGroup>> groups = isProbe ? nullptr : groupsOf(*route);
+    const std::shared_ptr<const std::vector<ShardGroup>> groups = isProbe ? nullptr : groupsOf(route);
     if (groups)
-        return std::make_shared<GroupedRequest>(*this, routes, *route, request, groups, isCallerGone)->serve();
-    return std::make_shared<ActiveRequest>(*this, routes, *route, request, isProbe, isCallerGone)->serve();
+        return std::make_shared<GroupedRequest>(*this, routes, route, request, groups, isCallerGone)->serve();
+    return std::make_shared<ActiveRequest>(*this, routes, route, request, isProbe, isCallerGone)->serve();
 }
 
-std::function<void()> EntryTraffic::serveDelegated(DelegatedRequest order, std::function<void(DelegatedReply)> reply)
+std::function<void()> EntryTraffic::serveDelegated(DelegatedRequest order, const ReplyHook &reply)
 {
     const TimePoint now = monotonicNow();
     if (order.timeoutMicros > 0)
         order.request.timeout = Duration(order.timeoutMicros);
     const std::shared_ptr<const RouteTable> routes = m_routes;
-    const Route *route = m_serving && routes ? routes->find(order.request.host, order.request.path) : nullptr;
-    const bool isServable = route && route->isScattered() && !order.shards.empty() && order.deadlineMicros > 0;
-    if (!isServable || !canFinish(now, *route, order.request)) {
+    const Route *route =
+        m_serving && routes && !isCutOff() ? routes->find(order.request.host, order.request.path) : nullptr;
+    const bool isWhole = order.shards.empty();
+    if (!route || order.deadlineMicros <= 0 || !canFinish(now, *route, order.request)
+        || (!isWhole && !route->isScattered())) {
         DelegatedReply refusal;
         refusal.refused = true;
         reply(std::move(refusal));
         return [] {};
     }
+    if (isWhole)
+        return serveWhole(routes, *route, std::move(order.request), reply);
+    return serveGroup(routes, *route, std::move(order), reply);
+}
+
+std::function<void()> EntryTraffic::serveGroup(const std::shared_ptr<const RouteTable> &routes, const Route &route,
+                                               DelegatedRequest order, const ReplyHook &reply)
+{
+    const TimePoint now = monotonicNow();
     auto active =
-        std::make_shared<ActiveRequest>(*this, routes, *route, std::move(order.request), false, [] { return false; });
+        std::make_shared<ActiveRequest>(*this, routes, route, std::move(order.request), false, [] { return false; });
     GroupOrder group;
     group.shards = std::move(order.shards);
     group.maxSkipped = order.maxSkipped;
     group.reportAt = now + Duration(order.targetMicros);
     group.deadline = now + Duration(order.deadlineMicros);
-    group.report = [reply = std::move(reply)](GroupReport report) {
+    group.report = [reply](GroupReport report) {
         DelegatedReply message;
         message.group = std::move(report);
         reply(std::move(message));
@@ -128,6 +170,18 @@
     };
 }
 
+std::function<void()> EntryTraffic::serveWhole(const std::shared_ptr<const RouteTable> &routes, const Route &route,
+                                               ForwardedRequest request, const ReplyHook &reply)
+{
+    auto cancelled = std::make_shared<bool>(false);
+    boost::fibers::fiber([this, routes, &route, request = std::move(request), reply, cancelled] {
+        DelegatedReply message;
+        message.answer.push_back(serveHere(routes, route, request, [cancelled] { return *cancelled; }));
+        reply(std::move(message));
+    }).detach();
+    return [cancelled] { *cancelled = true; };
+}
+
 bool EntryTraffic::canFinish(TimePoint now, const Route &route, const ForwardedRequest &request) const
 {
     if (m_stopTime == TimePoint::max())
@@ -192,6 +246,11 @@
         m_quarantine.recordHeartbeat(now, upstream, known->announcement.incarnation);
 }
 
+TimePoint EntryTraffic::deadlineFor(TimePoint now, Duration timeout)
+{
+    return now + std::max<Duration>(timeout - kDeadlineMargin, timeout / 2);
+}
+
 ScatterPlan EntryTraffic::makePlan(TimePoint now, const Route &route, const ForwardedRequest &request)
 {
     ScatterPlan plan;
@@ -202,8 +261,7 @@
         plan.minParts = std::max<size_t>(
             1, static_cast<size_t>(std::ceil(route.minCoverage * static_cast<double>(plan.shards.size()) - 1e-9)));
     plan.idempotent = route.idempotent;
-    const Duration timeout = std::min(request.timeout.value_or(route.timeout), route.timeout);
-    plan.deadline = now + std::max<Duration>(timeout - kDeadlineMargin, timeout / 2);
+    plan.deadline = deadlineFor(now, std::min(request.timeout.value_or(route.timeout), route.timeout));
     plan.targetTime = plan.deadline;
     if (route.isScattered())
         plan.targetTime =
@@ -485,6 +543,8 @@
     for (const EntryLocation &entry : entries)
         addresses.push_back(entry.address);
     m_connectionPlan.setEntries(now, self, addresses);
+    m_otherEntries = std::move(addresses);
+    std::erase(m_otherEntries, self);
     if (m_shardGroups.setEntries({self, m_config.dataCentre}, entries))
         updateGroups();
     if (wasOffered && !m_connectionPlan.isOffered())
@@ -547,6 +607,36 @@
     entries.set(m_connectionPlan.entryCount());
 }
 
+std::vector<UpstreamId> EntryTraffic::aliveUpstreams(TimePoint now) const
+{
+    std::vector<UpstreamId> alive;
+    for (const auto &[id, known] : m_registry.all())
+        if (known.takesWork() && now - known.lastHeartbeat < kAliveTime)
+            alive.push_back(id);
+    return alive;
+}
+
+void EntryTraffic::checkReachability(TimePoint now)
+{
+    static Counter &cutOff = Metrics::counter("hickoryspur_cut_off_from_upstreams");
+    const bool wasCutOff = isCutOff();
+    for (const UpstreamId &id : m_reachability.tick(now, [this, now] { return aliveUpstreams(now); })) {
+        const HostAddress address = targetOf(id)->address;
+        probeConnection(m_context, address, UpstreamReachability::kProbeTimeout, [this](bool connected) {
+            const bool before = isCutOff();
+            m_reachability.recordProbe(monotonicNow(), connected);
+            if (before != isCutOff())
+                HS_LOG(WARNING, before ? LogEvent::UpstreamsReachable : LogEvent::UpstreamsUnreachable)
+                    << "entries=" << m_otherEntries.size();
+            cutOff.set(isCutOff() ? 1 : 0);
+        });
+    }
+    if (wasCutOff && !isCutOff()) {
+        HS_LOG(WARNING, LogEvent::UpstreamsReachable) << "no upstream sends heartbeats";
+        cutOff.set(0);
+    }
+}
+
 void EntryTraffic::tick(TimePoint now)
 {
     m_connections.tick(now);
@@ -554,6 +644,7 @@
     m_registry.removeExpired(now);
     updateAdmission(now);
     m_quarantine.tick(now);
+    checkReachability(now);
     if (!m_routes)
         return;
     updateServiceStatus(now);
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -8,6 +8,7 @@
 #include "hickoryspur/connection/ConnectionPlan.h"
 #include "hickoryspur/connection/ShardGroups.h"
 #include "hickoryspur/connection/UpstreamAdmission.h"
+#include "hickoryspur/connection/UpstreamReachability.h"
 #include "hickoryspur/connection/UpstreamRegistry.h"
 #include "hickoryspur/request/LatencyQuantile.h"
 #include "hickoryspur/request/ReplicaTracker.h"
@@ -81,6 +82,8 @@
     void setEntries(TimePoint now, const std::string &self, const std::vector<EntryLocation> &entries);
     /** Sets whether this entry knows what is in force, so that it may serve what others delegate to it. */
     void setServing(bool serving) { m_serving = serving; }
+    /** Whether this entry has lost its way to the upstreams; other entries then serve its callers' requests. */
+    bool isCutOff() const { return m_reachability.isCutOff(); }
     /** Requests of other entries that this one is serving. */
     size_t delegatedRequests() const { return m_delegations.serving(); }
     /** Sets how many entries there are, whether or not callers are sent to them. */
@@ -109,9 +112,27 @@
     friend class ActiveRequest;
     class GroupedRequest;
     friend class GroupedRequest;
+    class RemoteRequest;
+    friend class RemoteRequest;
 
-    /** Serves a group of shards that another entry has delegated; returns what cancels it. */
-    std::function<void()> serveDelegated(DelegatedRequest order, std::function<void(DelegatedReply)> reply);
+    /** Serves a request over this entry's connections, with the help of others if it is divided. */
+    CallerAnswer serveHere(const std::shared_ptr<const RouteTable> &routes, const Route &route,
+                           const ForwardedRequest &request, const std::function<bool()> &isCallerGone);
+    /** The other entries that callers are sent to, in random order. */
+    std::vector<std::string> shuffledEntries();
+    using ReplyHook = std::function<void(DelegatedReply)>;
+    /** Serves what another entry has delegated; returns what cancels it. */
+    std::function<void()> serveDelegated(DelegatedRequest order, const ReplyHook &reply);
+    std::function<void()> serveGroup(const std::shared_ptr<const RouteTable> &routes, const Route &route,
+                                     DelegatedRequest order, const ReplyHook &reply);
+    std::function<void()> serveWhole(const std::shared_ptr<const RouteTable> &routes, const Route &route,
+                                     ForwardedRequest request, const ReplyHook &reply);
+    /** Probes the way to the upstreams while there is doubt about it. */
+    void checkReachability(TimePoint now);
+    /** The upstreams that still send heartbeats. */
+    std::vector<UpstreamId> aliveUpstreams(TimePoint now) const;
+    /** The latest time of an answer for a caller that still waits so long. */
+    static TimePoint deadlineFor(TimePoint now, Duration timeout);
     /** Whether the request will probably be answered before this process stops. */
     bool canFinish(TimePoint now, const Route &route, const ForwardedRequest &request) const;
     QuarantineVerdict admit(TimePoint now, const ForwardedRequest &request);
@@ -174,8 +195,11 @@
     UpstreamRegistry m_registry;
     ReplicaTracker m_replicaTracker;
     VersionSplit m_versions;
+    UpstreamReachability m_reachability;
     UpstreamConnections m_connections;
     ConnectionPlan m_connectionPlan;
+    /** The entries that callers are sent to, without this one. */
+    std::vector<std::string> m_otherEntries;
     ShardGroups m_shardGroups;
     /** The groups of each divided route, by its name. */
     std::map<std::string, std::shared_ptr<const std::vector<ShardGroup>>> m_groups;
--- a/test/failure/EntrySessionsFailureTest.cpp
+++ b/test/failure/EntrySessionsFailureTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(sessions_hundredsOpenAtOnce_stateIsSentInBatches);
     CPPUNIT_TEST(sessions_endedWhileWaiting_useNoPlaceInABatch);
     CPPUNIT_TEST(sessions_waiting_areNotSentRoutes);
+    CPPUNIT_TEST(entries_cutOffFromUpstreams_areOfferedOnlyIfAllAre);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr size_t kEntries = 291;
@@ -39,7 +40,34 @@
         return count;
     }
 
+    /** Records that an entry callers may be sent to is, or is not, cut off. */
+    static bool report(EntrySessions &sessions, const EntrySessions::Link &link, const std::string &address,
+                       bool cutOff)
+    {
+        EntryStatus status;
+        status.entry = NodeId(address);
+        status.callerAddress = address;
+        status.offered = true;
+        status.cutOff = cutOff;
+        return sessions.recordStatus(link, status).offeredChanged;
+    }
+
 public:
+    void entries_cutOffFromUpstreams_areOfferedOnlyIfAllAre()
+    {
+        EntrySessions sessions(NodeId("control"));
+        const EntrySessions::Link first = open(sessions);
+        const EntrySessions::Link second = open(sessions);
+        report(sessions, first, "first", false);
+        report(sessions, second, "second", false);
+        CPPUNIT_ASSERT_EQUAL(size_t(2), sessions.offeredEntries().size());
+        CPPUNIT_ASSERT(report(sessions, first, "first", true));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), sessions.offeredEntries().size());
+        CPPUNIT_ASSERT_EQUAL(std::string("second"), sessions.offeredEntries().front().location.address);
+        report(sessions, second, "second", true);
+        CPPUNIT_ASSERT_EQUAL(size_t(2), sessions.offeredEntries().size());
+    }
+
     void sessions_hundredsOpenAtOnce_stateIsSentInBatches()
     {
         EntrySessions sessions(NodeId("control"));
