Remove what a checkpoint that could not be written leaves on the disk

A checkpoint whose write failed left its temporary file, or a new log file that no checkpoint selects; nothing removed them, and each later attempt left another one under another name. A disk that is full again and again would stay full for good.

Change: a failed write removes its temporary file, and opening the log removes log files that the checkpoint does not select.

LogStorageFailureTest has real files that stop growing inside a record and inside a checkpoint.

--- a/include/hickoryspur/process/LogStorage.h
+++ b/include/hickoryspur/process/LogStorage.h
@@ -87,6 +87,8 @@
     FileLogStorage(std::string folder, SyncFile syncFile);
     Result<void> recoverEntries(RecoveredStorage &recovered);
     Result<void> rewriteEntries();
+    /** Removes files of a checkpoint that could not be completed; each would keep its room on the disk for good. */
+    void removeLeftovers() const;
     Result<void> openLog();
     std::string logPath() const;
 
--- a/src/process/LogStorage.cpp
+++ b/src/process/LogStorage.cpp
@@ -21,6 +21,7 @@
 namespace fs = std::filesystem;
 
 constexpr const char *kLogPrefix = "log-after-";
+constexpr const char *kTemporarySuffix = ".new";
 constexpr const char *kHardStateFile = "hard-state";
 constexpr const char *kCheckpointFile = "checkpoint";
 constexpr const char *kIdentityFile = "identity";
@@ -59,7 +60,7 @@
 Result<void> replaceFile(const std::string &folder, const std::string &name, const std::string &bytes)
 {
     const std::string path = folder + '/' + name;
-    const std::string temporary = path + ".new";
+    const std::string temporary = path + kTemporarySuffix;
     const int file = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
     if (file < 0)
         return diskFailure(temporary);
@@ -67,8 +68,10 @@
     if (result && ::fdatasync(file) != 0)
         result = diskFailure(temporary);
     ::close(file);
-    if (!result)
+    if (!result) {
+        ::unlink(temporary.c_str());
         return result;
+    }
     if (::rename(temporary.c_str(), path.c_str()) != 0)
         return diskFailure(path);
     return syncFolder(folder);
@@ -220,12 +223,24 @@
     if (!hardState)
         return tl::unexpected(hardState.error());
     recovered.log.hardState = hardState->value_or(HardState());
+    storage->removeLeftovers();
     Result<void> result = storage->openLog().and_then([&] { return storage->recoverEntries(recovered); });
     if (!result)
         return tl::unexpected(result.error());
     return storage;
 }
 
+void FileLogStorage::removeLeftovers() const
+{
+    std::error_code error;
+    for (const fs::directory_entry &file : fs::directory_iterator(m_folder, error)) {
+        const std::string name = file.path().filename().string();
+        const bool isLog = name.rfind(kLogPrefix, 0) == 0;
+        if (name.ends_with(kTemporarySuffix) || (isLog && file.path().string() != logPath()))
+            ::unlink(file.path().c_str());
+    }
+}
+
 Result<void> FileLogStorage::openLog()
 {
     const std::string path = logPath();
--- a/test/failure/GroupNodeFailureTest.cpp
+++ b/test/failure/GroupNodeFailureTest.cpp
@@ -28,6 +28,9 @@
     CPPUNIT_TEST(group_routesNumberNotHigher_changesNothing);
     CPPUNIT_TEST(group_randomFaults_acknowledgedCommandsSurvive);
     CPPUNIT_TEST(group_randomReplacementsThenDisksLost_acknowledgedStateIsServed);
+    CPPUNIT_TEST(disks_fullInTurn_changesAreAcceptedMeanwhileAndAfterwards);
+    CPPUNIT_TEST(disk_fullAtEachLeader_changesAreAcceptedAfterwards);
+    CPPUNIT_TEST(disk_fullWhileCheckpointsAreTaken_acknowledgedStateIsServed);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr uint64_t kSeed = 4711;
@@ -62,7 +65,96 @@
         return fleet.node(*fleet.leader()).state().routes().number;
     }
 
+    /** Sends a number again, each second, until it is acknowledged, as operators do. */
+    static bool commitWithin(GroupFleet &fleet, Duration limit, uint64_t number)
+    {
+        for (const TimePoint end = fleet.now() + limit; fleet.now() < end;) {
+            if (!fleet.runUntil(1s, [&] { return fleet.leader().has_value(); }))
+                continue;
+            const uint64_t commandId = fleet.replaceRoutes(*fleet.leader(), number);
+            fleet.runUntil(1s, [&] { return fleet.outcome(commandId).has_value(); });
+            if (fleet.outcome(commandId) && fleet.outcome(commandId)->ok())
+                return true;
+        }
+        return false;
+    }
+
+    /** Commits numbers for the given time; false if one is not acknowledged within the time that operators wait. */
+    static bool commitFor(GroupFleet &fleet, Duration time, uint64_t &number)
+    {
+        for (const TimePoint end = fleet.now() + time; fleet.now() < end;)
+            if (!commitWithin(fleet, 5s, ++number))
+                return false;
+        return true;
+    }
+
+    /** Every host has the newest acknowledged number soon after all disks have room. */
+    static bool allHoldRoutes(GroupFleet &fleet, uint64_t number)
+    {
+        return fleet.runUntil(5s, [&] {
+            for (size_t i = 0; i < fleet.size(); ++i)
+                if (!fleet.isUp(i) || fleet.node(i).state().routes().number != number)
+                    return false;
+            return true;
+        });
+    }
+
 public:
+    // Operators of similar systems: after disks had been full one after another, changes were refused until the end.
+    void disks_fullInTurn_changesAreAcceptedMeanwhileAndAfterwards()
+    {
+        for (uint64_t seed = 1; seed <= 20; ++seed) {
+            GroupFleet fleet(5, {}, kSeed + seed);
+            uint64_t number = 0;
+            CPPUNIT_ASSERT(commitRoutes(fleet, ++number));
+            for (size_t host = 0; host < fleet.size(); ++host) {
+                fleet.setDiskFull(host, true);
+                CPPUNIT_ASSERT(commitFor(fleet, 1s + fleet.random()() % 7000 * 1ms, number));
+                fleet.setDiskFull(host, false);
+                fleet.run(fleet.random()() % 500 * 1ms);
+            }
+            CPPUNIT_ASSERT(commitRoutes(fleet, ++number));
+            CPPUNIT_ASSERT(allHoldRoutes(fleet, number));
+        }
+    }
+
+    void disk_fullAtEachLeader_changesAreAcceptedAfterwards()
+    {
+        for (uint64_t seed = 1; seed <= 20; ++seed) {
+            GroupFleet fleet(5, {}, kSeed + seed);
+            uint64_t number = 0;
+            for (size_t round = 0; round < 8; ++round) {
+                CPPUNIT_ASSERT(commitRoutes(fleet, ++number));
+                const size_t leader = *fleet.leader();
+                fleet.setDiskFull(leader, true);
+                CPPUNIT_ASSERT(commitFor(fleet, 2s, number));
+                fleet.setDiskFull(leader, false);
+            }
+            CPPUNIT_ASSERT(commitRoutes(fleet, ++number));
+            CPPUNIT_ASSERT(allHoldRoutes(fleet, number));
+        }
+    }
+
+    void disk_fullWhileCheckpointsAreTaken_acknowledgedStateIsServed()
+    {
+        for (uint64_t seed = 1; seed <= 20; ++seed) {
+            GroupFleet fleet(5, {}, kSeed + seed);
+            uint64_t number = 0;
+            // More changes than entries between two checkpoints, and all hosts restart in the end.
+            for (size_t host = 0; host < fleet.size(); ++host) {
+                for (size_t i = 0; i < 25; ++i) {
+                    fleet.setDiskFull(host, i >= 5 && i < 20);
+                    CPPUNIT_ASSERT(commitWithin(fleet, 5s, ++number));
+                }
+            }
+            for (size_t host = 0; host < fleet.size(); ++host)
+                fleet.crash(host);
+            for (size_t host = 0; host < fleet.size(); ++host)
+                fleet.restart(host);
+            CPPUNIT_ASSERT_EQUAL(number, leaderRoutesNumber(fleet));
+        }
+    }
+
     void group_hostThatIsNotASeed_joinsAndVotes()
     {
         GroupFleet fleet(3, {}, kSeed);
--- a/test/failure/LogStorageFailureTest.cpp
+++ b/test/failure/LogStorageFailureTest.cpp
@@ -4,8 +4,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <sys/resource.h>
 
 using namespace hickoryspur;
 
@@ -22,8 +24,50 @@
     CPPUNIT_TEST(folder_formattedTwice_fails);
     CPPUNIT_TEST(folder_ofAnotherHost_failsToOpen);
     CPPUNIT_TEST(folder_empty_opensAsANewDiskWithoutMembership);
+    CPPUNIT_TEST(disk_fullInsideARecord_reopensWithTheWholeRecords);
+    CPPUNIT_TEST(disk_fullInsideACheckpoint_reopensWithTheOldOne);
+    CPPUNIT_TEST(disk_fullAgainAndAgain_leavesNoFilesBehind);
     CPPUNIT_TEST_SUITE_END();
 
+    /** Files cannot grow beyond a size while this exists, as on a disk without room; a write stops inside a record. */
+    class FileSizeLimit
+    {
+    public:
+        explicit FileSizeLimit(rlim_t bytes)
+        {
+            ::getrlimit(RLIMIT_FSIZE, &m_before);
+            const rlimit limit{bytes, m_before.rlim_max};
+            m_handler = std::signal(SIGXFSZ, SIG_IGN);
+            ::setrlimit(RLIMIT_FSIZE, &limit);
+        }
+        ~FileSizeLimit()
+        {
+            ::setrlimit(RLIMIT_FSIZE, &m_before);
+            std::signal(SIGXFSZ, m_handler);
+        }
+        FileSizeLimit(const FileSizeLimit &) = delete;
+        FileSizeLimit &operator=(const FileSizeLimit &) = delete;
+
+    private:
+        rlimit m_before{};
+        void (*m_handler)(int);
+    };
+
+    size_t fileCount() const
+    {
+        const std::filesystem::directory_iterator files(m_folder);
+        return static_cast<size_t>(std::distance(begin(files), end(files)));
+    }
+
+    static Checkpoint checkpointAt(uint64_t index, size_t bytes)
+    {
+        Checkpoint checkpoint;
+        checkpoint.index = LogIndex(index);
+        checkpoint.term = Term(1);
+        checkpoint.state = std::string(bytes, 's');
+        return checkpoint;
+    }
+
     std::unique_ptr<FileLogStorage> open()
     {
         m_recovered = RecoveredStorage();
@@ -62,6 +106,52 @@
 
     void tearDown() override { std::filesystem::remove_all(m_folder); }
 
+    void disk_fullInsideARecord_reopensWithTheWholeRecords()
+    {
+        write(1, 5);
+        {
+            const auto storage = open();
+            const FileSizeLimit limit(std::filesystem::file_size(logFile(0)) + 10);
+            CPPUNIT_ASSERT(!storage->append(entries(6, 7)));
+            CPPUNIT_ASSERT(open());
+        }
+        CPPUNIT_ASSERT(m_recovered.log.entries == entries(1, 5));
+        write(6, 7);
+        CPPUNIT_ASSERT(open());
+        CPPUNIT_ASSERT(m_recovered.log.entries == entries(1, 7));
+    }
+
+    void disk_fullInsideACheckpoint_reopensWithTheOldOne()
+    {
+        write(1, 5);
+        {
+            const auto storage = open();
+            const FileSizeLimit limit(1000);
+            CPPUNIT_ASSERT(!storage->saveCheckpoint(checkpointAt(3, 5000), CheckpointOrigin::Local));
+            CPPUNIT_ASSERT(open());
+        }
+        CPPUNIT_ASSERT(m_recovered.log.entries == entries(1, 5));
+        CPPUNIT_ASSERT_EQUAL(LogIndex(0), m_recovered.log.checkpoint.index);
+        CPPUNIT_ASSERT(open()->saveCheckpoint(checkpointAt(3, 5000), CheckpointOrigin::Local));
+        CPPUNIT_ASSERT(open());
+        CPPUNIT_ASSERT(m_recovered.log.entries == entries(4, 5));
+    }
+
+    // Otherwise what failed writes leave behind fills the disk for good.
+    void disk_fullAgainAndAgain_leavesNoFilesBehind()
+    {
+        write(1, 9);
+        const size_t before = fileCount();
+        for (uint64_t index = 1; index < 9; ++index) {
+            const auto storage = open();
+            const FileSizeLimit limit(1000);
+            CPPUNIT_ASSERT(!storage->saveCheckpoint(checkpointAt(index, 5000), CheckpointOrigin::Local));
+        }
+        CPPUNIT_ASSERT(open());
+        CPPUNIT_ASSERT_EQUAL(before, fileCount());
+        CPPUNIT_ASSERT(m_recovered.log.entries == entries(1, 9));
+    }
+
     void log_reopened_holdsSyncedEntries()
     {
         write(1, 5);
--- a/test/fakes/GroupFleet.cpp
+++ b/test/fakes/GroupFleet.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Duration kStep = 5ms;
+/** As in GroupThread. */
+constexpr Duration kReopenDelay = 300ms;
 
 } // namespace
 
@@ -58,6 +60,7 @@
     timing.entriesPerCheckpoint = 20;
     host.node = std::make_unique<GroupNode>(host.disk->recover(), m_seeds, timing, m_random(), m_now);
     host.frozenUntil = TimePoint();
+    host.reopensAt.reset();
 }
 
 void GroupFleet::crash(size_t index)
@@ -93,13 +96,22 @@
     return found == m_hosts.end() ? std::nullopt : std::optional<size_t>(found - m_hosts.begin());
 }
 
+bool GroupFleet::write(Host &host, const GroupActions &actions)
+{
+    for (const LogActions &log : actions.log)
+        if (!persist(*host.disk, log))
+            return false;
+    return !actions.checkpoint || host.disk->saveCheckpoint(*actions.checkpoint, CheckpointOrigin::Local);
+}
+
 void GroupFleet::execute(size_t index, GroupActions actions)
 {
     Host &host = m_hosts[index];
-    for (const LogActions &log : actions.log)
-        persist(*host.disk, log);
-    if (actions.checkpoint)
-        host.disk->saveCheckpoint(*actions.checkpoint, CheckpointOrigin::Local);
+    if (!write(host, actions)) {
+        host.node.reset();
+        host.reopensAt = m_now + kReopenDelay;
+        return;
+    }
     for (const LogEnvelope &envelope : actions.messages)
         m_links.send(m_now, host.name, envelope.to, envelope.message);
     for (const CommandAnswer &answer : actions.answers)
@@ -123,6 +135,12 @@
         else
             execute(*to, node(*to).receive(m_now, delivery.message));
     }
+    for (size_t i = 0; i < m_hosts.size(); ++i)
+        if (m_hosts[i].reopensAt && m_now >= *m_hosts[i].reopensAt) {
+            // The process has not ended: what it wrote, synced or not, is there.
+            m_hosts[i].disk->sync();
+            start(i);
+        }
     for (size_t i = 0; i < m_hosts.size(); ++i)
         if (isUp(i) && m_now >= m_hosts[i].frozenUntil)
             execute(i, node(i).tick(m_now));
--- a/test/fakes/GroupFleet.h
+++ b/test/fakes/GroupFleet.h
@@ -27,6 +27,8 @@
     void crash(size_t index);
     void loseDisk(size_t index);
     void restart(size_t index);
+    /** Makes the host's disk full, or gives it room again; a host whose write fails opens its log again later. */
+    void setDiskFull(size_t index, bool full) { m_hosts[index].disk->setFull(full); }
     void freeze(size_t index, Duration duration) { m_hosts[index].frozenUntil = m_now + duration; }
     /** Cuts the links between the host and all others until heal(). */
     void isolate(size_t index);
@@ -56,12 +58,16 @@
         std::unique_ptr<MemoryDisk> disk;
         std::unique_ptr<GroupNode> node;
         TimePoint frozenUntil;
+        /** When the host opens its log again after a failed write. */
+        std::optional<TimePoint> reopensAt;
         std::vector<NodeId> published;
     };
 
     void start(size_t index);
     void step();
     void execute(size_t index, GroupActions actions);
+    /** Returns false if the disk refused a write; the host then neither sends nor answers. */
+    static bool write(Host &host, const GroupActions &actions);
     std::optional<size_t> find(const NodeId &name) const;
 
     std::mt19937_64 m_random;
--- a/test/fakes/MemoryDisk.cpp
+++ b/test/fakes/MemoryDisk.cpp
@@ -11,8 +11,15 @@
     m_durable = m_written;
 }
 
+Result<void> MemoryDisk::checkSpace() const
+{
+    return m_full ? failure(ResultCode::DiskFailed, "the disk is full") : Result<void>();
+}
+
 Result<void> MemoryDisk::saveCheckpoint(const Checkpoint &checkpoint, CheckpointOrigin origin)
 {
+    if (m_full)
+        return checkSpace();
     m_written.checkpoint = checkpoint;
     if (origin == CheckpointOrigin::FromLeader)
         m_written.entries.clear();
@@ -31,12 +38,17 @@
 
 Result<void> MemoryDisk::append(const std::vector<LogEntry> &entries)
 {
-    m_written.entries.insert(m_written.entries.end(), entries.begin(), entries.end());
-    return {};
+    // A write may fail after a part of it; recovery truncates an incomplete record.
+    const size_t written = m_full ? entries.size() / 2 : entries.size();
+    m_written.entries.insert(m_written.entries.end(), entries.begin(),
+                             entries.begin() + static_cast<std::ptrdiff_t>(written));
+    return checkSpace();
 }
 
 Result<void> MemoryDisk::saveHardState(const HardState &state)
 {
+    if (m_full)
+        return checkSpace();
     m_written.hardState = state;
     m_durable.hardState = state;
     return {};
