Give divided routes, delegated requests and probes a file pair each

RouteGroups keeps which routes are divided and which shards this entry serves, DelegatedServer serves what other entries delegate, ReachabilityProbes opens the connections that UpstreamReachability asks for.

--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -152,7 +152,7 @@
     request.deadline = m_deadline;
     request.fresh = !m_route.idempotent;
     m_traffic.m_replicaTracker.recordSent(attempt.upstream);
-    m_traffic.m_reachability.recordSent(now, attempt.upstream);
+    m_traffic.m_probes.reachability().recordSent(now, attempt.upstream);
     ++m_traffic.m_sentSubRequests;
     const Announcement &announcement = m_traffic.m_registry.find(attempt.upstream)->announcement;
     m_traffic.m_admission.recordSent(now, m_traffic.admissionQuery(announcement));
@@ -180,10 +180,10 @@
     m_runningAttempts.erase(key);
     AnswerVerdict verdict;
     if (result.outcome == AttemptOutcome::Answered) {
-        m_traffic.m_reachability.recordAnswer();
+        m_traffic.m_probes.reachability().recordAnswer();
         verdict = m_traffic.m_codec.read(result.answer);
     } else if (result.outcome == AttemptOutcome::Lost) {
-        m_traffic.m_reachability.recordLost(now, sent.upstream);
+        m_traffic.m_probes.reachability().recordLost(now, sent.upstream);
     }
     if (verdict.signals)
         m_traffic.recordSignals(now, sent.upstream, sent.incarnation, *verdict.signals);
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -1,15 +1,13 @@
 #include "request/EntryTraffic.h"
 
-#include "connection/ConnectProbe.h"
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/Metrics.h"
 #include "request/ActiveRequest.h"
+#include "request/DelegatedServer.h"
 #include "request/GroupedRequest.h"
 #include "request/RemoteRequest.h"
 #include "request/SignalReport.h"
 
-#include <boost/fiber/fiber.hpp>
-
 #include <algorithm>
 #include <cmath>
 
@@ -63,19 +61,20 @@
     , m_codec(std::move(codec))
     , m_replicaTracker(m_config.seed)
     , m_versions(m_config.seed + 3)
-    , m_reachability(m_config.seed + 5)
+    , m_probes(context, m_config.seed + 5)
     , m_connections(context, m_codec.belongsTo, m_config.seed + 2,
                     [this](const UpstreamId &upstream, bool opened) {
                         if (opened)
-                            m_reachability.recordConnected();
+                            m_probes.reachability().recordConnected();
                         else
-                            m_reachability.recordConnectFailed(monotonicNow(), upstream);
+                            m_probes.reachability().recordConnectFailed(monotonicNow(), upstream);
                     })
     , m_admission(m_config.seed + 4, m_config.upstreamDrainTime)
     , m_random(m_config.seed + 1)
-    , m_delegations(context, m_config.internalAddress, [this](DelegatedRequest order, const ReplyHook &reply) {
-        return serveDelegated(std::move(order), reply);
-    })
+    , m_delegations(context, m_config.internalAddress,
+                    [this](DelegatedRequest order, const DelegatedServer::Reply &reply) {
+                        return DelegatedServer(*this).serve(std::move(order), reply);
+                    })
 {
     m_admission.setEntryCount(monotonicNow(), m_connectionPlan.entryCount());
 }
@@ -120,68 +119,12 @@
         return makeRefusal(RefusalKind::NotRunTryLater, verdict.retryAfter);
     const bool isProbe = verdict.decision == QuarantineDecision::Probe;
     // A probe goes to one upstream first, so it is not divided.
-    const std::shared_ptr<const std::vector<ShardGroup>> groups = isProbe ? nullptr : groupsOf(route);
+    const RouteGroups::Groups groups = isProbe ? nullptr : m_routeGroups.groupsOf(route);
     if (groups)
         return std::make_shared<GroupedRequest>(*this, routes, route, request, groups, isCallerGone)->serve();
     return std::make_shared<ActiveRequest>(*this, routes, route, request, isProbe, isCallerGone)->serve();
 }
 
-std::function<void()> EntryTraffic::serveDelegated(DelegatedRequest order, const ReplyHook &reply)
-{
-    const TimePoint now = monotonicNow();
-    if (order.timeoutMicros > 0)
-        order.request.timeout = Duration(order.timeoutMicros);
-    const std::shared_ptr<const RouteTable> routes = m_routes;
-    const Route *route =
-        m_serving && routes && !isCutOff() ? routes->find(order.request.host, order.request.path) : nullptr;
-    const bool isWhole = order.shards.empty();
-    if (!route || order.deadlineMicros <= 0 || !canFinish(now, *route, order.request)
-        || (!isWhole && !route->isScattered())) {
-        DelegatedReply refusal;
-        refusal.refused = true;
-        reply(std::move(refusal));
-        return [] {};
-    }
-    if (isWhole)
-        return serveWhole(routes, *route, std::move(order.request), reply);
-    return serveGroup(routes, *route, std::move(order), reply);
-}
-
-std::function<void()> EntryTraffic::serveGroup(const std::shared_ptr<const RouteTable> &routes, const Route &route,
-                                               DelegatedRequest order, const ReplyHook &reply)
-{
-    const TimePoint now = monotonicNow();
-    auto active =
-        std::make_shared<ActiveRequest>(*this, routes, route, std::move(order.request), false, [] { return false; });
-    GroupOrder group;
-    group.shards = std::move(order.shards);
-    group.maxSkipped = order.maxSkipped;
-    group.reportAt = now + Duration(order.targetMicros);
-    group.deadline = now + Duration(order.deadlineMicros);
-    group.report = [reply](GroupReport report) {
-        DelegatedReply message;
-        message.group = std::move(report);
-        reply(std::move(message));
-    };
-    active->serveGroup(std::move(group));
-    return [weak = std::weak_ptr<ActiveRequest>(active)] {
-        if (const std::shared_ptr<ActiveRequest> running = weak.lock())
-            running->abandon();
-    };
-}
-
-std::function<void()> EntryTraffic::serveWhole(const std::shared_ptr<const RouteTable> &routes, const Route &route,
-                                               ForwardedRequest request, const ReplyHook &reply)
-{
-    auto cancelled = std::make_shared<bool>(false);
-    boost::fibers::fiber([this, routes, &route, request = std::move(request), reply, cancelled] {
-        DelegatedReply message;
-        message.answer.push_back(serveHere(routes, route, request, [cancelled] { return *cancelled; }));
-        reply(std::move(message));
-    }).detach();
-    return [cancelled] { *cancelled = true; };
-}
-
 bool EntryTraffic::canFinish(TimePoint now, const Route &route, const ForwardedRequest &request) const
 {
     if (m_stopTime == TimePoint::max())
@@ -445,19 +388,17 @@
 
 bool EntryTraffic::keepsConnections(const UpstreamId &upstream, const ServiceName &service) const
 {
-    const auto grouped = m_groupedShards.find(service);
-    if (grouped != m_groupedShards.end())
-        return grouped->second;
+    if (m_routeGroups.contains(service))
+        return m_routeGroups.holders(service) > 0;
     const std::optional<uint32_t> limit = connectionLimit(service);
     return !limit || m_connectionPlan.keepsConnections(upstream, *limit);
 }
 
 uint32_t EntryTraffic::maxConnections(const ServiceName &service, uint32_t limit) const
 {
-    const auto grouped = m_groupedShards.find(service);
-    // The entries of this data centre alone keep connections to the shard's upstreams.
-    if (grouped != m_groupedShards.end() && grouped->second)
-        return ConnectionPlan::maxConnections(limit, m_shardGroups.members(m_config.dataCentre).size());
+    const size_t holders = m_routeGroups.holders(service);
+    if (holders > 0)
+        return ConnectionPlan::maxConnections(limit, holders);
     return m_connectionPlan.maxConnections(limit);
 }
 
@@ -474,27 +415,8 @@
 
 void EntryTraffic::updateGroups()
 {
-    m_groupsOutdated = false;
-    m_groups.clear();
-    m_groupedShards.clear();
-    if (!m_routes)
-        return;
-    for (const Route &route : m_routes->routes) {
-        std::vector<ShardGroup> groups =
-            m_shardGroups.divide(route.shards, [this](const ServiceName &shard) { return placesOf(shard); });
-        if (groups.size() < 2)
-            continue;
-        for (const ShardGroup &group : groups)
-            for (const ServiceName &shard : group.shards)
-                m_groupedShards[shard] = m_shardGroups.isMember(group.dataCentre);
-        m_groups[route.name] = std::make_shared<const std::vector<ShardGroup>>(std::move(groups));
-    }
-}
-
-std::shared_ptr<const std::vector<ShardGroup>> EntryTraffic::groupsOf(const Route &route) const
-{
-    const auto found = m_groups.find(route.name);
-    return found == m_groups.end() ? nullptr : found->second;
+    if (m_routes)
+        m_routeGroups.update(*m_routes, [this](const ServiceName &shard) { return placesOf(shard); });
 }
 
 std::optional<UpstreamTarget> EntryTraffic::targetOf(const UpstreamId &upstream) const
@@ -523,7 +445,7 @@
 void EntryTraffic::setDataCentresOut(std::vector<std::string> out)
 {
     m_dataCentresOut = std::set<std::string>(out.begin(), out.end());
-    m_groupsOutdated = true;
+    m_routeGroups.setOutdated();
 }
 
 void EntryTraffic::setEntryCount(uint32_t entries)
@@ -545,7 +467,7 @@
     m_connectionPlan.setEntries(now, self, addresses);
     m_otherEntries = std::move(addresses);
     std::erase(m_otherEntries, self);
-    if (m_shardGroups.setEntries({self, m_config.dataCentre}, entries))
+    if (m_routeGroups.setEntries({self, m_config.dataCentre}, entries))
         updateGroups();
     if (wasOffered && !m_connectionPlan.isOffered())
         m_connections.closeIdle();
@@ -569,7 +491,7 @@
         : m_registry.accept(now, announcement);
     if (change != RegistryChange::Changed)
         return;
-    m_groupsOutdated = true;
+    m_routeGroups.setOutdated();
     const KnownUpstream *known = m_registry.find(announcement.id);
     if (!known || known->announcement.coldForMillis <= 0)
         m_admission.endCold(announcement.id);
@@ -616,27 +538,6 @@
     return alive;
 }
 
-void EntryTraffic::checkReachability(TimePoint now)
-{
-    static Counter &cutOff = Metrics::counter("hickoryspur_cut_off_from_upstreams");
-    const bool wasCutOff = isCutOff();
-    for (const UpstreamId &id : m_reachability.tick(now, [this, now] { return aliveUpstreams(now); })) {
-        const HostAddress address = targetOf(id)->address;
-        probeConnection(m_context, address, UpstreamReachability::kProbeTimeout, [this](bool connected) {
-            const bool before = isCutOff();
-            m_reachability.recordProbe(monotonicNow(), connected);
-            if (before != isCutOff())
-                HS_LOG(WARNING, before ? LogEvent::UpstreamsReachable : LogEvent::UpstreamsUnreachable)
-                    << "entries=" << m_otherEntries.size();
-            cutOff.set(isCutOff() ? 1 : 0);
-        });
-    }
-    if (wasCutOff && !isCutOff()) {
-        HS_LOG(WARNING, LogEvent::UpstreamsReachable) << "no upstream sends heartbeats";
-        cutOff.set(0);
-    }
-}
-
 void EntryTraffic::tick(TimePoint now)
 {
     m_connections.tick(now);
@@ -644,11 +545,13 @@
     m_registry.removeExpired(now);
     updateAdmission(now);
     m_quarantine.tick(now);
-    checkReachability(now);
+    m_probes.tick(
+        now, [this, now] { return aliveUpstreams(now); },
+        [this](const UpstreamId &upstream) { return targetOf(upstream)->address; });
     if (!m_routes)
         return;
     updateServiceStatus(now);
-    if (m_groupsOutdated)
+    if (m_routeGroups.isOutdated())
         updateGroups();
     if (now < m_nextAdvanceOpening || !m_connectionPlan.opensInAdvance(now))
         return;
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -4,17 +4,17 @@
 // entry's one traffic thread.
 #pragma once
 
+#include "connection/ReachabilityProbes.h"
 #include "connection/UpstreamConnections.h"
 #include "hickoryspur/connection/ConnectionPlan.h"
-#include "hickoryspur/connection/ShardGroups.h"
 #include "hickoryspur/connection/UpstreamAdmission.h"
-#include "hickoryspur/connection/UpstreamReachability.h"
 #include "hickoryspur/connection/UpstreamRegistry.h"
 #include "hickoryspur/request/LatencyQuantile.h"
 #include "hickoryspur/request/ReplicaTracker.h"
 #include "hickoryspur/request/RequestCodec.h"
 #include "hickoryspur/request/RequestQuarantine.h"
 #include "hickoryspur/request/RetryBudget.h"
+#include "hickoryspur/request/RouteGroups.h"
 #include "hickoryspur/request/ScatterGather.h"
 #include "hickoryspur/request/VersionSplit.h"
 #include "hickoryspur/version/RouteTable.h"
@@ -83,7 +83,7 @@
     /** Sets whether this entry knows what is in force, so that it may serve what others delegate to it. */
     void setServing(bool serving) { m_serving = serving; }
     /** Whether this entry has lost its way to the upstreams; other entries then serve its callers' requests. */
-    bool isCutOff() const { return m_reachability.isCutOff(); }
+    bool isCutOff() const { return m_probes.isCutOff(); }
     /** Requests of other entries that this one is serving. */
     size_t delegatedRequests() const { return m_delegations.serving(); }
     /** Sets how many entries there are, whether or not callers are sent to them. */
@@ -114,21 +114,14 @@
     friend class GroupedRequest;
     class RemoteRequest;
     friend class RemoteRequest;
+    class DelegatedServer;
+    friend class DelegatedServer;
 
     /** Serves a request over this entry's connections, with the help of others if it is divided. */
     CallerAnswer serveHere(const std::shared_ptr<const RouteTable> &routes, const Route &route,
                            const ForwardedRequest &request, const std::function<bool()> &isCallerGone);
     /** The other entries that callers are sent to, in random order. */
     std::vector<std::string> shuffledEntries();
-    using ReplyHook = std::function<void(DelegatedReply)>;
-    /** Serves what another entry has delegated; returns what cancels it. */
-    std::function<void()> serveDelegated(DelegatedRequest order, const ReplyHook &reply);
-    std::function<void()> serveGroup(const std::shared_ptr<const RouteTable> &routes, const Route &route,
-                                     DelegatedRequest order, const ReplyHook &reply);
-    std::function<void()> serveWhole(const std::shared_ptr<const RouteTable> &routes, const Route &route,
-                                     ForwardedRequest request, const ReplyHook &reply);
-    /** Probes the way to the upstreams while there is doubt about it. */
-    void checkReachability(TimePoint now);
     /** The upstreams that still send heartbeats. */
     std::vector<UpstreamId> aliveUpstreams(TimePoint now) const;
     /** The latest time of an answer for a caller that still waits so long. */
@@ -142,10 +135,8 @@
     void recordLosses(TimePoint now, const ForwardedRequest &request, const std::vector<UpstreamLoss> &losses);
     /** The data centres with replicas of the service that take requests. */
     std::set<DataCentreName> placesOf(const ServiceName &service) const;
-    /** Divides the routes over many shards, and determines which of the shards this entry serves. */
+    /** Determines again which routes are divided. */
     void updateGroups();
-    /** The groups of a request on the route; null if it is not divided. */
-    std::shared_ptr<const std::vector<ShardGroup>> groupsOf(const Route &route) const;
     ScatterPlan makePlan(TimePoint now, const Route &route, const ForwardedRequest &request);
     std::optional<ReplicaChoice> chooseReplica(const ServiceName &service, const std::vector<UpstreamId> &tried,
                                                VersionGroup group);
@@ -195,18 +186,12 @@
     UpstreamRegistry m_registry;
     ReplicaTracker m_replicaTracker;
     VersionSplit m_versions;
-    UpstreamReachability m_reachability;
+    ReachabilityProbes m_probes;
     UpstreamConnections m_connections;
     ConnectionPlan m_connectionPlan;
     /** The entries that callers are sent to, without this one. */
     std::vector<std::string> m_otherEntries;
-    ShardGroups m_shardGroups;
-    /** The groups of each divided route, by its name. */
-    std::map<std::string, std::shared_ptr<const std::vector<ShardGroup>>> m_groups;
-    /** The shards of divided routes, and whether this entry serves the group of each. */
-    std::unordered_map<ServiceName, bool> m_groupedShards;
-    /** What the groups depend on has changed since they were determined. */
-    bool m_groupsOutdated = false;
+    RouteGroups m_routeGroups;
     bool m_serving = false;
     UpstreamAdmission m_admission;
     RequestQuarantine m_quarantine;
--- a/src/request/GroupedRequest.cpp
+++ b/src/request/GroupedRequest.cpp
@@ -66,9 +66,9 @@
 std::string EntryTraffic::GroupedRequest::chooseEntry(TimePoint now, size_t group) const
 {
     const DataCentreName &place = (*m_groups)[group].dataCentre;
-    if (m_traffic.m_shardGroups.isMember(place))
+    if (m_traffic.m_routeGroups.shardGroups().isMember(place))
         return "";
-    for (const std::string &entry : m_traffic.m_shardGroups.members(place))
+    for (const std::string &entry : m_traffic.m_routeGroups.shardGroups().members(place))
         if (!m_dispatches[group].tried.contains(entry) && m_traffic.m_delegations.isUsable(now, entry))
             return entry;
     return "";
