--- a/src/connection/PeerCalls.cpp
+++ b/src/connection/PeerCalls.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <vector>
 
 namespace hickoryspur {
@@ -31,6 +32,7 @@
 {
     Link link;
     TimePoint dialledAt;
+    TimePoint lastCallAt;
     /** When the first call was sent since the entry was last heard; unset if none was. */
     std::optional<TimePoint> calledSince;
     /** When the last ping was sent that has not been answered; unset if none waits for an answer. */
@@ -75,6 +77,8 @@
     void onCall(const Link &link, const PeerMessage &message);
     void onServedLinkClosed(const Link &link);
     void startServing(const Link &link, PeerCall call);
+    void check(TimePoint now, Peer &peer) const;
+    void closeUnused(TimePoint now);
     void closeSilentServed(TimePoint now) const;
 };
 
@@ -113,7 +117,10 @@
 
 void PeerCalls::State::onReply(const std::string &peer, const PeerMessage &message)
 {
-    Peer &from = peers[peer];
+    const auto peerFound = peers.find(peer);
+    if (peerFound == peers.end())
+        return;
+    Peer &from = peerFound->second;
     from.waitsSince.reset();
     from.calledSince.reset();
     if (from.unreachable)
@@ -138,8 +145,9 @@
 
 void PeerCalls::State::onLinkClosed(const std::string &peer, const Link &link)
 {
-    Peer &from = peers[peer];
-    if (from.link == link) {
+    const auto found = peers.find(peer);
+    if (found != peers.end() && found->second.link == link) {
+        Peer &from = found->second;
         if (!from.unreachable)
             HS_LOG(WARNING, LogEvent::PeerSilent) << "peer=" << peer;
         from.unreachable = true;
@@ -235,6 +243,43 @@
         cancel();
 }
 
+void PeerCalls::State::check(TimePoint now, Peer &peer) const
+{
+    if (!peer.link || peer.link->isClosed())
+        return;
+    if (!peer.link->isOpen()) {
+        if (now - peer.dialledAt > kConnectTimeout)
+            peer.link->close();
+        return;
+    }
+    if (peer.waitsSince) {
+        if (now - *peer.waitsSince > kCloseAfter)
+            peer.link->close();
+        return;
+    }
+    const bool isQuiet = now - peer.link->lastReceiveTime() > kPingInterval;
+    const bool awaitsReply = peer.calledSince && now - *peer.calledSince > kPingAfterCall;
+    if (!isQuiet && !awaitsReply)
+        return;
+    peer.waitsSince = now;
+    send(peer.link, PeerMessageType::Ping, "");
+}
+
+void PeerCalls::State::closeUnused(TimePoint now)
+{
+    std::vector<Link> unused;
+    for (auto next = peers.begin(); next != peers.end();) {
+        const auto current = next++;
+        if (now - current->second.lastCallAt <= kIdleTimeout)
+            continue;
+        unused.push_back(current->second.link);
+        peers.erase(current);
+    }
+    for (const Link &link : unused)
+        if (link)
+            link->close();
+}
+
 void PeerCalls::State::closeSilentServed(TimePoint now) const
 {
     for (const auto &[key, from] : served)
@@ -275,6 +320,7 @@
 PeerCalls::CallId PeerCalls::call(TimePoint now, const HostAddress &peer, std::string payload, CallHooks hooks)
 {
     Peer &to = m_state->dial(now, peer);
+    to.lastCallAt = now;
     if (!to.calledSince)
         to.calledSince = now;
     const CallId id = m_state->nextId++;
@@ -293,23 +339,18 @@
     m_state->send(link, PeerMessageType::CallCancel, pack(PeerCall{id, "", true}));
 }
 
+size_t PeerCalls::connections() const
+{
+    return static_cast<size_t>(std::count_if(m_state->peers.begin(), m_state->peers.end(), [](const auto &item) {
+        return item.second.link && !item.second.link->isClosed();
+    }));
+}
+
 void PeerCalls::tick(TimePoint now)
 {
-    for (auto &[name, peer] : m_state->peers) {
-        if (!peer.link || peer.link->isClosed())
-            continue;
-        const TimePoint heard = peer.link->lastReceiveTime();
-        if (!peer.link->isOpen()) {
-            if (now - peer.dialledAt > kConnectTimeout)
-                peer.link->close();
-        } else if (peer.waitsSince && now - *peer.waitsSince > kCloseAfter) {
-            peer.link->close();
-        } else if (!peer.waitsSince
-                   && (now - heard > kPingInterval || (peer.calledSince && now - *peer.calledSince > kPingAfterCall))) {
-            peer.waitsSince = now;
-            m_state->send(peer.link, PeerMessageType::Ping, "");
-        }
-    }
+    m_state->closeUnused(now);
+    for (auto &[name, peer] : m_state->peers)
+        m_state->check(now, peer);
     m_state->closeSilentServed(now);
 }
 
--- a/src/connection/PeerCalls.h
+++ b/src/connection/PeerCalls.h
@@ -41,6 +41,8 @@
     /** It is closed after this time, and its calls are lost. */
     static constexpr Duration kCloseAfter = 1200ms;
     static constexpr Duration kConnectTimeout = 250ms;
+    /** A connection without a call for so long is closed: the entry may have left, or no longer be preferred. */
+    static constexpr Duration kIdleTimeout = 20s;
     /** An entry that could not be reached is not called again for so long. */
     static constexpr Duration kRedialDelay = 500ms;
 
@@ -68,7 +70,9 @@
     CallId call(TimePoint now, const HostAddress &peer, std::string payload, CallHooks hooks);
     /** Forgets a call and tells the other entry to stop working on it. */
     void cancel(CallId id);
-    /** Pings silent connections and closes dead ones; called several times a second. */
+    /** Connections to other entries, open or opening. */
+    size_t connections() const;
+    /** Pings silent connections, and closes dead and unused ones; called several times a second. */
     void tick(TimePoint now);
 
 private:
--- a/test/failure/PeerCallsFailureTest.cpp
+++ b/test/failure/PeerCallsFailureTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(call_entrySilent_isNotUsedAndThenLost);
     CPPUNIT_TEST(call_cancelled_isCancelledThereAndReplyIsDropped);
     CPPUNIT_TEST(call_callerEnds_isCancelledThere);
+    CPPUNIT_TEST(connection_unused_isClosed);
     CPPUNIT_TEST_SUITE_END();
 
     using tcp = boost::asio::ip::tcp;
@@ -150,6 +151,23 @@
         CPPUNIT_ASSERT(m_lost.empty());
     }
 
+    // Otherwise an entry keeps and pings a connection to every entry that it has ever called.
+    void connection_unused_isClosed()
+    {
+        const HostAddress address = freeAddress();
+        const auto server = makeServer(address);
+        const auto client = makeClient();
+        client->call(monotonicNow(), address, "question", hooks());
+        runUntil([&] { return !m_served.empty(); });
+        m_respond("answer", true);
+        runUntil([&] { return m_replies.size() == 1; });
+        CPPUNIT_ASSERT_EQUAL(size_t(1), client->connections());
+        client->tick(monotonicNow() + PeerCalls::kIdleTimeout + 1s);
+        CPPUNIT_ASSERT_EQUAL(size_t(0), client->connections());
+        client->call(monotonicNow(), address, "next", hooks());
+        runUntil([&] { return m_served.size() == 2; });
+    }
+
     void call_callerEnds_isCancelledThere()
     {
         const HostAddress address = freeAddress();
