--- a/src/connection/ShardGroups.cpp
+++ b/src/connection/ShardGroups.cpp
@@ -53,6 +53,7 @@
         group.shards.push_back(shard);
     }
     std::vector<ShardGroup> result;
+    result.reserve(groups.size());
     for (auto &[place, group] : groups)
         result.push_back(std::move(group));
     return result;
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -462,6 +462,7 @@
 {
     const bool wasOffered = m_connectionPlan.isOffered();
     std::vector<std::string> addresses;
+    addresses.reserve(entries.size());
     for (const EntryLocation &entry : entries)
         addresses.push_back(entry.address);
     m_connectionPlan.setEntries(now, self, addresses);
--- a/test/fakes/GroupFleet.cpp
+++ b/test/fakes/GroupFleet.cpp
@@ -104,7 +104,7 @@
     return !actions.checkpoint || host.disk->saveCheckpoint(*actions.checkpoint, CheckpointOrigin::Local);
 }
 
-void GroupFleet::execute(size_t index, GroupActions actions)
+void GroupFleet::execute(size_t index, const GroupActions &actions)
 {
     Host &host = m_hosts[index];
     if (!write(host, actions)) {
--- a/test/fakes/GroupFleet.h
+++ b/test/fakes/GroupFleet.h
@@ -65,7 +65,7 @@
 
     void start(size_t index);
     void step();
-    void execute(size_t index, GroupActions actions);
+    void execute(size_t index, const GroupActions &actions);
     /** Returns false if the disk refused a write; the host then neither sends nor answers. */
     static bool write(Host &host, const GroupActions &actions);
     std::optional<size_t> find(const NodeId &name) const;
