Let the entries that serve a group use the limits that its upstreams name

Found by reading the fan-out once more. Each of 48 offered entries paced itself at a 48th of an upstream's limit, but since queries are divided only the ten or so of one data centre send to it: together they used a fifth of what it takes, and refused or left out the rest.

Change: holders of a group share 0.8 of the limit, entries that stand in for them the rest, so the sum stays below the limit whoever sends. Undivided routes have no holders and keep equal shares.

--- a/include/hickoryspur/connection/UpstreamAdmission.h
+++ b/include/hickoryspur/connection/UpstreamAdmission.h
@@ -3,9 +3,9 @@
 // it wants nothing for a while. All attempts ask here, first ones, hedges and retries.
 //
 // A limit holds for all entries together, and entries do not talk to each other. Callers are spread
-// evenly, so each entry paces itself at an equal share (PacedRate). While an upstream is cold, which is
-// short and at a low rate, only one entry sends to it, its home (ReplicaSubset). After a pause, each entry
-// waits for a random time more, so that the load comes back over a ramp.
+// evenly, so each entry that sends to the upstream paces itself at an equal share (PacedRate). While an upstream is
+// cold, which is short and at a low rate, only one entry sends to it, its home (ReplicaSubset). After a pause, each
+// entry waits for a random time more, so that the load comes back over a ramp.
 //
 // What an upstream says ends with its incarnation: announcements that arrive later do not change it. The
 // class does no I/O.
@@ -56,6 +56,9 @@
     /** Part of a cold upstream's rate that its home uses; two homes at a time stay below one and a half times it. */
     static constexpr double kUsableColdShare = 0.7;
     static constexpr Duration kColdWindow = 1s;
+    /** Part of a limit for the entries that serve the upstream's group; the rest is for those that stand in for them.
+     */
+    static constexpr double kGroupShare = 0.8;
     /** A longer pause is cut to this: an upstream that is away for longer ends or announces itself again. */
     static constexpr Duration kMaxPause = 30s;
     /** The load comes back within this time after a pause, or within half of the pause's length if that is shorter. */
@@ -70,8 +73,21 @@
     {
     }
 
+    /** How many entries serve the group of the upstream's shard; zero if all entries send to it alike. */
+    struct Group
+    {
+        size_t holders = 0;
+        /** Whether this entry is one of them; otherwise it sends only if none of them can be reached. */
+        bool isHolder = false;
+    };
+    using GroupOf = std::function<Group(const UpstreamId &)>;
+
     /** Sets how many entries callers are sent to, which share each limit. */
     void setEntryCount(TimePoint now, uint32_t entries);
+    /** Sets how the group of an upstream is found; without it all entries send to all upstreams. */
+    void setGroupOf(GroupOf groupOf) { m_groupOf = std::move(groupOf); }
+    /** The groups have changed. */
+    void updateShares(TimePoint now);
     SignalChanges recordSignals(TimePoint now, const UpstreamId &id, uint64_t incarnation,
                                 const UpstreamSignals &signals);
     bool maySend(TimePoint now, const AdmissionQuery &query) const { return nextSend(now, query) <= now; }
@@ -121,10 +137,13 @@
         bool empty() const { return sentCold.empty() && !limit && !pausedUntil && !leavingSince; }
     };
 
-    Duration intervalOf(double limit) const;
+    Duration intervalOf(const UpstreamId &id, double limit) const;
+    /** This entry's part of a limit that the upstream names. */
+    double shareOf(const UpstreamId &id) const;
     const Record *find(const AdmissionQuery &query) const;
     Record &recordOf(const UpstreamId &id, uint64_t incarnation);
-    void updateLimit(TimePoint now, Record &record, std::optional<double> limit, SignalChanges &changes);
+    void updateLimit(TimePoint now, const UpstreamId &id, Record &record, std::optional<double> limit,
+                     SignalChanges &changes);
     void updatePause(TimePoint now, Record &record, Duration pause, SignalChanges &changes);
     double randomFraction() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
     /** The earliest time by pace, cold rate and pause, whether or not the upstream is leaving. */
@@ -133,6 +152,7 @@
 
     std::unordered_map<UpstreamId, Record> m_records;
     uint32_t m_entries = 1;
+    GroupOf m_groupOf = [](const UpstreamId &) { return Group(); };
     Duration m_drainTime;
     std::mt19937_64 m_random;
 };
--- a/include/hickoryspur/request/RouteGroups.h
+++ b/include/hickoryspur/request/RouteGroups.h
@@ -32,16 +32,18 @@
     Groups groupsOf(const Route &route) const;
     /** Whether the service is a shard of a divided route. */
     bool contains(const ServiceName &service) const { return m_shards.contains(service); }
-    /** How many entries keep connections to the shard's upstreams; zero if this entry is not one of them. */
+    /** How many entries keep connections to the shard's upstreams; zero if the route is not divided. */
     size_t holders(const ServiceName &shard) const;
+    /** Whether this entry is one of them. */
+    bool isHolder(const ServiceName &shard) const;
     const ShardGroups &shardGroups() const { return m_shardGroups; }
 
 private:
     ShardGroups m_shardGroups;
     /** By the name of the route. */
     std::map<std::string, Groups> m_groups;
-    /** The holders() of each shard of a divided route. */
-    std::unordered_map<ServiceName, size_t> m_shards;
+    /** The group of each shard of a divided route. */
+    std::unordered_map<ServiceName, DataCentreName> m_shards;
     bool m_outdated = false;
 };
 
--- a/src/connection/UpstreamAdmission.cpp
+++ b/src/connection/UpstreamAdmission.cpp
@@ -7,14 +7,27 @@
 void UpstreamAdmission::setEntryCount(TimePoint now, uint32_t entries)
 {
     m_entries = std::max<uint32_t>(1, entries);
+    updateShares(now);
+}
+
+void UpstreamAdmission::updateShares(TimePoint now)
+{
     for (auto &[id, record] : m_records)
         if (record.pace)
-            record.pace->setInterval(now, intervalOf(*record.limit));
+            record.pace->setInterval(now, intervalOf(id, *record.limit));
+}
+
+double UpstreamAdmission::shareOf(const UpstreamId &id) const
+{
+    const Group group = m_groupOf(id);
+    if (group.holders == 0)
+        return 1.0 / m_entries;
+    return group.isHolder ? kGroupShare / static_cast<double>(group.holders) : (1 - kGroupShare) / m_entries;
 }
 
-Duration UpstreamAdmission::intervalOf(double limit) const
+Duration UpstreamAdmission::intervalOf(const UpstreamId &id, double limit) const
 {
-    const double seconds = m_entries / (kUsableLimitShare * limit);
+    const double seconds = 1 / (shareOf(id) * kUsableLimitShare * limit);
     return Duration(static_cast<int64_t>(seconds * static_cast<double>(Duration(1s).count())));
 }
 
@@ -45,7 +58,7 @@
     if (known != m_records.end() && known->second.incarnation > incarnation)
         return changes;
     Record &record = recordOf(id, incarnation);
-    updateLimit(now, record, signals.requestsPerSecond, changes);
+    updateLimit(now, id, record, signals.requestsPerSecond, changes);
     if (signals.pause)
         updatePause(now, record, *signals.pause, changes);
     changes.leavingBegun = signals.leaving && !record.leavingSince;
@@ -56,16 +69,17 @@
     return changes;
 }
 
-void UpstreamAdmission::updateLimit(TimePoint now, Record &record, std::optional<double> limit, SignalChanges &changes)
+void UpstreamAdmission::updateLimit(TimePoint now, const UpstreamId &id, Record &record, std::optional<double> limit,
+                                    SignalChanges &changes)
 {
     changes.limitNamed = limit && !record.limit;
     changes.limitEnded = !limit && record.limit;
     if (!limit)
         record.pace.reset();
     else if (!record.pace)
-        record.pace.emplace(now, intervalOf(*limit), randomFraction());
+        record.pace.emplace(now, intervalOf(id, *limit), randomFraction());
     else if (record.limit != limit)
-        record.pace->setInterval(now, intervalOf(*limit));
+        record.pace->setInterval(now, intervalOf(id, *limit));
     record.limit = limit;
 }
 
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -77,6 +77,13 @@
                     })
 {
     m_admission.setEntryCount(monotonicNow(), m_connectionPlan.entryCount());
+    m_admission.setGroupOf([this](const UpstreamId &id) {
+        const KnownUpstream *known = m_registry.find(id);
+        if (!known)
+            return UpstreamAdmission::Group();
+        const ServiceName &service = known->announcement.service;
+        return UpstreamAdmission::Group{m_routeGroups.holders(service), m_routeGroups.isHolder(service)};
+    });
 }
 
 CallerAnswer EntryTraffic::makeRefusal(RefusalKind kind, Duration minDelay)
@@ -389,16 +396,15 @@
 bool EntryTraffic::keepsConnections(const UpstreamId &upstream, const ServiceName &service) const
 {
     if (m_routeGroups.contains(service))
-        return m_routeGroups.holders(service) > 0;
+        return m_routeGroups.isHolder(service);
     const std::optional<uint32_t> limit = connectionLimit(service);
     return !limit || m_connectionPlan.keepsConnections(upstream, *limit);
 }
 
 uint32_t EntryTraffic::maxConnections(const ServiceName &service, uint32_t limit) const
 {
-    const size_t holders = m_routeGroups.holders(service);
-    if (holders > 0)
-        return ConnectionPlan::maxConnections(limit, holders);
+    if (m_routeGroups.isHolder(service))
+        return ConnectionPlan::maxConnections(limit, m_routeGroups.holders(service));
     return m_connectionPlan.maxConnections(limit);
 }
 
@@ -417,6 +423,7 @@
 {
     if (m_routes)
         m_routeGroups.update(*m_routes, [this](const ServiceName &shard) { return placesOf(shard); });
+    m_admission.updateShares(monotonicNow());
 }
 
 std::optional<UpstreamTarget> EntryTraffic::targetOf(const UpstreamId &upstream) const
--- a/src/request/RouteGroups.cpp
+++ b/src/request/RouteGroups.cpp
@@ -16,12 +16,9 @@
         std::vector<ShardGroup> groups = m_shardGroups.divide(route.shards, placesOf);
         if (groups.size() < 2)
             continue;
-        for (const ShardGroup &group : groups) {
-            const bool isHolder = m_shardGroups.isMember(group.dataCentre);
-            const size_t holders = isHolder ? m_shardGroups.members(group.dataCentre).size() : 0;
+        for (const ShardGroup &group : groups)
             for (const ServiceName &shard : group.shards)
-                m_shards[shard] = holders;
-        }
+                m_shards[shard] = group.dataCentre;
         m_groups[route.name] = std::make_shared<const std::vector<ShardGroup>>(std::move(groups));
     }
 }
@@ -35,7 +32,13 @@
 size_t RouteGroups::holders(const ServiceName &shard) const
 {
     const auto found = m_shards.find(shard);
-    return found == m_shards.end() ? 0 : found->second;
+    return found == m_shards.end() ? 0 : m_shardGroups.members(found->second).size();
+}
+
+bool RouteGroups::isHolder(const ServiceName &shard) const
+{
+    const auto found = m_shards.find(shard);
+    return found != m_shards.end() && m_shardGroups.isMember(found->second);
 }
 
 } // namespace hickoryspur
--- a/test/failure/UpstreamAdmissionFailureTest.cpp
+++ b/test/failure/UpstreamAdmissionFailureTest.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(limit_namedToSevenEntries_isKeptByAllTogetherAndUsed);
     CPPUNIT_TEST(limit_threeHundredEntriesAskAtTheSameMoment_isKept);
     CPPUNIT_TEST(limit_entriesLeaveAndReturn_isKept);
+    CPPUNIT_TEST(limit_fewEntriesServeTheGroup_isUsedByThem);
+    CPPUNIT_TEST(limit_entriesStandInForAGroup_isKept);
     CPPUNIT_TEST(limit_changes_isFollowed);
     CPPUNIT_TEST(limit_answerWithoutIt_endsIt);
     CPPUNIT_TEST(limit_newIncarnation_startsWithoutIt);
@@ -107,12 +109,24 @@
                 admission.recordSignals(now, query.id, query.incarnation, UpstreamSignals{limit, {}, false});
         }
 
+        /** The first entries alone serve the group of the upstream's shard. */
+        void setHolders(size_t holders)
+        {
+            for (size_t i = 0; i < admissions.size(); ++i) {
+                admissions[i].setGroupOf([holders, i](const UpstreamId &) {
+                    return UpstreamAdmission::Group{holders, i < holders};
+                });
+                admissions[i].updateShares(now);
+            }
+        }
+
         /** Each entry has a request in each millisecond with this probability, and sends it if it may. */
-        void run(Duration duration, double probability)
+        void run(Duration duration, double probability, size_t senders = SIZE_MAX)
         {
             for (const TimePoint end = now + duration; now < end; now += 1ms)
-                for (UpstreamAdmission &admission : admissions)
-                    if (std::bernoulli_distribution(probability)(random) && admission.maySend(now, query)) {
+                for (size_t i = 0; i < std::min(senders, admissions.size()); ++i)
+                    if (UpstreamAdmission &admission = admissions[i];
+                        std::bernoulli_distribution(probability)(random) && admission.maySend(now, query)) {
                         admission.recordSent(now, query);
                         recordArrival();
                     }
@@ -137,6 +151,24 @@
     };
 
 public:
+    // Otherwise the entries that serve a group use only their part among all entries of what its upstreams take.
+    void limit_fewEntriesServeTheGroup_isUsedByThem()
+    {
+        Fleet fleet(m_upstream, 48, 50, 5);
+        fleet.setHolders(10);
+        fleet.run(10s, 1, 10);
+        CPPUNIT_ASSERT(static_cast<double>(fleet.total) >= 0.7 * 50 * 10);
+        CPPUNIT_ASSERT(fleet.mostInWindow <= allowedInWindow(50));
+    }
+
+    void limit_entriesStandInForAGroup_isKept()
+    {
+        Fleet fleet(m_upstream, 48, 50, 6);
+        fleet.setHolders(10);
+        fleet.run(10s, 1);
+        CPPUNIT_ASSERT(fleet.mostInWindow <= allowedInWindow(50));
+    }
+
     void upstream_withoutLimit_getsEveryRequest()
     {
         CPPUNIT_ASSERT(UpstreamAdmission(1, kDrainTime).maySend(TimePoint(1s), {m_upstream, 1, 0, false}));
