Look up once who keeps connections to a shard's upstreams

Read once more: since each replica of each shard of a query searched the entries of its data centre by address. The count and whether this entry is one of them are kept with the shard, when the groups are determined.

--- a/include/hickoryspur/request/RouteGroups.h
+++ b/include/hickoryspur/request/RouteGroups.h
@@ -42,8 +42,14 @@
     ShardGroups m_shardGroups;
     /** By the name of the route. */
     std::map<std::string, Groups> m_groups;
-    /** The group of each shard of a divided route. */
-    std::unordered_map<ServiceName, DataCentreName> m_shards;
+    /** Who keeps connections to a shard's upstreams; looked up for each replica of each shard of a query. */
+    struct Holders
+    {
+        size_t count = 0;
+        bool includesSelf = false;
+    };
+    /** The shards of the divided routes. */
+    std::unordered_map<ServiceName, Holders> m_shards;
     bool m_outdated = false;
 };
 
--- a/src/request/RouteGroups.cpp
+++ b/src/request/RouteGroups.cpp
@@ -16,9 +16,12 @@
         std::vector<ShardGroup> groups = m_shardGroups.divide(route.shards, placesOf);
         if (groups.size() < 2)
             continue;
-        for (const ShardGroup &group : groups)
+        for (const ShardGroup &group : groups) {
+            const Holders holders{m_shardGroups.members(group.dataCentre).size(),
+                                  m_shardGroups.isMember(group.dataCentre)};
             for (const ServiceName &shard : group.shards)
-                m_shards[shard] = group.dataCentre;
+                m_shards[shard] = holders;
+        }
         m_groups[route.name] = std::make_shared<const std::vector<ShardGroup>>(std::move(groups));
     }
 }
@@ -32,13 +35,13 @@
 size_t RouteGroups::holders(const ServiceName &shard) const
 {
     const auto found = m_shards.find(shard);
-    return found == m_shards.end() ? 0 : m_shardGroups.members(found->second).size();
+    return found == m_shards.end() ? 0 : found->second.count;
 }
 
 bool RouteGroups::isHolder(const ServiceName &shard) const
 {
     const auto found = m_shards.find(shard);
-    return found != m_shards.end() && m_shardGroups.isMember(found->second);
+    return found != m_shards.end() && found->second.includesSelf;
 }
 
 } // namespace hickoryspur
