--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -14,7 +14,6 @@
 
 /** An attempt may run this long after its caller has disconnected; then its connection is closed. */
 constexpr Duration kCallerGoneGrace = 250ms;
-constexpr Duration kCallerGoneCheckInterval = 100ms;
 
 } // namespace
 
@@ -57,6 +56,13 @@
 
 } // namespace
 
+LogEvent eventOf(ScatterOutcome outcome)
+{
+    if (outcome == ScatterOutcome::Partial)
+        return LogEvent::RequestPartial;
+    return outcome == ScatterOutcome::NotRun ? LogEvent::RequestRefused : LogEvent::RequestFailed;
+}
+
 void countRequest(Duration took, ScatterOutcome outcome)
 {
     static Counter &requests = Metrics::counter("hickoryspur_requests_total");
@@ -373,15 +379,12 @@
 
 void EntryTraffic::ActiveRequest::logOutcome(ScatterOutcome outcome) const
 {
-    const LogEvent event = outcome == ScatterOutcome::Partial ? LogEvent::RequestPartial
-        : outcome == ScatterOutcome::NotRun                   ? LogEvent::RequestRefused
-                                                              : LogEvent::RequestFailed;
-    HS_LOG_REQUEST(event) << "request=" << m_request.id << " route=" << m_route.name
-                          << " outcome=" << outcomeName(outcome) << " parts=" << m_scatter->answeredParts() << '/'
-                          << m_shardCount << " ms=" << toMilliseconds(monotonicNow() - m_started)
-                          << " routes=" << m_routes->number
-                          << " missing=" << m_scatter->describeUnanswered(monotonicNow()) << " last=\"" << m_lastReason
-                          << '"';
+    HS_LOG_REQUEST(eventOf(outcome)) << "request=" << m_request.id << " route=" << m_route.name
+                                     << " outcome=" << outcomeName(outcome) << " parts=" << m_scatter->answeredParts()
+                                     << '/' << m_shardCount << " ms=" << toMilliseconds(monotonicNow() - m_started)
+                                     << " routes=" << m_routes->number
+                                     << " missing=" << m_scatter->describeUnanswered(monotonicNow()) << " last=\""
+                                     << m_lastReason << '"';
 }
 
 } // namespace hickoryspur
--- a/src/request/ActiveRequest.h
+++ b/src/request/ActiveRequest.h
@@ -3,6 +3,7 @@
 // fiber, or reports the parts of the group to whoever merges them.
 #pragma once
 
+#include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/request/Delegation.h"
 #include "request/EntryTraffic.h"
 
@@ -17,6 +18,11 @@
 
 namespace hickoryspur {
 
+/** How often a request checks whether its caller is still connected. */
+constexpr Duration kCallerGoneCheckInterval = 100ms;
+
+/** The event of a request that was not answered completely. */
+LogEvent eventOf(ScatterOutcome outcome);
 /** Counts a caller's request that has ended, and the time that it took. */
 void countRequest(Duration took, ScatterOutcome outcome);
 /** The outcome as it stands in the log. */
--- a/src/request/GroupedRequest.cpp
+++ b/src/request/GroupedRequest.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-/** How often a request checks whether its caller is still connected. */
-constexpr Duration kCallerGoneCheckInterval = 100ms;
 /** The last reports arrive together, and are merged before the answer is sent. */
 constexpr Duration kMergeTime = 3ms;
 
@@ -235,9 +233,6 @@
 
 void EntryTraffic::GroupedRequest::logOutcome(ScatterOutcome outcome) const
 {
-    const LogEvent event = outcome == ScatterOutcome::Partial ? LogEvent::RequestPartial
-        : outcome == ScatterOutcome::NotRun                   ? LogEvent::RequestRefused
-                                                              : LogEvent::RequestFailed;
     const TimePoint now = monotonicNow();
     std::ostringstream groups;
     for (size_t group = 0; group < m_groups->size(); ++group)
@@ -245,10 +240,10 @@
                << (m_dispatches[group].entry.empty() ? "here" : m_dispatches[group].entry)
                << (m_gather->hasEnded(group) ? '-' : '+') << toMilliseconds(now - m_dispatches[group].at)
                << " missing=" << m_gather->missingParts(group) << ']';
-    HS_LOG_REQUEST(event) << "request=" << m_request.id << " route=" << m_route.name
-                          << " outcome=" << outcomeName(outcome) << " parts=" << m_signatures.size() << '/'
-                          << m_gather->shardCount() << " ms=" << toMilliseconds(now - m_started)
-                          << " routes=" << m_routes->number << " groups=" << groups.str();
+    HS_LOG_REQUEST(eventOf(outcome)) << "request=" << m_request.id << " route=" << m_route.name
+                                     << " outcome=" << outcomeName(outcome) << " parts=" << m_signatures.size() << '/'
+                                     << m_gather->shardCount() << " ms=" << toMilliseconds(now - m_started)
+                                     << " routes=" << m_routes->number << " groups=" << groups.str();
 }
 
 void EntryTraffic::GroupedRequest::reportLosses()
