--- a/review/standin/failed-answer.cpp
+++ b/review/standin/failed-answer.cpp
@@ -10,12 +10,13 @@
 std::mutex runsMutex;
 std::vector<Run> runs;
 std::atomic<int> failures{0};
+std::atomic<bool> grey{false};
 
 /** Runs each request; three of four backends fail two of five of them after the work, their health check stays good. */
 bool serveNotices(Backend &self, Stream &stream, Message &request)
 {
     static std::atomic<unsigned> number{0};
-    const bool isGrey = trouble() && !self.address().ip.ends_with(".103");
+    const bool isGrey = grey && !self.address().ip.ends_with(".103");
     const bool fails = isGrey && number++ % 5 < 2;
     if (!fails)
         return Backend::serveSoundly(self, stream, request, 0.01, &runs, &runsMutex);
@@ -74,6 +75,7 @@
     platform.waitReady();
     waitServed(platform, "lab.example", "/notices/1", "POST");
     waitServed(platform, "lab.example", "/labels/1", "POST");
+    grey = trouble();
     // A client keeps to the pages: it sends a refused notice once more, since 503 says that the first has not run.
     int sent = 0;
     int refused = 0;
@@ -86,7 +88,7 @@
                 return true;
         return false;
     };
-    for (int notice = 0; notice < 60; ++notice) {
+    for (int notice = 0; notice < 120; ++notice) {
         bool ranBefore = false;
         for (int attempt = 0; attempt < 2; ++attempt) {
             const Attempt result = request(platform.front(notice % 2), "lab.example", "POST", "/notices/1",
@@ -108,8 +110,9 @@
                 record("client: request %s ANSWERED %d AND HAS RUN", result.id.c_str(), result.status);
             }
         }
-        pause(0.02);
+        pause(0.03);
     }
+    grey = false;
     wrongBytes = trouble();
     int successes = 0;
     int unsignedSuccesses = 0;
