--- a/review/standin/lost-config.cpp
+++ b/review/standin/lost-config.cpp
@@ -11,7 +11,9 @@
 constexpr double kRecovery = 12;
 constexpr double kLength = 110;
 constexpr int kRoutes = 350;
+/** Changes in a round: at least and at most. */
 constexpr int kChanges = 60;
+constexpr int kMaxChanges = 300;
 
 std::string configuration(int version)
 {
@@ -64,6 +66,15 @@
     return newest;
 }
 
+/** Whether the host's last checkpoint is newer than those of the other control hosts. */
+bool isAhead(const Platform &platform, int host)
+{
+    for (int i = 0; i < 3; ++i)
+        if (i != host && checkpointOf(platform, i) >= checkpointOf(platform, host))
+            return false;
+    return true;
+}
+
 } // namespace
 
 int main(int count, char **arguments)
@@ -88,7 +99,7 @@
         const int leader = findLeader(platform, kRecovery);
         if (leader < 0)
             platform.fail("no host answers a read");
-        for (int i = 0; i < kChanges; ++i)
+        for (int i = 0; i < kMaxChanges && (i < kChanges || (trouble() && !isAhead(platform, leader))); ++i)
             send(leader, ++version);
         ++rounds;
         bool lostDisk = false;
@@ -114,9 +125,7 @@
             for (int i = 0; i < 3; ++i)
                 platform.reap(platform.hosts()[i]);
             const long ours = checkpointOf(platform, leader);
-            bool isAhead = true;
-            for (int i = 0; i < 3; ++i)
-                isAhead = isAhead && (i == leader || checkpointOf(platform, i) < ours);
+            const bool wasAhead = isAhead(platform, leader);
             record("platform: all processes of the core are killed; newest acknowledged version %d",
                    acknowledged.load());
             // All are back within a second.
@@ -128,7 +137,7 @@
             record("platform: all are started again");
             // The host that led before mostly leads again.
             const double end = secondsNow() + 3;
-            while (isAhead && !lostDisk && secondsNow() < end) {
+            while (wasAhead && !lostDisk && secondsNow() < end) {
                 lostDisk = true;
                 for (int i = 0; i < 3; ++i)
                     lostDisk = lostDisk && (i == leader || checkpointOf(platform, i) == ours);
