Keep acknowledged log entries behind a checkpoint of the leader

Cause: after a restart a follower's commit index is that of its checkpoint, though its log goes on behind it. It refused the new leader's first append, naming that index; where the leader's checkpoint was newer the leader sent it, and the follower dropped its whole log for it, also entries that it had acknowledged. Both followers did so at once, so the leader alone held those entries. The leader went on counting what a member had held before.

--- a/include/hickoryspur/process/ReplicatedLog.h
+++ b/include/hickoryspur/process/ReplicatedLog.h
@@ -217,6 +217,8 @@
         LogIndex match;
         /** First entry of the next message to the member. */
         LogIndex next{1};
+        /** Send time of an Append that offers the entries behind the leader's checkpoint, until it is answered. */
+        std::optional<int64_t> checkpointProbe;
         /** Send time, on this leader's clock, of the latest message that the member has answered. */
         std::optional<TimePoint> ackedSend;
         /** When this leader began to send to the member; timeSinceLastReply() counts from here at the earliest. */
@@ -226,6 +228,8 @@
     bool isVoter() const { return membership().isVoter(m_self); }
     Term termAt(LogIndex index) const;
     const LogEntry &entryAt(LogIndex index) const;
+    /** Whether this log has the entry, in its checkpoint or behind it; then all earlier entries agree too. */
+    bool holds(LogIndex index, Term term) const;
     void resetElectionTimer(TimePoint now);
     bool hasRecentLeaderContact(TimePoint now) const;
     bool isLogUpToDate(LogIndex index, Term term) const;
@@ -247,6 +251,7 @@
     void truncate(LogIndex from, LogActions &actions);
     void appendEntry(LogEntry entry, LogActions &actions);
     void recordMembership(const LogEntry &entry);
+    void resumeAfterRejection(TimePoint now, const LogMessage &reply, Progress &progress, LogActions &actions);
     void sendAppend(TimePoint now, const MemberId &to, LogActions &actions);
     void sendHeartbeats(TimePoint now, LogActions &actions);
     void startTracking(TimePoint now, const MemberId &member);
--- a/src/process/ReplicatedLog.cpp
+++ b/src/process/ReplicatedLog.cpp
@@ -3,6 +3,7 @@
 #include "hickoryspur/process/Check.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hickoryspur {
 
@@ -87,6 +88,11 @@
     return entryAt(index).term;
 }
 
+bool ReplicatedLog::holds(LogIndex index, Term term) const
+{
+    return index >= m_checkpoint.index && index <= lastIndex() && termAt(index) == term;
+}
+
 const Membership &ReplicatedLog::membership() const
 {
     return m_memberships.rbegin()->second;
@@ -412,7 +418,11 @@
     LogMessage reply = makeMessage(LogMessageType::AppendReply, m_hardState.term);
     reply.sentAt = message.sentAt;
     reply.accepted = true;
-    if (message.checkpoint.index > m_commit) {
+    // A log that holds the checkpoint's last entry holds all that the checkpoint covers, and behind it entries that
+    // this member may have acknowledged: those stay, since the leader may be the only other member that has them.
+    if (holds(message.checkpoint.index, message.checkpoint.term)) {
+        commitTo(message.checkpoint.index, actions);
+    } else if (message.checkpoint.index > m_commit) {
         m_checkpoint = message.checkpoint;
         m_entries.clear();
         m_recentEntries.clear();
@@ -437,10 +447,10 @@
     if (!progress.ackedSend || sent > *progress.ackedSend)
         progress.ackedSend = sent;
     if (!message.accepted) {
-        progress.next = after(message.index);
-        sendAppend(now, message.from, actions);
+        resumeAfterRejection(now, message, progress, actions);
         return;
     }
+    progress.checkpointProbe.reset();
     progress.match = std::max(progress.match, message.index);
     progress.next = std::max(progress.next, after(progress.match));
     advanceCommit(actions);
@@ -448,6 +458,26 @@
         sendAppend(now, message.from, actions);
 }
 
+void ReplicatedLog::resumeAfterRejection(TimePoint now, const LogMessage &reply, Progress &progress,
+                                         LogActions &actions)
+{
+    // The member names its commit index, which after a restart is that of its checkpoint. Its log may go on far beyond
+    // it, also beyond this leader's checkpoint, and would be replaced by that. So the entries behind the checkpoint are
+    // offered first, and the checkpoint is sent only to a member that has refused those.
+    const std::optional<int64_t> probe = std::exchange(progress.checkpointProbe, std::nullopt);
+    const bool needsCheckpoint = reply.index < m_checkpoint.index;
+    if (needsCheckpoint && probe && reply.sentAt < *probe) {
+        progress.checkpointProbe = probe;
+        return;
+    }
+    progress.next = after(reply.index);
+    if (needsCheckpoint && probe != reply.sentAt) {
+        progress.next = after(m_checkpoint.index);
+        progress.checkpointProbe = now.time_since_epoch().count();
+    }
+    sendAppend(now, reply.from, actions);
+}
+
 void ReplicatedLog::sendAppend(TimePoint now, const MemberId &to, LogActions &actions)
 {
     Progress &progress = m_progress[to];
@@ -457,6 +487,8 @@
     message.sentAt = now.time_since_epoch().count();
     message.commit = m_commit;
     if (needsCheckpoint) {
+        // The member may drop its log for the checkpoint, so what it held behind it no longer counts.
+        progress.match = std::min(progress.match, m_checkpoint.index);
         message.checkpoint = m_checkpoint;
         actions.messages.push_back({to.node, std::move(message)});
         return;
