End the exchange, not the process, when bytes cannot be read

Cause: the HTTP parser trusted its peer. In eager mode it went on behind a head whose stated length is over the limit and reserved that length (std::bad_alloc); a field of over 65,533 bytes after the last chunk, for which the header limit does not hold, could not be stored (std::length_error). What was thrown went through io_context::run().

Change: BoundedParser, one parser for all readers (answers on both channels, requests of callers, upstreams and operators, the tools): a limit for each part, nothing reserved for a stated length, errors in place of exceptions; fields after the last chunk are bounded and dropped. And a boundary at each connection (upstream, caller, accept, frames of other hosts): what is thrown after all ends that connection, with E1304 and hickoryspur_connection_exceptions_total, which tests expect to be zero. Same cause found on the way: signatures merged into one field of over 65,533 bytes could not be sent either.

Regression tests: UpstreamConnectionsFailureTest (3 new), HttpCallerServerFailureTest (3).

--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -25,6 +25,7 @@
     PeerBack = 1301,
     MessageUndecodable = 1302,
     RequestHandlerFailed = 1303,
+    ConnectionException = 1304,
     DocumentAccepted = 1400,
     DocumentInForce = 1401,
     LeaseLost = 1402,
--- a/src/connection/HttpUpstreamChannel.cpp
+++ b/src/connection/HttpUpstreamChannel.cpp
@@ -4,6 +4,7 @@
 #include "hickoryspur/process/Check.h"
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/Metrics.h"
+#include "process/BoundedParser.h"
 #include "process/HttpLimits.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -25,9 +26,6 @@
 namespace http = beast::http;
 using boost::system::error_code;
 
-constexpr size_t kMaxAnswerBytes = 8ULL * 1024 * 1024;
-constexpr unsigned kMaxHeaderBytes = 16U * 1024;
-
 uint64_t numberOr(beast::string_view text, uint64_t fallback)
 {
     uint64_t value = fallback;
@@ -104,9 +102,7 @@
 
     void read()
     {
-        m_parser.emplace();
-        m_parser->body_limit(kMaxAnswerBytes);
-        m_parser->header_limit(kMaxHeaderBytes);
+        m_parser.emplace(ParserLimits());
         http::async_read(m_stream, m_buffer, *m_parser,
                          [self = shared_from_this()](error_code error, size_t) { self->end(error); });
     }
@@ -126,7 +122,7 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer{kMaxUnparsedBytes};
     http::request<http::string_body> m_request;
-    std::optional<http::response_parser<http::string_body>> m_parser;
+    std::optional<AnswerParser> m_parser;
     Ended m_ended;
     bool m_connected = false;
     bool m_written = false;
--- a/src/connection/UpstreamConnection.cpp
+++ b/src/connection/UpstreamConnection.cpp
@@ -22,8 +22,6 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr size_t kMaxAnswerBytes = 8ULL * 1024 * 1024;
-constexpr unsigned kMaxHeaderBytes = 16U * 1024;
 /** Space for one read; most answers of a shard fit. */
 constexpr size_t kReadBytes = 2048;
 /**
@@ -152,11 +150,23 @@
 {
     m_isReading = false;
     m_buffer.commit(bytes);
+    const bool handled = runGuarded("upstream", [&] {
+        if (m_exchange)
+            parse(error);
+        else
+            onUnexpectedRead(error);
+    });
+    if (!handled)
+        onException();
+    startRead();
+}
+
+void UpstreamConnection::onException()
+{
     if (m_exchange)
-        parse(error);
+        finish({AttemptOutcome::Failed, {}, "read failed: the answer could not be handled"}, false);
     else
-        onUnexpectedRead(error);
-    startRead();
+        close();
 }
 
 void UpstreamConnection::onUnexpectedRead(error_code error)
@@ -211,10 +221,8 @@
 
 void UpstreamConnection::startAnswer()
 {
-    m_parser.emplace();
+    m_parser.emplace(ParserLimits());
     m_parser->eager(true);
-    m_parser->body_limit(kMaxAnswerBytes);
-    m_parser->header_limit(kMaxHeaderBytes);
 }
 
 void UpstreamConnection::parse(error_code readError)
--- a/src/connection/UpstreamConnection.h
+++ b/src/connection/UpstreamConnection.h
@@ -7,14 +7,13 @@
 #pragma once
 
 #include "connection/UpstreamExchange.h"
+#include "process/BoundedParser.h"
 #include "process/HttpLimits.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <memory>
 #include <optional>
@@ -45,7 +44,6 @@
     bool isNearIdleTimeout(TimePoint now) const;
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
     enum class State { New, Connecting, Confirming, Idle, Busy, Closed };
 
     void onConnected(boost::system::error_code error);
@@ -53,6 +51,8 @@
     /** Keeps one read pending from the connect on: it also notices bytes that nobody asked for, and the end. */
     void startRead();
     void onRead(boost::system::error_code error, size_t bytes);
+    /** Ends the exchange and the connection after an exception. */
+    void onException();
     /** Handles a read that ended while no request runs. */
     void onUnexpectedRead(boost::system::error_code error);
     void write();
@@ -73,7 +73,7 @@
     std::optional<Exchange> m_exchange;
     std::string m_requestBytes;
     /** Parses the answer to the running exchange. */
-    std::optional<Parser> m_parser;
+    std::optional<AnswerParser> m_parser;
     boost::beast::flat_buffer m_buffer{kMaxUnparsedBytes};
 };
 
--- /dev/null
+++ b/src/process/BoundedParser.h
@@ -0,0 +1,143 @@
+// The HTTP parser of every reader of this program: answers of upstreams, requests of callers, upstreams and operators,
+// and the answers that command-line tools read.
+//
+// Beast's own message parser takes what its peer states on trust in two places. It reserves the length that a head
+// states, also beyond the body limit when bytes of the body come in the same read; and it throws when a field, such as
+// one after the last chunk, is too long to be stored. This one has a limit for each part of a message and reports what
+// is beyond it as an error. Fields after the last chunk are read, bounded and dropped: nothing here needs them, and as
+// header fields they could claim what the head did not.
+#pragma once
+
+#include "process/ConnectionGuard.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <utility>
+
+namespace hickoryspur {
+
+/** What a reader accepts of one message, in bytes. */
+struct ParserLimits
+{
+    uint32_t headerBytes = 16U * 1024;
+    uint64_t bodyBytes = 8ULL * 1024 * 1024;
+};
+
+template <bool isRequest> class BoundedParser : public boost::beast::http::basic_parser<isRequest>
+{
+public:
+    using Base = boost::beast::http::basic_parser<isRequest>;
+    using Message = boost::beast::http::message<isRequest, boost::beast::http::string_body>;
+
+    explicit BoundedParser(ParserLimits limits)
+        : m_limits(limits)
+    {
+        Base::header_limit(limits.headerBytes);
+        Base::body_limit(limits.bodyBytes);
+    }
+
+    const Message &get() const { return m_message; }
+    Message release() { return std::move(m_message); }
+
+private:
+    using error_code = boost::system::error_code;
+    using string_view = boost::beast::string_view;
+    using field = boost::beast::http::field;
+    using verb = boost::beast::http::verb;
+    using error = boost::beast::http::error;
+
+    /** Beast stores the lengths of a field in 16 bits, with separators. */
+    static constexpr size_t kMaxFieldBytes = std::numeric_limits<uint16_t>::max() - 16;
+
+    /** Runs a step that stores a part of the message; a step that throws is an error of this message. */
+    template <typename Step> static void store(error_code &ec, Step step)
+    {
+        ec = {};
+        if (!runGuarded("parser", std::move(step)))
+            ec = make_error_code(boost::system::errc::not_enough_memory);
+    }
+
+    void on_request_impl(verb method, string_view methodText, string_view target, int version, error_code &ec) override
+    {
+        store(ec, [&] {
+            if constexpr (isRequest) {
+                m_message.target(target);
+                if (method != verb::unknown)
+                    m_message.method(method);
+                else
+                    m_message.method_string(methodText);
+                m_message.version(version);
+            }
+        });
+    }
+
+    void on_response_impl(int code, string_view, int version, error_code &ec) override
+    {
+        store(ec, [&] {
+            if constexpr (!isRequest) {
+                m_message.result(static_cast<unsigned>(code));
+                m_message.version(version);
+            }
+        });
+    }
+
+    void on_field_impl(field name, string_view nameText, string_view value, error_code &ec) override
+    {
+        m_fieldBytes += nameText.size() + value.size();
+        if (nameText.size() + value.size() > kMaxFieldBytes || m_fieldBytes > m_limits.headerBytes) {
+            ec = error::header_limit;
+            return;
+        }
+        ec = {};
+        if (!m_headDone)
+            store(ec, [&] { m_message.insert(name, nameText, value); });
+    }
+
+    void on_header_impl(error_code &ec) override
+    {
+        ec = {};
+        m_headDone = true;
+        m_fieldBytes = 0;
+    }
+
+    void on_body_init_impl(const boost::optional<uint64_t> &length, error_code &ec) override
+    {
+        // Only what has arrived is stored, so a stated length reserves nothing.
+        ec = length && *length > m_limits.bodyBytes ? make_error_code(error::body_limit) : error_code();
+    }
+
+    size_t on_body_impl(string_view bytes, error_code &ec) override { return append(bytes, ec); }
+
+    void on_chunk_header_impl(uint64_t, string_view, error_code &ec) override { ec = {}; }
+
+    size_t on_chunk_body_impl(uint64_t, string_view bytes, error_code &ec) override { return append(bytes, ec); }
+
+    void on_finish_impl(error_code &ec) override { ec = {}; }
+
+    size_t append(string_view bytes, error_code &ec)
+    {
+        std::string &body = m_message.body();
+        if (bytes.size() > m_limits.bodyBytes - body.size()) {
+            ec = error::body_limit;
+            return 0;
+        }
+        store(ec, [&] { body.append(bytes.data(), bytes.size()); });
+        return ec ? 0 : bytes.size();
+    }
+
+    ParserLimits m_limits;
+    Message m_message;
+    /** Bytes of the fields of the head, or of those after the last chunk. */
+    size_t m_fieldBytes = 0;
+    bool m_headDone = false;
+};
+
+using AnswerParser = BoundedParser<false>;
+using RequestParser = BoundedParser<true>;
+
+} // namespace hickoryspur
--- a/src/process/FrameLink.cpp
+++ b/src/process/FrameLink.cpp
@@ -2,6 +2,7 @@
 
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/MessageCodec.h"
+#include "process/ConnectionGuard.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -123,7 +124,8 @@
         }
         self->m_lastReceiveTime = monotonicNow();
         const Receive receive = self->m_receive;
-        receive(self, std::move(*message));
+        if (!runGuarded("peer", [&] { receive(self, std::move(*message)); }))
+            self->close();
         if (self->m_state == State::Open)
             self->readLength();
     });
--- a/src/request/HttpCallerServer.cpp
+++ b/src/request/HttpCallerServer.cpp
@@ -2,6 +2,7 @@
 
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/Metrics.h"
+#include "process/BoundedParser.h"
 #include "process/HttpLimits.h"
 #include "request/AnswerJson.h"
 #include "request/HttpCallerClient.h"
@@ -114,6 +115,25 @@
 }
 
 constexpr size_t kMaxLoggedPath = 200;
+/** Limits on what a command-line tool accepts from a host of its own deployment, in bytes. */
+constexpr ParserLimits kToolLimits{64U * 1024, 256ULL * 1024 * 1024};
+
+/** Counts a request as open for as long as it lives. */
+class OpenRequest
+{
+public:
+    explicit OpenRequest(size_t &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+    ~OpenRequest() { --m_count; }
+    OpenRequest(const OpenRequest &) = delete;
+    OpenRequest &operator=(const OpenRequest &) = delete;
+
+private:
+    size_t &m_count;
+};
 
 bool isProtocolError(error_code error)
 {
@@ -177,9 +197,12 @@
         }
         error_code ignored;
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-        boost::fibers::fiber([state, stream = beast::tcp_stream(std::move(socket))]() mutable {
-            serveConnection(state, std::move(stream));
-        }).detach();
+        // Without the memory for a fiber, the connection is closed.
+        static_cast<void>(runGuarded("accept", [&] {
+            boost::fibers::fiber([state, stream = beast::tcp_stream(std::move(socket))]() mutable {
+                serveConnection(state, std::move(stream));
+            }).detach();
+        }));
     }
 }
 
@@ -187,7 +210,10 @@
 {
     ++state->connections;
     beast::flat_buffer buffer(kMaxUnparsedBytes);
-    while (!state->stopping && state->serveRequest(stream, buffer)) { }
+    bool open = true;
+    while (!state->stopping && open)
+        if (!runGuarded("caller", [&] { open = state->serveRequest(stream, buffer); }))
+            open = false;
     error_code ignored;
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     --state->connections;
@@ -195,21 +221,18 @@
 
 bool HttpCallerServer::State::serveRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer)
 {
-    http::request_parser<http::string_body> parser;
-    parser.body_limit(limits.bodyBytes);
-    parser.header_limit(limits.headerBytes);
+    RequestParser parser({limits.headerBytes, limits.bodyBytes});
     stream.expires_after(limits.idleTimeout);
     const error_code error = await([&](auto done) { http::async_read(stream, buffer, parser, std::move(done)); });
     if (error && !isProtocolError(error))
         return false;
-    const bool wantsKeepAlive = !error && parser.get().keep_alive();
-    ++openRequests;
+    const bool wantsKeepAlive = !error && parser.keep_alive();
+    const OpenRequest openRequest(openRequests);
     const CallerResponse response = error ? errorResponse(error) : handle(stream, toCallerRequest(parser.release()));
     const bool keepAlive = wantsKeepAlive && !closing;
     const http::response<http::string_body> message = toHttpResponse(response, keepAlive);
     stream.expires_after(limits.idleTimeout);
     const error_code written = await([&](auto done) { http::async_write(stream, message, std::move(done)); });
-    --openRequests;
     return !written && keepAlive;
 }
 
@@ -350,17 +373,18 @@
 {
     error_code error = m_state->stream ? error_code() : m_state->connect(timeout);
     const http::request<http::string_body> message = toHttpRequest(m_state->address, request);
-    http::response<http::string_body> answer;
+    AnswerParser parser((ParserLimits()));
     if (!error) {
         m_state->stream->expires_after(timeout);
         error = await([&](auto done) { http::async_write(*m_state->stream, message, std::move(done)); });
     }
     if (!error)
-        error = await([&](auto done) { http::async_read(*m_state->stream, m_state->buffer, answer, std::move(done)); });
-    if (error || !answer.keep_alive())
+        error = await([&](auto done) { http::async_read(*m_state->stream, m_state->buffer, parser, std::move(done)); });
+    if (error || !parser.keep_alive())
         m_state->stream.reset();
     if (error)
         return failure(ResultCode::ConnectionFailed, m_state->address.text() + ": " + error.message());
+    http::response<http::string_body> answer = parser.release();
     CallerResponse response;
     response.status = answer.result_int();
     response.body = std::move(answer.body());
@@ -377,8 +401,7 @@
     stream.expires_after(timeout);
     const http::request<http::string_body> message = toHttpRequest(address, request);
     beast::flat_buffer buffer(kMaxUnparsedBytes);
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(boost::none);
+    AnswerParser parser(kToolLimits);
     error_code error;
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.address), address.port);
     stream.async_connect(endpoint, [&](error_code connected) {
--- /dev/null
+++ b/test/failure/HttpCallerServerFailureTest.cpp
@@ -0,0 +1,154 @@
+// Guards against a request that ends the process which reads it, and against one that occupies a server for good. The
+// callers are sockets of the test; each server runs on a thread of its own, as in the product.
+#include "connection/AsioScheduler.h"
+#include "process/ConnectionGuard.h"
+#include "request/HttpCallerServer.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/fiber/all.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <thread>
+
+using namespace hickoryspur;
+
+class HttpCallerServerFailureTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HttpCallerServerFailureTest);
+    CPPUNIT_TEST(server_fieldAfterLastChunkTooLong_isRefusedAndNextIsServed);
+    CPPUNIT_TEST(server_fieldTooLongForAWideHeaderLimit_isRefusedAndNextIsServed);
+    CPPUNIT_TEST(server_responseCannotBeSent_endsItsConnectionOnly);
+    CPPUNIT_TEST_SUITE_END();
+
+    using tcp = boost::asio::ip::tcp;
+
+    static constexpr size_t kUnstorableBytes = 70000;
+
+    /** A server whose handler answers with a field of the request's own length. */
+    class Server
+    {
+    public:
+        explicit Server(ServerLimits limits)
+        {
+            tcp::acceptor probe(m_clients, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+            m_port = probe.local_endpoint().port();
+            probe.close();
+            boost::fibers::promise<void> ready;
+            boost::fibers::future<void> started = ready.get_future();
+            m_thread = std::thread([this, limits, &ready] { run(limits, ready); });
+            started.wait();
+        }
+        Server(const Server &) = delete;
+        Server &operator=(const Server &) = delete;
+        ~Server()
+        {
+            m_stop = true;
+            m_thread.join();
+        }
+
+        /** The status line and all that follows it until the server closes; empty if it closed without an answer. */
+        std::string exchange(const std::string &bytes)
+        {
+            tcp::socket socket(m_clients);
+            socket.connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(), m_port));
+            boost::system::error_code error;
+            boost::asio::write(socket, boost::asio::buffer(bytes), error);
+            std::string answer;
+            boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+            return answer;
+        }
+
+        std::string get(const std::string &target)
+        {
+            return exchange("GET " + target + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        }
+
+        size_t openRequests() const { return m_openRequests; }
+
+    private:
+        void run(ServerLimits limits, boost::fibers::promise<void> &ready)
+        {
+            auto context = std::make_shared<boost::asio::io_context>(1);
+            boost::fibers::use_scheduling_algorithm<AsioScheduler>(context);
+            auto server = HttpCallerServer::listen(*context, {"127.0.0.1", m_port}, limits, [](const auto &request) {
+                CallerResponse response;
+                if (request.path == "/unstorable")
+                    response.fields.emplace_back("X-Long", std::string(kUnstorableBytes, 'x'));
+                return response;
+            });
+            ready.set_value();
+            while (!m_stop) {
+                m_openRequests = server ? (*server)->openRequests() : 0;
+                boost::this_fiber::sleep_for(std::chrono::milliseconds(5));
+            }
+            if (server)
+                server->reset();
+            boost::this_fiber::sleep_for(limits.idleTimeout);
+        }
+
+        boost::asio::io_context m_clients;
+        uint16_t m_port = 0;
+        std::atomic<bool> m_stop{false};
+        std::atomic<size_t> m_openRequests{0};
+        std::thread m_thread;
+    };
+
+    static ServerLimits limits(uint32_t headerBytes)
+    {
+        ServerLimits limits;
+        limits.headerBytes = headerBytes;
+        limits.idleTimeout = std::chrono::milliseconds(300);
+        return limits;
+    }
+
+    static bool hasStatus(const std::string &answer, const std::string &status)
+    {
+        return answer.rfind("HTTP/1.1 " + status, 0) == 0;
+    }
+
+    static const std::string &unstorable()
+    {
+        static const std::string text(kUnstorableBytes, 'x');
+        return text;
+    }
+
+public:
+    // A heartbeat with such a field ended each control host that read it.
+    void server_fieldAfterLastChunkTooLong_isRefusedAndNextIsServed()
+    {
+        const int64_t exceptions = connectionExceptions();
+        Server server(limits(16U * 1024));
+        const std::string answer =
+            server.exchange("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Filler: "
+                            + unstorable() + "\r\n\r\n");
+        CPPUNIT_ASSERT(hasStatus(answer, "413"));
+        CPPUNIT_ASSERT(hasStatus(server.get("/"), "200"));
+        CPPUNIT_ASSERT_EQUAL(exceptions, connectionExceptions());
+    }
+
+    void server_fieldTooLongForAWideHeaderLimit_isRefusedAndNextIsServed()
+    {
+        const int64_t exceptions = connectionExceptions();
+        Server server(limits(120U * 1024));
+        const std::string answer =
+            server.exchange("GET / HTTP/1.1\r\nHost: h\r\nX-Filler: " + unstorable() + "\r\n\r\n");
+        CPPUNIT_ASSERT(hasStatus(answer, "413"));
+        CPPUNIT_ASSERT(hasStatus(server.get("/"), "200"));
+        CPPUNIT_ASSERT_EQUAL(exceptions, connectionExceptions());
+    }
+
+    void server_responseCannotBeSent_endsItsConnectionOnly()
+    {
+        const int64_t exceptions = connectionExceptions();
+        Server server(limits(16U * 1024));
+        CPPUNIT_ASSERT_EQUAL(std::string(), server.get("/unstorable"));
+        CPPUNIT_ASSERT_EQUAL(exceptions + 1, connectionExceptions());
+        CPPUNIT_ASSERT(hasStatus(server.get("/"), "200"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        CPPUNIT_ASSERT_EQUAL(size_t{0}, server.openRequests());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpCallerServerFailureTest);
--- a/test/failure/UpstreamConnectionsFailureTest.cpp
+++ b/test/failure/UpstreamConnectionsFailureTest.cpp
@@ -1,5 +1,6 @@
 #include "connection/UpstreamConnections.h"
 #include "hickoryspur/process/Metrics.h"
+#include "process/ConnectionGuard.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -35,6 +36,9 @@
     CPPUNIT_TEST(connections_bodyWithoutEnd_exchangeFailsAndNextIsServed);
     CPPUNIT_TEST(connections_chunksWithoutEnd_exchangeFailsAndNextIsServed);
     CPPUNIT_TEST(connections_chunkExtensionWithoutEnd_exchangeFailsAndNextIsServed);
+    CPPUNIT_TEST(connections_impossibleLengthAndBodyInOneRead_exchangeFailsAndNextIsServed);
+    CPPUNIT_TEST(connections_fieldAfterLastChunkTooLong_exchangeFailsAndNextIsServed);
+    CPPUNIT_TEST(connections_fieldsAfterLastChunk_areNotTakenForTheHead);
     CPPUNIT_TEST(connections_answerByteByByte_endsAtDeadline);
     CPPUNIT_TEST(connections_manyShards_exchangeTakesAtMostThreeTurnsOfTheLoop);
     CPPUNIT_TEST(connections_headCutAndClosed_exchangeFails);
@@ -175,6 +179,54 @@
                                      std::string(65536, 'x'));
     }
 
+    /** The answer ends its exchange as failed, nothing is thrown, and the next exchange is served. */
+    void assertAnswerFails(const std::string &bytes)
+    {
+        const int64_t exceptions = connectionExceptions();
+        Upstream upstream(m_context);
+        std::optional<ExchangeResult> result;
+        send(target(upstream, "u"), "r1", [&](ExchangeResult ended) { result = std::move(ended); });
+        awaitRequest(upstream);
+        reply(upstream, bytes);
+        runUntil([&] { return result.has_value(); });
+        CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Failed);
+        CPPUNIT_ASSERT_EQUAL(exceptions, connectionExceptions());
+        upstream.socket.close();
+        std::optional<ExchangeResult> next;
+        send(target(upstream, "u"), "r2", [&](ExchangeResult ended) { next = std::move(ended); });
+        awaitRequest(upstream);
+        reply(upstream, answer("r2"));
+        runUntil([&] { return next.has_value(); });
+        CPPUNIT_ASSERT(next->outcome == AttemptOutcome::Answered);
+    }
+
+    // One such answer ended the entry, and with it the requests of all other callers.
+    void connections_impossibleLengthAndBodyInOneRead_exchangeFailsAndNextIsServed()
+    {
+        assertAnswerFails("HTTP/1.1 200 OK\r\nRequest: r1\r\nContent-Length: 900000000000\r\n\r\nbytes");
+    }
+
+    void connections_fieldAfterLastChunkTooLong_exchangeFailsAndNextIsServed()
+    {
+        assertAnswerFails(
+            "HTTP/1.1 200 OK\r\nRequest: r1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Filler: "
+            + std::string(70000, 'x') + "\r\n\r\n");
+    }
+
+    void connections_fieldsAfterLastChunk_areNotTakenForTheHead()
+    {
+        Upstream upstream(m_context);
+        std::optional<ExchangeResult> result;
+        send(target(upstream, "u"), "r1", [&](ExchangeResult ended) { result = std::move(ended); });
+        awaitRequest(upstream);
+        reply(upstream,
+              "HTTP/1.1 200 OK\r\nRequest: r1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Late: 1\r\n\r\n");
+        runUntil([&] { return result.has_value(); });
+        CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Answered);
+        CPPUNIT_ASSERT_EQUAL(std::string("x"), result->answer.body);
+        CPPUNIT_ASSERT_EQUAL(std::string(), result->answer.field("X-Late"));
+    }
+
     void connections_answerByteByByte_endsAtDeadline()
     {
         Upstream upstream(m_context);
