Promise "not run" only where the upstream has stated it

Cause: onAttemptEnded() takes both answers as failures, but singleAnswer() passed the last failure on as it was. Neither its status nor its signature was looked at.

Change: the codec says which failure is presentable: signed by the upstream, no success, and no status that promises "not run" (408, 421, 429, 503) without the upstream's own statement. Every other failure becomes an unsigned 502, which promises nothing. The same for a request that another entry has served: an entry of an earlier version still passes such answers on, and its signature tells the upstream's refusal from the entry's own. Other places that pass a status on: merged and grouped answers carry no status of an upstream; what states "not run" is refused by this entry itself. A 3xx, 4xx or 5xx with a signature goes out unchanged.

--- a/include/hickoryspur/request/RequestCodec.h
+++ b/include/hickoryspur/request/RequestCodec.h
@@ -61,6 +61,11 @@
     bool success = false;
     /** The upstream states that it did not run the request. */
     bool notRun = false;
+    /**
+     * The answer of an upstream that has failed may be given to the caller as it is. It may not if its status would
+     * promise that the request has not run, which the upstream has not stated, or if it is not signed by the upstream.
+     */
+    bool presentable = false;
     /** The upstream's signature of its part, which the merged answer lists. */
     std::string signature;
     /** What the upstream says of itself; nullopt if another process answered at its address. */
@@ -98,6 +103,8 @@
     std::function<AnswerVerdict(const UpstreamAnswer &)> read;
     /** The answer to the caller from a single upstream's answer. */
     std::function<CallerAnswer(const UpstreamAnswer &)> passThrough;
+    /** Whether the answer of another entry, which served the whole request, may be given to the caller as it is. */
+    std::function<bool(const CallerAnswer &)> mayRelay;
     /** The answer to the caller from the merged body; `missing` is the number of shards without a part. */
     std::function<CallerAnswer(const std::vector<std::string> &signatures, size_t missing, std::string body)> merged;
     /** The answer to a refused or failed request; retryAfter is the delay before the caller should retry. */
--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -212,7 +212,7 @@
         m_answers[key.shard] = std::move(result.answer);
         if (m_group)
             m_unreported.push_back(key.shard);
-    } else if (!m_finished && outcome == AttemptOutcome::Failed && result.outcome == AttemptOutcome::Answered) {
+    } else if (!m_finished && outcome == AttemptOutcome::Failed && verdict.presentable) {
         m_failure = std::move(result.answer);
     }
     m_traffic.recordVersionSample(m_route, sent.upstream, outcome, took);
--- a/src/request/RemoteRequest.cpp
+++ b/src/request/RemoteRequest.cpp
@@ -64,7 +64,7 @@
     m_call.reset();
     if (m_finished)
         return;
-    if (!reply.answer.empty())
+    if (!reply.answer.empty() && m_traffic.m_codec.mayRelay(reply.answer.front()))
         return finish(std::move(reply.answer.front()));
     if (reply.refused)
         return sendToNext();
