Reuse a connection only once its request has been written whole

Cause: onAnswer() made the connection idle although the async_write of the request went on. The next run() assigned the buffer from which that write still read, and wrote its own request into the middle of the body.

Change: UpstreamConnection knows whether its request is being written, or could not be; every end of an exchange before that closes the connection. Looked for elsewhere: ends by cancel, deadline and a caller that left close it already; calls between entries and answers to callers own the buffers of their writes until these end. The other channel reads only after it has written, but reused a connection with bytes behind the answer; it no longer does.

--- a/src/connection/HttpUpstreamChannel.cpp
+++ b/src/connection/HttpUpstreamChannel.cpp
@@ -114,6 +114,9 @@
         http::response<http::string_body> response;
         if (!error && m_parser)
             response = m_parser->release();
+        // Bytes after the answer belong to no request, so the connection is not reused.
+        if (m_buffer.size() > 0)
+            response.keep_alive(false);
         m_parser.reset();
         if (ended)
             ended(error, m_written, response);
--- a/src/connection/UpstreamConnection.cpp
+++ b/src/connection/UpstreamConnection.cpp
@@ -199,7 +199,8 @@
 {
     error_code error;
     const size_t written = m_socket.write_some(asio::buffer(m_requestBytes), error);
-    if (!error && written == m_requestBytes.size())
+    m_isWriting = error || written < m_requestBytes.size();
+    if (!m_isWriting)
         return;
     if (error && error != asio::error::would_block) {
         // Posted, since whoever started the exchange is not prepared for its end.
@@ -209,7 +210,8 @@
     asio::async_write(m_socket, asio::buffer(m_requestBytes) + written,
                       [self = shared_from_this()](error_code failure, size_t) {
                           if (failure)
-                              self->onWriteFailed(failure);
+                              return self->onWriteFailed(failure);
+                          self->m_isWriting = false;
                       });
 }
 
@@ -275,7 +277,8 @@
 {
     const auto done = std::move(m_exchange->done);
     m_exchange.reset();
-    if (keep && m_state == State::Busy) {
+    // An upstream may answer before it has read a long request. It would take the next one for the rest of that.
+    if (keep && !m_isWriting && m_state == State::Busy) {
         m_state = State::Idle;
         m_stateSince = monotonicNow();
     } else {
--- a/src/connection/UpstreamConnection.h
+++ b/src/connection/UpstreamConnection.h
@@ -72,6 +72,8 @@
     int m_mismatchedAnswers = 0;
     std::optional<Exchange> m_exchange;
     std::string m_requestBytes;
+    /** The request is being written, or could not be; until it is written whole, the connection carries no other one. */
+    bool m_isWriting = false;
     /** Parses the answer to the running exchange. */
     std::optional<AnswerParser> m_parser;
     boost::beast::flat_buffer m_buffer{kMaxUnparsedBytes};
--- a/test/failure/UpstreamConnectionsFailureTest.cpp
+++ b/test/failure/UpstreamConnectionsFailureTest.cpp
@@ -3,6 +3,7 @@
 #include "process/ConnectionGuard.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
@@ -10,6 +11,7 @@
 
 #include <array>
 #include <thread>
+#include <utility>
 
 using namespace hickoryspur;
 
@@ -29,6 +31,8 @@
     CPPUNIT_TEST(connections_connectionRefused_requestNotSent);
     CPPUNIT_TEST(connections_entryToWhichNoCallersAreSent_keepsNoneAfterAnswer);
     CPPUNIT_TEST(connections_warmedWhileRefused_attemptsBackOff);
+    CPPUNIT_TEST(connections_answeredBeforeRequestIsWritten_connectionIsNotReused);
+    CPPUNIT_TEST(connections_answeredAfterRequestIsWritten_connectionIsReused);
     CPPUNIT_TEST(connections_cancelledWhileWaiting_requestNotSent);
     CPPUNIT_TEST(connections_upstreamPausedWhileWaiting_requestNotSent);
     CPPUNIT_TEST(connections_cancelIfNotSentWhileRunning_exchangeCompletes);
@@ -64,10 +68,13 @@
         return {UpstreamId(id), {"127.0.0.1", upstream.acceptor.local_endpoint().port()}, 2};
     }
 
-    UpstreamConnections::Handle send(const UpstreamTarget &to, const std::string &id, UpstreamConnections::Done done)
+    UpstreamConnections::Handle send(const UpstreamTarget &to, const std::string &id, UpstreamConnections::Done done,
+                                     size_t bodyBytes = 0)
     {
         ExchangeRequest request;
-        request.encode = [id](TimePoint) { return "GET /" + id + " HTTP/1.1\r\nHost: h\r\n\r\n"; };
+        request.encode = [id, bodyBytes](TimePoint) {
+            return "GET /" + id + " HTTP/1.1\r\nHost: h\r\n\r\n" + std::string(bodyBytes, 'x');
+        };
         request.requestId = id;
         request.deadline = monotonicNow() + 5s;
         return m_connections.send(to, std::move(request), std::move(done));
@@ -179,6 +186,51 @@
                                      std::string(65536, 'x'));
     }
 
+    /** Reads to the end of a connection that the other side has closed. */
+    static std::string readRest(tcp::socket &socket)
+    {
+        std::string rest;
+        boost::system::error_code error;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(rest), error);
+        return rest;
+    }
+
+    // Where the rest of the body was due, the upstream read another caller's request, or freed memory.
+    void connections_answeredBeforeRequestIsWritten_connectionIsNotReused()
+    {
+        // More than the buffers of both sockets hold.
+        constexpr size_t kBodyBytes = 32UL * 1024 * 1024;
+        Upstream upstream(m_context);
+        std::optional<ExchangeResult> early;
+        send(
+            target(upstream, "u"), "r1", [&](ExchangeResult ended) { early = std::move(ended); }, kBodyBytes);
+        awaitRequest(upstream);
+        reply(upstream, answer("r1"));
+        runUntil([&] { return early.has_value(); });
+        CPPUNIT_ASSERT(early->outcome == AttemptOutcome::Answered);
+        tcp::socket first = std::exchange(upstream.socket, tcp::socket(m_context));
+        std::optional<ExchangeResult> next;
+        send(target(upstream, "u"), "r2", [&](ExchangeResult ended) { next = std::move(ended); });
+        awaitRequest(upstream);
+        reply(upstream, answer("r2"));
+        runUntil([&] { return next.has_value(); });
+        CPPUNIT_ASSERT(next->outcome == AttemptOutcome::Answered);
+        CPPUNIT_ASSERT(readRest(first).find_first_not_of('x') == std::string::npos);
+    }
+
+    void connections_answeredAfterRequestIsWritten_connectionIsReused()
+    {
+        Upstream upstream(m_context);
+        for (const std::string id : {"r1", "r2"}) {
+            std::optional<ExchangeResult> result;
+            send(target(upstream, "u"), id, [&](ExchangeResult ended) { result = std::move(ended); });
+            awaitRequest(upstream);
+            reply(upstream, answer(id));
+            runUntil([&] { return result.has_value(); });
+            CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Answered);
+        }
+    }
+
     /** The answer ends its exchange as failed, nothing is thrown, and the next exchange is served. */
     void assertAnswerFails(const std::string &bytes)
     {
