Bound the bytes that all connections of a process hold together

Change: ByteBudget, one limit for the process (setting connection-memory-mb, 32 by default). Every reader counts what it holds: answers on both channels, requests at every port, responses being written, frames between hosts. Beyond the limit the largest message is given up first and its connection closed (E1305, hickoryspur_messages_given_up_total); what a request in progress has been answered with is pinned. Messages up to 4 KiB are not counted. Frames take memory as their bytes arrive. An idle connection keeps no long request, and 32 KiB of an answer may be unparsed, not 128.

--- a/include/hickoryspur/process/HostSettings.h
+++ b/include/hickoryspur/process/HostSettings.h
@@ -3,6 +3,7 @@
 // field and reports all errors at once. docs/operators/settings.md describes each field.
 #pragma once
 
+#include "hickoryspur/process/ByteBudget.h"
 #include "hickoryspur/process/Ids.h"
 #include "hickoryspur/process/Settings.h"
 #include "hickoryspur/process/Time.h"
@@ -45,6 +46,8 @@
     double extraSlack = 50;
     /** How long an upstream goes on serving after it has said that it is leaving. */
     Duration upstreamDrainTime = 3s;
+    /** Limit on the bytes that all connections hold together; see ByteBudget. */
+    size_t connectionBytes = ByteBudget::kDefaultLimitBytes;
     /** Upper bound of directoryValidity(). */
     Duration maxDirectoryValidity = 5s;
 
--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -26,6 +26,7 @@
     MessageUndecodable = 1302,
     RequestHandlerFailed = 1303,
     ConnectionException = 1304,
+    MessageGivenUp = 1305,
     DocumentAccepted = 1400,
     DocumentInForce = 1401,
     LeaseLost = 1402,
--- a/src/app/HostProcess.cpp
+++ b/src/app/HostProcess.cpp
@@ -93,6 +93,7 @@
 
 Result<void> HostProcess::start()
 {
+    connectionBytes().setLimit(m_settings.connectionBytes);
     if (Result<void> metrics = startMetrics(); !metrics)
         return metrics;
     const uint64_t incarnation = generateIncarnation();
--- a/src/connection/HttpUpstreamChannel.cpp
+++ b/src/connection/HttpUpstreamChannel.cpp
@@ -102,7 +102,11 @@
 
     void read()
     {
-        m_parser.emplace(ParserLimits());
+        auto giveUp = [weak = weak_from_this()] {
+            if (const std::shared_ptr<Connection> self = weak.lock())
+                asio::post(self->m_stream.get_executor(), [self] { self->close(); });
+        };
+        m_parser.emplace(ParserLimits(), ByteBudget::Share(connectionBytes(), "upstream", std::move(giveUp)));
         http::async_read(m_stream, m_buffer, *m_parser,
                          [self = shared_from_this()](error_code error, size_t) { self->end(error); });
     }
--- a/src/connection/UpstreamConnection.cpp
+++ b/src/connection/UpstreamConnection.cpp
@@ -134,13 +134,13 @@
 {
     if (m_isReading || m_state == State::Closed)
         return;
-    if (m_buffer.size() >= kMaxUnparsedBytes) {
+    if (m_buffer.size() >= kMaxUnparsedAnswerBytes) {
         if (m_exchange)
-            finish({AttemptOutcome::Failed, {}, "read failed: the answer cannot be parsed"}, false);
+            finish({AttemptOutcome::Failed, {}, {}, "read failed: the answer cannot be parsed"}, false);
         return;
     }
     m_isReading = true;
-    const size_t space = std::min(kMaxUnparsedBytes - m_buffer.size(), std::max(kReadBytes, m_buffer.size()));
+    const size_t space = std::min(kMaxUnparsedAnswerBytes - m_buffer.size(), std::max(kReadBytes, m_buffer.size()));
     m_socket.async_read_some(m_buffer.prepare(space), [self = shared_from_this()](error_code error, size_t bytes) {
         self->onRead(error, bytes);
     });
@@ -161,10 +161,16 @@
     startRead();
 }
 
+void UpstreamConnection::giveUp(ExchangeHandle handle)
+{
+    if (m_exchange && m_exchange->handle == handle)
+        finish({AttemptOutcome::Failed, {}, {}, "given up: the answers need too much memory"}, false);
+}
+
 void UpstreamConnection::onException()
 {
     if (m_exchange)
-        finish({AttemptOutcome::Failed, {}, "read failed: the answer could not be handled"}, false);
+        finish({AttemptOutcome::Failed, {}, {}, "read failed: the answer could not be handled"}, false);
     else
         close();
 }
@@ -201,7 +207,7 @@
     const size_t written = m_socket.write_some(asio::buffer(m_requestBytes), error);
     m_isWriting = error || written < m_requestBytes.size();
     if (!m_isWriting)
-        return;
+        return onWritten();
     if (error && error != asio::error::would_block) {
         // Posted, since whoever started the exchange is not prepared for its end.
         asio::post(m_socket.get_executor(), [self = shared_from_this(), error] { self->onWriteFailed(error); });
@@ -211,19 +217,31 @@
                       [self = shared_from_this()](error_code failure, size_t) {
                           if (failure)
                               return self->onWriteFailed(failure);
-                          self->m_isWriting = false;
+                          self->onWritten();
                       });
 }
 
+void UpstreamConnection::onWritten()
+{
+    m_isWriting = false;
+    // An idle connection keeps no long request.
+    if (m_requestBytes.capacity() > ByteBudget::kUncountedBytes)
+        m_requestBytes = {};
+}
+
 void UpstreamConnection::onWriteFailed(error_code error)
 {
     if (m_exchange)
-        finish({AttemptOutcome::Lost, {}, "write failed: " + error.message()}, false);
+        finish({AttemptOutcome::Lost, {}, {}, "write failed: " + error.message()}, false);
 }
 
 void UpstreamConnection::startAnswer()
 {
-    m_parser.emplace(ParserLimits());
+    auto giveUp = [weak = weak_from_this(), handle = m_exchange->handle] {
+        if (const std::shared_ptr<UpstreamConnection> self = weak.lock())
+            asio::post(self->m_socket.get_executor(), [self, handle] { self->giveUp(handle); });
+    };
+    m_parser.emplace(ParserLimits(), ByteBudget::Share(connectionBytes(), "upstream", std::move(giveUp)));
     m_parser->eager(true);
 }
 
@@ -249,7 +267,7 @@
         break;
     }
     if (error)
-        finish({failure, {}, "read failed: " + error.message()}, false);
+        finish({failure, {}, {}, "read failed: " + error.message()}, false);
     else if (m_parser->is_done())
         onAnswer();
 }
@@ -260,17 +278,18 @@
     const bool keep = m_parser->get().keep_alive() && !m_parser->get().need_eof();
     if (const std::optional<Duration> idle = parseKeepAliveTimeout(m_parser->get()[http::field::keep_alive]))
         m_idleTimeout = *idle;
+    ByteBudget::Share held = std::move(m_parser->held());
     UpstreamAnswer answer = toAnswer(m_parser->release());
     const std::shared_ptr<ConnectionPool> pool = m_pool.lock();
     if (pool && !pool->belongsTo(answer, m_exchange->request.requestId)) {
         mismatches.add();
         if (!keep || ++m_mismatchedAnswers > kMaxMismatchedAnswers)
-            return finish({AttemptOutcome::Failed, {}, "the answer belongs to another request"}, false);
+            return finish({AttemptOutcome::Failed, {}, {}, "the answer belongs to another request"}, false);
         startAnswer();
         return parse({});
     }
     // Bytes after the answer belong to no request, so the connection is not reused.
-    finish({AttemptOutcome::Answered, std::move(answer), ""}, keep && m_buffer.size() == 0);
+    finish({AttemptOutcome::Answered, std::move(answer), std::move(held), ""}, keep && m_buffer.size() == 0);
 }
 
 void UpstreamConnection::finish(ExchangeResult result, bool keep)
--- a/src/connection/UpstreamConnection.h
+++ b/src/connection/UpstreamConnection.h
@@ -51,11 +51,14 @@
     /** Keeps one read pending from the connect on: it also notices bytes that nobody asked for, and the end. */
     void startRead();
     void onRead(boost::system::error_code error, size_t bytes);
+    /** Ends an exchange, if it still runs, to free the memory of its answer. */
+    void giveUp(ExchangeHandle handle);
     /** Ends the exchange and the connection after an exception. */
     void onException();
     /** Handles a read that ended while no request runs. */
     void onUnexpectedRead(boost::system::error_code error);
     void write();
+    void onWritten();
     void onWriteFailed(boost::system::error_code error);
     /** Parses what has been read; ends the exchange once its answer is complete. */
     void parse(boost::system::error_code readError);
@@ -72,11 +75,12 @@
     int m_mismatchedAnswers = 0;
     std::optional<Exchange> m_exchange;
     std::string m_requestBytes;
-    /** The request is being written, or could not be; until it is written whole, the connection carries no other one. */
+    /** The request is being written, or could not be; until it is written whole, the connection carries no other one.
+     */
     bool m_isWriting = false;
     /** Parses the answer to the running exchange. */
     std::optional<AnswerParser> m_parser;
-    boost::beast::flat_buffer m_buffer{kMaxUnparsedBytes};
+    boost::beast::flat_buffer m_buffer{kMaxUnparsedAnswerBytes};
 };
 
 } // namespace hickoryspur
--- a/src/connection/UpstreamExchange.h
+++ b/src/connection/UpstreamExchange.h
@@ -1,6 +1,7 @@
 // One request to an upstream and its answer, as the connections to upstreams carry it.
 #pragma once
 
+#include "hickoryspur/process/ByteBudget.h"
 #include "hickoryspur/process/Settings.h"
 #include "hickoryspur/process/Time.h"
 #include "hickoryspur/request/ReplicaTracker.h"
@@ -43,6 +44,8 @@
      */
     AttemptOutcome outcome = AttemptOutcome::Failed;
     UpstreamAnswer answer;
+    /** Counts the answer's bytes; kept as long as these are. */
+    ByteBudget::Share held{};
     /** Why there is no answer; empty if there is one. */
     std::string reason;
 };
--- a/src/process/BoundedParser.h
+++ b/src/process/BoundedParser.h
@@ -8,6 +8,7 @@
 // header fields they could claim what the head did not.
 #pragma once
 
+#include "hickoryspur/process/ByteBudget.h"
 #include "process/ConnectionGuard.h"
 
 #include <boost/beast/http/basic_parser.hpp>
@@ -34,8 +35,10 @@
     using Base = boost::beast::http::basic_parser<isRequest>;
     using Message = boost::beast::http::message<isRequest, boost::beast::http::string_body>;
 
-    explicit BoundedParser(ParserLimits limits)
+    /** The share counts the body while the message is read, and whoever takes it goes on counting. */
+    explicit BoundedParser(ParserLimits limits, ByteBudget::Share held = {})
         : m_limits(limits)
+        , m_held(std::move(held))
     {
         Base::header_limit(limits.headerBytes);
         Base::body_limit(limits.bodyBytes);
@@ -43,6 +46,7 @@
 
     const Message &get() const { return m_message; }
     Message release() { return std::move(m_message); }
+    ByteBudget::Share &held() { return m_held; }
 
 private:
     using error_code = boost::system::error_code;
@@ -127,10 +131,13 @@
             return 0;
         }
         store(ec, [&] { body.append(bytes.data(), bytes.size()); });
+        if (!ec && !m_held.resize(body.capacity()))
+            ec = make_error_code(boost::system::errc::no_buffer_space);
         return ec ? 0 : bytes.size();
     }
 
     ParserLimits m_limits;
+    ByteBudget::Share m_held;
     Message m_message;
     /** Bytes of the fields of the head, or of those after the last chunk. */
     size_t m_fieldBytes = 0;
--- a/src/process/FrameLink.cpp
+++ b/src/process/FrameLink.cpp
@@ -23,6 +23,8 @@
 
 /** Queue limit of a connection; one whose peer reads too slowly to stay below it is closed. */
 constexpr size_t kMaxQueuedBytes = 16ULL * 1024 * 1024;
+/** Memory for a message is taken in steps of this size, in bytes. */
+constexpr size_t kMaxReadStep = 64UL * 1024;
 /** Delay before accepting again after a failure, such as running out of file descriptors. */
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(50);
 
@@ -90,6 +92,7 @@
     error_code ignored;
     m_socket.close(ignored);
     m_receive = nullptr;
+    m_held = {};
     // Posted rather than called: the owner may be iterating over its connections, and the callback may
     // change that container.
     asio::post(m_socket.get_executor(), [self = shared_from_this(), closed = std::move(m_closed)] {
@@ -106,29 +109,47 @@
                          if (error || self->m_length > kMaxMessageBytes)
                              self->close();
                          else if (self->m_state == State::Open)
-                             self->readBody(self->m_length);
+                             self->startBody();
                      });
 }
 
-void FrameLink::readBody(uint32_t length)
+void FrameLink::startBody()
 {
-    m_body.resize(length);
-    asio::async_read(m_socket, asio::buffer(m_body), [self = shared_from_this()](error_code error, size_t) {
-        if (error || self->m_state != State::Open)
-            return self->close();
-        std::optional<PeerMessage> message = unpack<PeerMessage>(self->m_body);
-        if (!message) {
-            HS_LOG(WARNING, LogEvent::MessageUndecodable)
-                << "cannot decode " << self->m_body.size() << " bytes from a peer; closing the connection";
-            return self->close();
-        }
-        self->m_lastReceiveTime = monotonicNow();
-        const Receive receive = self->m_receive;
-        if (!runGuarded("peer", [&] { receive(self, std::move(*message)); }))
-            self->close();
-        if (self->m_state == State::Open)
-            self->readLength();
+    m_body = {};
+    m_held = ByteBudget::Share(connectionBytes(), "peer", [weak = weak_from_this()] {
+        if (const std::shared_ptr<FrameLink> self = weak.lock())
+            asio::post(self->m_socket.get_executor(), [self] { self->close(); });
     });
+    readBody();
+}
+
+void FrameLink::readBody()
+{
+    // Memory follows the bytes that arrive and not the stated length, which anyone who connects may choose.
+    const size_t have = m_body.size();
+    const size_t step = std::min(m_length - have, kMaxReadStep);
+    m_body.resize(have + step);
+    if (!m_held.resize(m_body.capacity()))
+        return close();
+    asio::async_read(
+        m_socket, asio::buffer(m_body.data() + have, step), [self = shared_from_this()](error_code error, size_t) {
+            if (error || self->m_state != State::Open)
+                return self->close();
+            if (self->m_body.size() < self->m_length)
+                return self->readBody();
+            std::optional<PeerMessage> message = unpack<PeerMessage>(self->m_body);
+            if (!message) {
+                HS_LOG(WARNING, LogEvent::MessageUndecodable)
+                    << "cannot decode " << self->m_body.size() << " bytes from a peer; closing the connection";
+                return self->close();
+            }
+            self->m_lastReceiveTime = monotonicNow();
+            const Receive receive = self->m_receive;
+            if (!runGuarded("peer", [&] { receive(self, std::move(*message)); }))
+                self->close();
+            if (self->m_state == State::Open)
+                self->readLength();
+        });
 }
 
 void FrameLink::writeNext()
--- a/src/process/FrameLink.h
+++ b/src/process/FrameLink.h
@@ -5,6 +5,7 @@
 // connection without either end noticing.
 #pragma once
 
+#include "hickoryspur/process/ByteBudget.h"
 #include "hickoryspur/process/PeerMessage.h"
 #include "hickoryspur/process/Settings.h"
 #include "hickoryspur/process/Time.h"
@@ -47,7 +48,8 @@
     enum class State { New, Connecting, Open, Closed };
 
     void readLength();
-    void readBody(uint32_t length);
+    void startBody();
+    void readBody();
     void writeNext();
 
     boost::asio::ip::tcp::socket m_socket;
@@ -58,6 +60,7 @@
     TimePoint m_lastReceiveTime;
     uint32_t m_length = 0;
     std::string m_body;
+    ByteBudget::Share m_held;
     std::deque<std::string> m_queue;
     size_t m_queuedBytes = 0;
     bool m_writing = false;
--- a/src/process/HostSettings.cpp
+++ b/src/process/HostSettings.cpp
@@ -15,6 +15,10 @@
 constexpr double kMaxExtraSlack = 1e9;
 /** Part of the grace period reserved for finishing requests that arrive just before the last callers leave. */
 constexpr Duration kFinalRequestTime = 1200ms;
+constexpr size_t kBytesPerMegabyte = 1024UL * 1024;
+/** One answer of the greatest size that is accepted has to fit. */
+constexpr double kMinConnectionMegabytes = 16;
+constexpr double kMaxConnectionMegabytes = 65536;
 constexpr Duration kMinDirectoryValidity = 200ms;
 /** Time until every entry's directory has stopped listing a stopping entry. */
 constexpr Duration kLeavePropagationTime = 100ms;
@@ -109,6 +113,9 @@
     settings.upstreamDrainTime = section.duration("upstream-drain", 100ms, kMaxGrace, settings.upstreamDrainTime);
     settings.maxDirectoryValidity =
         section.duration("directory-validity", 100ms, kMaxGrace, settings.maxDirectoryValidity);
+    settings.connectionBytes = kBytesPerMegabyte
+        * static_cast<size_t>(section.number("connection-memory-mb", kMinConnectionMegabytes, kMaxConnectionMegabytes,
+                                             static_cast<double>(settings.connectionBytes / kBytesPerMegabyte)));
     checkRole(section, settings);
     section.finish();
     if (!errors.empty())
--- a/src/process/HttpLimits.h
+++ b/src/process/HttpLimits.h
@@ -10,5 +10,7 @@
  * limit for, such as the extension of a chunk.
  */
 constexpr size_t kMaxUnparsedBytes = 128UL * 1024;
+/** The same for an answer of an upstream, whose head is limited to half of it. */
+constexpr size_t kMaxUnparsedAnswerBytes = 32UL * 1024;
 
 } // namespace hickoryspur
--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -210,10 +210,12 @@
     if (!m_finished && outcome == AttemptOutcome::Answered && !m_answers.contains(key.shard)) {
         m_signatures[key.shard] = std::move(verdict.signature);
         m_answers[key.shard] = std::move(result.answer);
+        keep(std::move(result.held));
         if (m_group)
             m_unreported.push_back(key.shard);
     } else if (!m_finished && outcome == AttemptOutcome::Failed && verdict.presentable) {
         m_failure = std::move(result.answer);
+        keep(std::move(result.held));
     }
     m_traffic.recordVersionSample(m_route, sent.upstream, outcome, took);
     const ScatterActions actions = m_scatter->attemptEnded(now, key, outcome);
@@ -223,6 +225,12 @@
     reportGroupIfDue(now);
 }
 
+void EntryTraffic::ActiveRequest::keep(ByteBudget::Share held)
+{
+    held.pin();
+    m_held.push_back(std::move(held));
+}
+
 void EntryTraffic::ActiveRequest::noteSurvival(const SentAttempt &sent, AttemptOutcome outcome, bool hasRun)
 {
     if (hasRun && !m_ranAndAnswered)
--- a/src/request/ActiveRequest.h
+++ b/src/request/ActiveRequest.h
@@ -82,6 +82,8 @@
     void execute(const ScatterActions &actions);
     void send(const SendAttempt &attempt);
     void onAttemptEnded(AttemptKey key, ExchangeResult result);
+    /** Goes on counting the bytes of an answer that this request keeps. */
+    void keep(ByteBudget::Share held);
     /** Notes whether an upstream has ended, or has not, while it ran the request. */
     void noteSurvival(const SentAttempt &sent, AttemptOutcome outcome, bool hasRun);
     /** Reports the upstreams that have ended, unless one has answered, and the end of a probe. */
@@ -127,6 +129,7 @@
     std::map<ServiceName, VersionGroup> m_versionGroups;
     std::map<uint32_t, UpstreamAnswer> m_answers;
     std::map<uint32_t, std::string> m_signatures;
+    std::vector<ByteBudget::Share> m_held;
     /** Set if this is a group of a request. */
     std::optional<GroupOrder> m_group;
     /** Shards of the group that have answered since the last report. */
--- a/src/request/HttpCallerServer.cpp
+++ b/src/request/HttpCallerServer.cpp
@@ -86,7 +86,7 @@
     return request;
 }
 
-http::response<http::string_body> toHttpResponse(const CallerResponse &response, bool keepAlive)
+http::response<http::string_body> toHttpResponse(CallerResponse response, bool keepAlive)
 {
     http::response<http::string_body> message{static_cast<http::status>(response.status), 11};
     if (!response.contentType.empty())
@@ -96,11 +96,20 @@
     for (const auto &[name, value] : response.fields)
         message.insert(name, value);
     message.keep_alive(keepAlive);
-    message.body() = response.body;
+    message.body() = std::move(response.body);
     message.prepare_payload();
     return message;
 }
 
+/** Counts what a caller's connection holds; to give it up, the connection is closed. */
+ByteBudget::Share countBytes(const std::shared_ptr<beast::tcp_stream> &stream)
+{
+    return {connectionBytes(), "caller", [weak = std::weak_ptr<beast::tcp_stream>(stream)] {
+                if (const std::shared_ptr<beast::tcp_stream> open = weak.lock())
+                    asio::post(open->get_executor(), [open] { open->close(); });
+            }};
+}
+
 CallerResponse errorResponse(error_code error)
 {
     Failure failure{ResultCode::MalformedRequest, "not a valid HTTP/1.1 request: " + error.message(), true};
@@ -164,8 +173,8 @@
     bool closing = false;
 
     static void acceptLoop(const std::shared_ptr<State> &state);
-    static void serveConnection(const std::shared_ptr<State> &state, beast::tcp_stream stream);
-    bool serveRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer);
+    static void serveConnection(const std::shared_ptr<State> &state, const std::shared_ptr<beast::tcp_stream> &stream);
+    bool serveRequest(const std::shared_ptr<beast::tcp_stream> &stream, beast::flat_buffer &buffer);
     CallerResponse handle(beast::tcp_stream &stream, CallerRequest request);
     /** Contents that a handler cannot bear fail their own request, and not the process with all others. */
     CallerResponse runHandler(const CallerRequest &request) const;
@@ -199,14 +208,15 @@
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
         // Without the memory for a fiber, the connection is closed.
         static_cast<void>(runGuarded("accept", [&] {
-            boost::fibers::fiber([state, stream = beast::tcp_stream(std::move(socket))]() mutable {
-                serveConnection(state, std::move(stream));
+            boost::fibers::fiber([state, stream = std::make_shared<beast::tcp_stream>(std::move(socket))] {
+                serveConnection(state, stream);
             }).detach();
         }));
     }
 }
 
-void HttpCallerServer::State::serveConnection(const std::shared_ptr<State> &state, beast::tcp_stream stream)
+void HttpCallerServer::State::serveConnection(const std::shared_ptr<State> &state,
+                                              const std::shared_ptr<beast::tcp_stream> &stream)
 {
     ++state->connections;
     beast::flat_buffer buffer(kMaxUnparsedBytes);
@@ -215,22 +225,29 @@
         if (!runGuarded("caller", [&] { open = state->serveRequest(stream, buffer); }))
             open = false;
     error_code ignored;
-    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    stream->socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     --state->connections;
 }
 
-bool HttpCallerServer::State::serveRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer)
+bool HttpCallerServer::State::serveRequest(const std::shared_ptr<beast::tcp_stream> &connection,
+                                           beast::flat_buffer &buffer)
 {
-    RequestParser parser({limits.headerBytes, limits.bodyBytes});
+    beast::tcp_stream &stream = *connection;
+    RequestParser parser({limits.headerBytes, limits.bodyBytes}, countBytes(connection));
     stream.expires_after(limits.idleTimeout);
     const error_code error = await([&](auto done) { http::async_read(stream, buffer, parser, std::move(done)); });
+    parser.held().pin();
     if (error && !isProtocolError(error))
         return false;
     const bool wantsKeepAlive = !error && parser.keep_alive();
     const OpenRequest openRequest(openRequests);
-    const CallerResponse response = error ? errorResponse(error) : handle(stream, toCallerRequest(parser.release()));
+    CallerResponse response = error ? errorResponse(error) : handle(stream, toCallerRequest(parser.release()));
     const bool keepAlive = wantsKeepAlive && !closing;
-    const http::response<http::string_body> message = toHttpResponse(response, keepAlive);
+    const http::response<http::string_body> message = toHttpResponse(std::move(response), keepAlive);
+    // A caller may take its answer slowly, or not at all.
+    ByteBudget::Share held = countBytes(connection);
+    if (!held.resize(message.body().size()))
+        return false;
     stream.expires_after(limits.idleTimeout);
     const error_code written = await([&](auto done) { http::async_write(stream, message, std::move(done)); });
     return !written && keepAlive;
--- a/test/failure/UpstreamConnectionsFailureTest.cpp
+++ b/test/failure/UpstreamConnectionsFailureTest.cpp
@@ -1,4 +1,5 @@
 #include "connection/UpstreamConnections.h"
+#include "hickoryspur/process/ByteBudget.h"
 #include "hickoryspur/process/Metrics.h"
 #include "process/ConnectionGuard.h"
 
@@ -9,9 +10,11 @@
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <array>
 #include <thread>
 #include <utility>
+#include <vector>
 
 using namespace hickoryspur;
 
@@ -42,6 +45,8 @@
     CPPUNIT_TEST(connections_chunkExtensionWithoutEnd_exchangeFailsAndNextIsServed);
     CPPUNIT_TEST(connections_impossibleLengthAndBodyInOneRead_exchangeFailsAndNextIsServed);
     CPPUNIT_TEST(connections_fieldAfterLastChunkTooLong_exchangeFailsAndNextIsServed);
+    CPPUNIT_TEST(connections_statedLengthBeyondTheLimit_nothingIsReservedForIt);
+    CPPUNIT_TEST(connections_manyAnswersWithoutEnd_largestAreGivenUpAndOthersServed);
     CPPUNIT_TEST(connections_fieldsAfterLastChunk_areNotTakenForTheHead);
     CPPUNIT_TEST(connections_answerByteByByte_endsAtDeadline);
     CPPUNIT_TEST(connections_manyShards_exchangeTakesAtMostThreeTurnsOfTheLoop);
@@ -63,6 +68,23 @@
         tcp::socket socket;
     };
 
+    /** The limit of this process's connections while it lives. */
+    class LimitForTest
+    {
+    public:
+        explicit LimitForTest(size_t bytes)
+            : m_before(connectionBytes().limit())
+        {
+            connectionBytes().setLimit(bytes);
+        }
+        ~LimitForTest() { connectionBytes().setLimit(m_before); }
+        LimitForTest(const LimitForTest &) = delete;
+        LimitForTest &operator=(const LimitForTest &) = delete;
+
+    private:
+        size_t m_before;
+    };
+
     UpstreamTarget target(const Upstream &upstream, const std::string &id) const
     {
         return {UpstreamId(id), {"127.0.0.1", upstream.acceptor.local_endpoint().port()}, 2};
@@ -265,6 +287,49 @@
             + std::string(70000, 'x') + "\r\n\r\n");
     }
 
+    void connections_statedLengthBeyondTheLimit_nothingIsReservedForIt()
+    {
+        assertAnswerFails("HTTP/1.1 200 OK\r\nRequest: r1\r\nContent-Length: 2000000000\r\n\r\n"
+                          + std::string(1000, 'x'));
+    }
+
+    // Operators of similar systems: answers without end used up the memory, and the process ended with all requests.
+    void connections_manyAnswersWithoutEnd_largestAreGivenUpAndOthersServed()
+    {
+        constexpr size_t kUpstreams = 8;
+        constexpr size_t kLimitBytes = 4UL * 1024 * 1024;
+        const LimitForTest limit(kLimitBytes);
+        std::vector<std::unique_ptr<Upstream>> endless;
+        std::vector<std::optional<ExchangeResult>> results(kUpstreams);
+        for (size_t i = 0; i < kUpstreams; ++i) {
+            endless.push_back(std::make_unique<Upstream>(m_context));
+            const std::string id = "r" + std::to_string(i);
+            send(target(*endless[i], "u" + id), id,
+                 [&results, i](ExchangeResult ended) { results[i] = std::move(ended); });
+            awaitRequest(*endless[i]);
+            reply(*endless[i], "HTTP/1.1 200 OK\r\nRequest: " + id + "\r\n\r\n");
+            endless[i]->socket.non_blocking(true);
+        }
+        const std::string filler(64UL * 1024, 'x');
+        runUntil([&] {
+            for (const std::unique_ptr<Upstream> &upstream : endless) {
+                boost::system::error_code error;
+                upstream->socket.write_some(boost::asio::buffer(filler), error);
+                m_context.poll();
+                m_context.restart();
+                CPPUNIT_ASSERT(connectionBytes().heldBytes() <= kLimitBytes);
+            }
+            return std::all_of(results.begin(), results.end(), [](const auto &result) { return result.has_value(); });
+        });
+        Upstream sound(m_context);
+        std::optional<ExchangeResult> next;
+        send(target(sound, "sound"), "next", [&](ExchangeResult ended) { next = std::move(ended); });
+        awaitRequest(sound);
+        reply(sound, answer("next"));
+        runUntil([&] { return next.has_value(); });
+        CPPUNIT_ASSERT(next->outcome == AttemptOutcome::Answered);
+    }
+
     void connections_fieldsAfterLastChunk_areNotTakenForTheHead()
     {
         Upstream upstream(m_context);
