Send requests that wait for a leaving upstream to another one

Cause: an upstream that leaves had only its idle connections closed. What waited in its pool stayed there until a connection got free; it was withdrawn only for a pause that an answer asks for.

Change: whoever learns that an upstream leaves, from its announcement or from an answer, withdraws what waits for it as not sent, so that another replica gets it, or the caller a refusal at once.

--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -284,7 +284,7 @@
     if (changes.pauseBegun)
         m_connections.withdrawWaiting(upstream);
     if (changes.leavingBegun)
-        m_connections.removeUpstream(upstream);
+        retireUpstream(upstream);
 }
 
 void EntryTraffic::updateAdmission(TimePoint now)
@@ -507,7 +507,14 @@
         return;
     if (!known || known->announcement.upstreamState() == UpstreamState::Gone)
         m_admission.remove(announcement.id);
-    m_connections.removeUpstream(announcement.id);
+    retireUpstream(announcement.id);
+}
+
+void EntryTraffic::retireUpstream(const UpstreamId &upstream)
+{
+    // What waits for a connection to it would be sent later than the upstream serves.
+    m_connections.withdrawWaiting(upstream);
+    m_connections.removeUpstream(upstream);
 }
 
 void EntryTraffic::updateServiceStatus(TimePoint now)
--- a/test/fakes/EntryWorld.h
+++ b/test/fakes/EntryWorld.h
@@ -50,11 +50,11 @@
         });
     }
 
-    /** Starts an upstream that answers as the handler says. */
+    /** Starts an upstream that answers as the handler says; a service may have several. */
     void addUpstream(const std::string &service, const std::string &dataCentre, CallerHandler handler)
     {
         Announcement announcement;
-        announcement.id = UpstreamId(service + "-1");
+        announcement.id = UpstreamId(service + '-' + std::to_string(upstreams.size() + 1));
         announcement.service = ServiceName(service);
         announcement.version = VersionName("v1");
         announcement.incarnation = 1;
