Acknowledge that an upstream leaves once the disk holds it

Cause: a departure was acknowledged when the connected entries had been told; the list of upstreams went to the disk up to 0.3 s later. Hosts that came back restored the upstreams as ready, and an entry that had restarted knew no better.

Change: the acknowledgement waits for the next save of the list (at most a tick of 100 ms and the sync); a disk that cannot be written is a 503, and the upstream calls the next host. SaveTracker says which departures a save covers, one that came while it was written not among them. The notes' format is as before.

--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -24,8 +24,6 @@
 constexpr Duration kRefreshTimePerEntry = 2ms;
 /** Minimum time between saves of the registered upstreams to disk; each save costs a disk sync. */
 constexpr Duration kSaveInterval = 1s;
-/** The same after an upstream has left. */
-constexpr Duration kDepartureSaveInterval = 200ms;
 /** Sessions that get the complete state in one tick: a small deployment at once, hundreds within two seconds. */
 constexpr size_t kMaxStatesPerTick = 20;
 /** How long a confirmation by the control group that this host leads is valid. */
@@ -399,7 +397,25 @@
     for (const auto &[id, known] : m_registry.all())
         notes.upstreams.push_back(known.announcement);
     notes.suspects = m_quarantine.reports(now);
-    m_group->saveNotes(pack(notes));
+    m_group->saveNotes(pack(notes), [this, covered = m_departures.begin()](bool saved) {
+        asio::post(m_context, [this, covered, saved] { onNotesSaved(covered, saved); });
+    });
+}
+
+void ControlHost::onNotesSaved(uint64_t covered, bool saved)
+{
+    m_notesChanged = m_notesChanged || !saved;
+    m_departures.end(covered, saved);
+}
+
+Result<void> ControlHost::awaitDeparturesSaved()
+{
+    const auto promise = std::make_shared<boost::fibers::promise<bool>>();
+    boost::fibers::future<bool> saved = promise->get_future();
+    m_departures.await([promise](bool result) { promise->set_value(result); });
+    if (saved.get())
+        return {};
+    return failure(ResultCode::DiskFailed, "this host cannot store that the upstream leaves", true);
 }
 
 void ControlHost::restoreNotes(const std::string &bytes)
@@ -453,7 +469,8 @@
     if (!isDeparture(announcement))
         return;
     flushAnnouncements();
-    m_nextSave = std::min(m_nextSave, monotonicNow() + kDepartureSaveInterval);
+    m_departures.recordChange();
+    m_nextSave = TimePoint();
 }
 
 void ControlHost::reportDeparture(const Announcement &announcement)
@@ -469,25 +486,32 @@
     if (change == RegistryChange::Refreshed)
         m_heartbeats.push_back(announcement.id);
     if (change != RegistryChange::Changed)
-        return requireConnectedEntry();
+        return isDeparture(announcement) ? confirmDeparture() : requireConnectedEntry();
     HS_LOG(INFO, announcement.isLeaving() ? LogEvent::UpstreamLeaving : LogEvent::UpstreamArrived)
         << "upstream=" << announcement.id << " service=" << announcement.service << " at=" << announcement.address
         << ':' << announcement.port << " born=" << announcement.incarnation << " seq=" << announcement.sequence
         << " version=" << announcement.version << " cold-ms=" << announcement.coldForMillis;
     broadcastAnnouncement(announcement);
     reportDeparture(announcement);
+    return isDeparture(announcement) ? confirmDeparture() : requireConnectedEntry();
+}
+
+Result<void> ControlHost::confirmDeparture()
+{
+    if (Result<void> saved = awaitDeparturesSaved(); !saved)
+        return saved;
     return requireConnectedEntry();
 }
 
 Result<void> ControlHost::remove(const UpstreamId &id, uint64_t incarnation)
 {
     if (m_registry.remove(monotonicNow(), id, incarnation) != RegistryChange::Changed)
-        return requireConnectedEntry();
+        return confirmDeparture();
     HS_LOG(INFO, LogEvent::UpstreamLost) << "upstream=" << id << " born=" << incarnation << " deregistered itself";
     const Announcement ended = m_registry.find(id)->announcement;
     broadcastAnnouncement(ended);
     reportDeparture(ended);
-    return requireConnectedEntry();
+    return confirmDeparture();
 }
 
 Result<void> ControlHost::requireConnectedEntry() const
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -10,6 +10,7 @@
 #include "hickoryspur/process/ActiveEntries.h"
 #include "hickoryspur/process/ControlHostDirectory.h"
 #include "hickoryspur/process/HostSettings.h"
+#include "hickoryspur/process/SaveTracker.h"
 #include "hickoryspur/process/UpstreamCounts.h"
 #include "hickoryspur/version/MoveCoordinator.h"
 #include "process/FrameLink.h"
@@ -74,6 +75,11 @@
     /** Passes on what an entry knows of requests that end upstreams, if it is new. */
     void mergeSuspects(TimePoint now, const std::vector<SuspectReport> &suspects);
     void saveNotesIfDue(TimePoint now);
+    void onNotesSaved(uint64_t covered, bool saved);
+    /** Waits on the calling fiber until this host's disk holds every departure that it knows. */
+    Result<void> awaitDeparturesSaved();
+    /** The same, and fails like requireConnectedEntry(). */
+    Result<void> confirmDeparture();
     void restoreNotes(const std::string &bytes);
     void restoreUpstreams(const std::vector<Announcement> &upstreams);
     Result<void> submit(Command command);
@@ -107,6 +113,8 @@
     /** Whether sendAwaitedState() has run since the last tick. */
     bool m_stateSentInTick = false;
     bool m_notesChanged = false;
+    /** Upstreams that leave, until the notes on the disk say so. */
+    SaveTracker m_departures;
     UpstreamCounts m_upstreamCounts;
     ActiveEntries m_activeEntries;
     /** What entries report of requests that end upstreams; passed on to all of them. */
--- a/src/process/GroupThread.cpp
+++ b/src/process/GroupThread.cpp
@@ -280,14 +280,15 @@
     });
 }
 
-void GroupThread::saveNotes(std::string bytes)
+void GroupThread::saveNotes(std::string bytes, std::function<void(bool)> saved)
 {
-    asio::post(m_state->context, [state = m_state.get(), bytes = std::move(bytes)] {
+    asio::post(m_state->context, [state = m_state.get(), bytes = std::move(bytes), saved = std::move(saved)] {
         if (!state->node)
-            return;
-        const Result<void> saved = saveRecordFile(state->config.dataFolder, kNotesFile, bytes);
-        LOG_IF(WARNING, !saved) << "cannot save the notes file, a restart will recover more slowly: "
-                                << saved.error().message;
+            return saved(false);
+        const Result<void> written = saveRecordFile(state->config.dataFolder, kNotesFile, bytes);
+        LOG_IF(WARNING, !written) << "cannot save the notes file, a restart will recover more slowly: "
+                                  << written.error().message;
+        saved(written.has_value());
     });
 }
 
--- a/src/process/GroupThread.h
+++ b/src/process/GroupThread.h
@@ -69,8 +69,9 @@
     /** Passes nullopt while the log is closed or has changes that are not durable yet. */
     void requestLogReport(std::function<void(std::optional<LogReport>)> callback);
     void setSeeds(std::vector<NodeId> seeds);
-    /** Stores soft state for a faster recovery after a restart. A failed write costs some seconds then, no data. */
-    void saveNotes(std::string bytes);
+    /** Stores soft state for the time after a restart; `saved` is called on the control thread once it is durable, or
+     * not. */
+    void saveNotes(std::string bytes, std::function<void(bool)> saved);
 
 private:
     struct State;
