Open a connection for requests that wait after one has ended

Change: one function opens a connection, within the limit, if more requests wait than connections are being opened; after an exchange only while the upstream has not just refused one.

--- a/src/connection/ConnectionPool.cpp
+++ b/src/connection/ConnectionPool.cpp
@@ -60,6 +60,11 @@
     if (fresh)
         closeIdle();
     m_waiting.push_back(std::move(exchange));
+    openForWaiting();
+}
+
+void ConnectionPool::openForWaiting()
+{
     const auto opening = std::count_if(m_connections.begin(), m_connections.end(),
                                        [](const auto &connection) { return connection->isOpening(); });
     if (static_cast<size_t>(opening) < m_waiting.size())
@@ -110,8 +115,9 @@
         m_waiting.pop_front();
         connection->run(std::move(exchange));
     }
-    if (!m_waiting.empty() && hasRoom())
-        open(ConnectionEvent::OpenedForRequest);
+    // An upstream that has just refused a connection is at its limit.
+    if (m_backoff.mayConnect(monotonicNow()))
+        openForWaiting();
 }
 
 void ConnectionPool::onConnectFailure(const std::string &reason)
--- a/src/connection/ConnectionPool.h
+++ b/src/connection/ConnectionPool.h
@@ -61,6 +61,8 @@
     void open(ConnectionEvent purpose);
     std::shared_ptr<UpstreamConnection> findIdle(TimePoint now, bool fresh);
     void startWaiting();
+    /** Opens a connection, within the limit, if more requests wait than connections are being opened. */
+    void openForWaiting();
     void dropClosed();
 
     boost::asio::io_context &m_context;
--- a/src/process/HostSettings.cpp
+++ b/src/process/HostSettings.cpp
@@ -15,7 +15,7 @@
 constexpr double kMaxExtraSlack = 1e9;
 /** Part of the grace period reserved for finishing requests that arrive just before the last callers leave. */
 constexpr Duration kFinalRequestTime = 1200ms;
-constexpr size_t kBytesPerMegabyte = 1024UL * 1024;
+constexpr double kBytesPerMegabyte = 1024.0 * 1024;
 /** One answer of the greatest size that is accepted has to fit. */
 constexpr double kMinConnectionMegabytes = 16;
 constexpr double kMaxConnectionMegabytes = 65536;
@@ -113,9 +113,9 @@
     settings.upstreamDrainTime = section.duration("upstream-drain", 100ms, kMaxGrace, settings.upstreamDrainTime);
     settings.maxDirectoryValidity =
         section.duration("directory-validity", 100ms, kMaxGrace, settings.maxDirectoryValidity);
-    settings.connectionBytes = kBytesPerMegabyte
-        * static_cast<size_t>(section.number("connection-memory-mb", kMinConnectionMegabytes, kMaxConnectionMegabytes,
-                                             static_cast<double>(settings.connectionBytes / kBytesPerMegabyte)));
+    const double megabytes = section.number("connection-memory-mb", kMinConnectionMegabytes, kMaxConnectionMegabytes,
+                                            static_cast<double>(settings.connectionBytes) / kBytesPerMegabyte);
+    settings.connectionBytes = static_cast<size_t>(megabytes * kBytesPerMegabyte);
     checkRole(section, settings);
     section.finish();
     if (!errors.empty())
--- a/test/failure/FrameLinkFailureTest.cpp
+++ b/test/failure/FrameLinkFailureTest.cpp
@@ -54,7 +54,7 @@
         tcp::socket peer(m_context);
         const size_t before = connectionBytes().heldBytes();
         const auto link = accept(
-            peer, [](const auto &, PeerMessage) {}, closed);
+            peer, [](const auto &, const PeerMessage &) {}, closed);
         boost::asio::write(peer, boost::asio::buffer(&kStatedBytes, sizeof(kStatedBytes)));
         runUntil([&] { return connectionBytes().heldBytes() > before; });
         CPPUNIT_ASSERT(connectionBytes().heldBytes() - before < kMaxReservedBytes);
@@ -70,10 +70,10 @@
         std::string received;
         tcp::socket peer(m_context);
         const auto link = accept(
-            peer, [&](const auto &, PeerMessage message) { received = message.payload; }, closed);
+            peer, [&](const auto &, const PeerMessage &message) { received = message.payload; }, closed);
         bool senderClosed = false;
         const auto sender = std::make_shared<FrameLink>(
-            std::move(peer), [](const auto &, PeerMessage) {}, [&](const auto &) { senderClosed = true; });
+            std::move(peer), [](const auto &, const PeerMessage &) {}, [&](const auto &) { senderClosed = true; });
         sender->start();
         PeerMessage message;
         message.payload = payload;
@@ -90,10 +90,10 @@
         bool closed = false;
         tcp::socket peer(m_context);
         const auto link = accept(
-            peer, [](const auto &, PeerMessage) { throw std::length_error("too long"); }, closed);
+            peer, [](const auto &, const PeerMessage &) { throw std::length_error("too long"); }, closed);
         bool senderClosed = false;
         const auto sender = std::make_shared<FrameLink>(
-            std::move(peer), [](const auto &, PeerMessage) {}, [&](const auto &) { senderClosed = true; });
+            std::move(peer), [](const auto &, const PeerMessage &) {}, [&](const auto &) { senderClosed = true; });
         sender->start();
         sender->send(PeerMessage());
         runUntil([&] { return closed && senderClosed; });
--- a/test/failure/UpstreamConnectionsFailureTest.cpp
+++ b/test/failure/UpstreamConnectionsFailureTest.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(connections_warmedWhileRefused_attemptsBackOff);
     CPPUNIT_TEST(connections_answeredBeforeRequestIsWritten_connectionIsNotReused);
     CPPUNIT_TEST(connections_answeredAfterRequestIsWritten_connectionIsReused);
+    CPPUNIT_TEST(connections_endWhileAsManyRequestsWaitAsAreAllowed_waitingOnesAreSent);
     CPPUNIT_TEST(connections_cancelledWhileWaiting_requestNotSent);
     CPPUNIT_TEST(connections_upstreamPausedWhileWaiting_requestNotSent);
     CPPUNIT_TEST(connections_cancelIfNotSentWhileRunning_exchangeCompletes);
@@ -240,6 +241,25 @@
         CPPUNIT_ASSERT(readRest(first).find_first_not_of('x') == std::string::npos);
     }
 
+    // They waited to their deadline, though the upstream was sound.
+    void connections_endWhileAsManyRequestsWaitAsAreAllowed_waitingOnesAreSent()
+    {
+        Upstream upstream(m_context);
+        UpstreamTarget narrow = target(upstream, "u");
+        narrow.connections = 1;
+        std::optional<ExchangeResult> first;
+        std::optional<ExchangeResult> second;
+        send(narrow, "r1", [&](ExchangeResult ended) { first = std::move(ended); });
+        awaitRequest(upstream);
+        send(narrow, "r2", [&](ExchangeResult ended) { second = std::move(ended); });
+        upstream.socket.close();
+        runUntil([&] { return first.has_value(); });
+        awaitRequest(upstream);
+        reply(upstream, answer("r2"));
+        runUntil([&] { return second.has_value(); });
+        CPPUNIT_ASSERT(second->outcome == AttemptOutcome::Answered);
+    }
+
     void connections_answeredAfterRequestIsWritten_connectionIsReused()
     {
         Upstream upstream(m_context);
