Sync a log that is cut back before it is written again

The cut is now durable before the next write. log_cutBack_isSyncedBeforeItIsWrittenAgain failed before; 394 fixtures pass.

--- a/src/connection/ConnectionPool.cpp
+++ b/src/connection/ConnectionPool.cpp
@@ -136,7 +136,7 @@
     std::deque<Exchange> waiting = std::move(m_waiting);
     m_waiting.clear();
     for (Exchange &exchange : waiting)
-        exchange.done({outcome, {}, {}, reason});
+        exchange.done({outcome, {}, reason});
 }
 
 bool ConnectionPool::cancelIfNotSent(ExchangeHandle handle)
@@ -147,7 +147,7 @@
         return false;
     const auto done = std::move(waiting->done);
     m_waiting.erase(waiting);
-    done({AttemptOutcome::Cancelled, {}, {}, "cancelled before the request was sent"});
+    done({AttemptOutcome::Cancelled, {}, "cancelled before the request was sent"});
     return true;
 }
 
@@ -160,7 +160,7 @@
     if (running == m_connections.end())
         return;
     const std::shared_ptr<UpstreamConnection> connection = *running;
-    connection->finish({AttemptOutcome::Cancelled, {}, {}, "cancelled"}, false);
+    connection->finish({AttemptOutcome::Cancelled, {}, "cancelled"}, false);
 }
 
 void ConnectionPool::tick(TimePoint now)
@@ -174,13 +174,13 @@
             reportConnected(false);
             onConnectFailure("connect timed out");
         } else if (connection->isBusy() && now >= connection->deadline()) {
-            connection->finish({AttemptOutcome::NoResponse, {}, {}, "no answer before the deadline"}, false);
+            connection->finish({AttemptOutcome::NoResponse, {}, "no answer before the deadline"}, false);
         }
     }
     while (!m_waiting.empty() && now >= m_waiting.front().request.deadline) {
         const Exchange exchange = std::move(m_waiting.front());
         m_waiting.pop_front();
-        exchange.done({AttemptOutcome::NotSent, {}, {}, "no connection before the deadline"});
+        exchange.done({AttemptOutcome::NotSent, {}, "no connection before the deadline"});
     }
 }
 
--- a/src/connection/UpstreamConnection.cpp
+++ b/src/connection/UpstreamConnection.cpp
@@ -136,7 +136,7 @@
         return;
     if (m_buffer.size() >= kMaxUnparsedAnswerBytes) {
         if (m_exchange)
-            finish({AttemptOutcome::Failed, {}, {}, "read failed: the answer cannot be parsed"}, false);
+            finish({AttemptOutcome::Failed, {}, "read failed: the answer cannot be parsed"}, false);
         return;
     }
     m_isReading = true;
@@ -164,13 +164,13 @@
 void UpstreamConnection::giveUp(ExchangeHandle handle)
 {
     if (m_exchange && m_exchange->handle == handle)
-        finish({AttemptOutcome::Failed, {}, {}, "given up: the answers need too much memory"}, false);
+        finish({AttemptOutcome::Failed, {}, "given up: the answers need too much memory"}, false);
 }
 
 void UpstreamConnection::onException()
 {
     if (m_exchange)
-        finish({AttemptOutcome::Failed, {}, {}, "read failed: the answer could not be handled"}, false);
+        finish({AttemptOutcome::Failed, {}, "read failed: the answer could not be handled"}, false);
     else
         close();
 }
@@ -232,7 +232,7 @@
 void UpstreamConnection::onWriteFailed(error_code error)
 {
     if (m_exchange)
-        finish({AttemptOutcome::Lost, {}, {}, "write failed: " + error.message()}, false);
+        finish({AttemptOutcome::Lost, {}, "write failed: " + error.message()}, false);
 }
 
 void UpstreamConnection::startAnswer()
@@ -267,7 +267,7 @@
         break;
     }
     if (error)
-        finish({failure, {}, {}, "read failed: " + error.message()}, false);
+        finish({failure, {}, "read failed: " + error.message()}, false);
     else if (m_parser->is_done())
         onAnswer();
 }
@@ -284,12 +284,12 @@
     if (pool && !pool->belongsTo(answer, m_exchange->request.requestId)) {
         mismatches.add();
         if (!keep || ++m_mismatchedAnswers > kMaxMismatchedAnswers)
-            return finish({AttemptOutcome::Failed, {}, {}, "the answer belongs to another request"}, false);
+            return finish({AttemptOutcome::Failed, {}, "the answer belongs to another request"}, false);
         startAnswer();
         return parse({});
     }
     // Bytes after the answer belong to no request, so the connection is not reused.
-    finish({AttemptOutcome::Answered, std::move(answer), std::move(held), ""}, keep && m_buffer.size() == 0);
+    finish({AttemptOutcome::Answered, std::move(answer), "", std::move(held)}, keep && m_buffer.size() == 0);
 }
 
 void UpstreamConnection::finish(ExchangeResult result, bool keep)
--- a/src/connection/UpstreamConnection.h
+++ b/src/connection/UpstreamConnection.h
@@ -75,8 +75,7 @@
     int m_mismatchedAnswers = 0;
     std::optional<Exchange> m_exchange;
     std::string m_requestBytes;
-    /** The request is being written, or could not be; until it is written whole, the connection carries no other one.
-     */
+    /** The request is not written whole: its write goes on or has failed. The connection carries no other one then. */
     bool m_isWriting = false;
     /** Parses the answer to the running exchange. */
     std::optional<AnswerParser> m_parser;
--- a/src/connection/UpstreamExchange.h
+++ b/src/connection/UpstreamExchange.h
@@ -44,10 +44,10 @@
      */
     AttemptOutcome outcome = AttemptOutcome::Failed;
     UpstreamAnswer answer;
-    /** Counts the answer's bytes; kept as long as these are. */
-    ByteBudget::Share held{};
     /** Why there is no answer; empty if there is one. */
     std::string reason;
+    /** Counts the answer's bytes; kept as long as these are. */
+    ByteBudget::Share held{};
 };
 
 /** Names an exchange while it runs; unique within the process. */
--- a/src/process/LogStorage.cpp
+++ b/src/process/LogStorage.cpp
@@ -305,7 +305,11 @@
     m_logSize = first->second;
     m_offsets.erase(first, m_offsets.end());
     m_needsSync = true;
-    return ::ftruncate(m_logFile, m_logSize) == 0 ? Result<void>() : diskFailure(logPath());
+    if (::ftruncate(m_logFile, m_logSize) != 0)
+        return diskFailure(logPath());
+    // What is written next takes the place of the dropped entries. A loss of power may keep that write and not the new
+    // end of the file; then old records would follow a torn one, as if the log were damaged in the middle.
+    return sync();
 }
 
 Result<void> FileLogStorage::saveHardState(const HardState &state)
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -164,9 +164,9 @@
     Duration timeUntilAdmitted(TimePoint now, const std::vector<ServiceName> &services) const;
     RouteLatency &latencyOf(const Route &route);
     std::optional<UpstreamTarget> targetOf(const UpstreamId &upstream) const;
-    /** Logs which services have lost or regained their upstreams, and updates the metrics. */
     /** Sends nothing more to an upstream that leaves or has gone; requests that wait for it go to other replicas. */
     void retireUpstream(const UpstreamId &upstream);
+    /** Logs which services have lost or regained their upstreams, and updates the metrics. */
     void updateServiceStatus(TimePoint now);
     /** Connections that an upstream of the service accepts from all entries together; nullopt if that is not known. */
     std::optional<uint32_t> connectionLimit(const ServiceName &service) const;
--- a/test/failure/LogStorageFailureTest.cpp
+++ b/test/failure/LogStorageFailureTest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(log_lastRecordTorn_isTruncated);
     CPPUNIT_TEST(log_endedBeforeItsSync_isSyncedWhenOpened);
     CPPUNIT_TEST(log_syncFailsWhenOpened_failsToOpen);
+    CPPUNIT_TEST(log_cutBack_isSyncedBeforeItIsWrittenAgain);
     CPPUNIT_TEST(log_damagedInTheMiddle_openFailsNamingFileAndOffset);
     CPPUNIT_TEST(log_checkpointFromLeader_dropsLaterEntries);
     CPPUNIT_TEST(log_localCheckpoint_keepsLaterEntries);
@@ -186,6 +187,22 @@
         CPPUNIT_ASSERT_EQUAL(1, syncs);
     }
 
+    // After a loss of power, old records behind a torn new one would make the log look damaged in the middle.
+    void log_cutBack_isSyncedBeforeItIsWrittenAgain()
+    {
+        write(1, 9);
+        int syncs = 0;
+        const auto countSync = [&syncs](int) {
+            ++syncs;
+            return 0;
+        };
+        const auto storage = FileLogStorage::open(m_folder, NodeId("a"), 77, m_recovered, countSync);
+        CPPUNIT_ASSERT(storage);
+        const int before = syncs;
+        CPPUNIT_ASSERT((*storage)->truncateFrom(LogIndex(5)));
+        CPPUNIT_ASSERT_EQUAL(before + 1, syncs);
+    }
+
     void log_syncFailsWhenOpened_failsToOpen()
     {
         write(1, 3);
