--- a/test/failure/UpstreamConnectionsFailureTest.cpp
+++ b/test/failure/UpstreamConnectionsFailureTest.cpp
@@ -209,6 +209,17 @@
                                      std::string(65536, 'x'));
     }
 
+    /** The next exchange with the upstream is answered. */
+    void assertNextIsServed(Upstream &upstream, const std::string &upstreamId, const std::string &requestId)
+    {
+        std::optional<ExchangeResult> next;
+        send(target(upstream, upstreamId), requestId, [&](ExchangeResult ended) { next = std::move(ended); });
+        awaitRequest(upstream);
+        reply(upstream, answer(requestId));
+        runUntil([&] { return next.has_value(); });
+        CPPUNIT_ASSERT(next->outcome == AttemptOutcome::Answered);
+    }
+
     /** Reads to the end of a connection that the other side has closed. */
     static std::string readRest(tcp::socket &socket)
     {
@@ -232,12 +243,7 @@
         runUntil([&] { return early.has_value(); });
         CPPUNIT_ASSERT(early->outcome == AttemptOutcome::Answered);
         tcp::socket first = std::exchange(upstream.socket, tcp::socket(m_context));
-        std::optional<ExchangeResult> next;
-        send(target(upstream, "u"), "r2", [&](ExchangeResult ended) { next = std::move(ended); });
-        awaitRequest(upstream);
-        reply(upstream, answer("r2"));
-        runUntil([&] { return next.has_value(); });
-        CPPUNIT_ASSERT(next->outcome == AttemptOutcome::Answered);
+        assertNextIsServed(upstream, "u", "r2");
         CPPUNIT_ASSERT(readRest(first).find_first_not_of('x') == std::string::npos);
     }
 
@@ -286,12 +292,7 @@
         CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Failed);
         CPPUNIT_ASSERT_EQUAL(exceptions, connectionExceptions());
         upstream.socket.close();
-        std::optional<ExchangeResult> next;
-        send(target(upstream, "u"), "r2", [&](ExchangeResult ended) { next = std::move(ended); });
-        awaitRequest(upstream);
-        reply(upstream, answer("r2"));
-        runUntil([&] { return next.has_value(); });
-        CPPUNIT_ASSERT(next->outcome == AttemptOutcome::Answered);
+        assertNextIsServed(upstream, "u", "r2");
     }
 
     // One such answer ended the entry, and with it the requests of all other callers.
@@ -342,12 +343,7 @@
             return std::all_of(results.begin(), results.end(), [](const auto &result) { return result.has_value(); });
         });
         Upstream sound(m_context);
-        std::optional<ExchangeResult> next;
-        send(target(sound, "sound"), "next", [&](ExchangeResult ended) { next = std::move(ended); });
-        awaitRequest(sound);
-        reply(sound, answer("next"));
-        runUntil([&] { return next.has_value(); });
-        CPPUNIT_ASSERT(next->outcome == AttemptOutcome::Answered);
+        assertNextIsServed(sound, "sound", "next");
     }
 
     void connections_fieldsAfterLastChunk_areNotTakenForTheHead()
