--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -72,6 +72,7 @@
     RequestQuarantined = 1904,
     RequestCleared = 1905,
     GroupLost = 1906,
+    CallerFieldInvalid = 1907,
 };
 
 /** Limit on log lines about single requests, for each thread; lines beyond it are dropped and counted. */
--- a/test/failure/ParserFuzzTest.cpp
+++ b/test/failure/ParserFuzzTest.cpp
@@ -1,6 +1,6 @@
 // Seeded fuzzing of every parser that meets bytes from outside: valid samples are changed at random, and the parser has
 // to accept or refuse the result without throwing. HICKORYSPUR_FUZZ_ROUNDS sets the number of changed samples for each
-// parser.
+// parser, HICKORYSPUR_FUZZ_SEED the seed; scripts/fuzz runs it with sanitizers.
 #include "PlatformCodec.h"
 #include "hickoryspur/connection/Announcement.h"
 #include "hickoryspur/process/GroupNode.h"
@@ -29,6 +29,8 @@
     CPPUNIT_TEST_SUITE(ParserFuzzTest);
     CPPUNIT_TEST(answers_changedAtRandom_areParsedOrRefused);
     CPPUNIT_TEST(requests_changedAtRandom_areParsedOrRefused);
+    CPPUNIT_TEST(callerFields_changedAtRandom_areReadOrIgnored);
+    CPPUNIT_TEST(answerFields_changedAtRandom_areReadOrIgnored);
     CPPUNIT_TEST(messages_changedAtRandom_areParsedOrRefused);
     CPPUNIT_TEST(logRecords_changedAtRandom_areParsedOrRefused);
     CPPUNIT_TEST(heartbeats_changedAtRandom_areParsedOrRefused);
@@ -36,19 +38,25 @@
     CPPUNIT_TEST(settingsAndDocuments_changedAtRandom_areParsedOrRefused);
     CPPUNIT_TEST_SUITE_END();
 
-    static constexpr uint64_t kSeed = 20261205;
+    static constexpr uint64_t kDefaultSeed = 20261205;
     static constexpr int kDefaultRounds = 3000;
     static constexpr size_t kMaxChanges = 4;
 
     using Parse = std::function<void(const std::string &)>;
 
-    std::mt19937_64 m_random{kSeed};
+    std::mt19937_64 m_random{seed()};
 
     size_t below(size_t limit)
     {
         return limit == 0 ? 0 : std::uniform_int_distribution<size_t>(0, limit - 1)(m_random);
     }
 
+    static uint64_t seed()
+    {
+        const char *text = std::getenv("HICKORYSPUR_FUZZ_SEED");
+        return text ? std::strtoull(text, nullptr, 10) : kDefaultSeed;
+    }
+
     static int rounds()
     {
         const char *text = std::getenv("HICKORYSPUR_FUZZ_ROUNDS");
@@ -170,6 +178,44 @@
              [this](const std::string &bytes) { feed<RequestParser>(bytes); });
     }
 
+    void callerFields_changedAtRandom_areReadOrIgnored()
+    {
+        const HostCodec codec = platform::makePlatformCodec();
+        fuzz({"1500", "[2001:db8::7]:8226", "close, X-Hop"}, [&](const std::string &value) {
+            CallerRequest request;
+            request.method = "GET";
+            request.target = request.path = "/rolls/7";
+            request.headers["hickoryspur-request-id"] = "r1";
+            for (const char *name : {"host", "connection", "hickoryspur-deadline-ms"}) {
+                request.headers[name] = value;
+                request.fields.emplace_back(name, value);
+            }
+            const Result<ForwardedRequest> forwarded = codec.decodeRequest(std::move(request));
+            CPPUNIT_ASSERT(forwarded.has_value());
+            CPPUNIT_ASSERT(!forwarded->timeout || *forwarded->timeout >= Duration::zero());
+            static_cast<void>(codec.traffic.encode(*forwarded, UpstreamId("u-1"), 430ms));
+        });
+    }
+
+    void answerFields_changedAtRandom_areReadOrIgnored()
+    {
+        const RequestCodec codec = platform::makePlatformCodec().traffic;
+        fuzz({"0.5", "1", "25"}, [&](const std::string &value) {
+            for (const unsigned status : {200U, 421U, 503U}) {
+                UpstreamAnswer answer;
+                answer.status = status;
+                for (const char *name :
+                     {"hickoryspur-request-id", "hickoryspur-not-executed", "hickoryspur-server-seal",
+                      "hickoryspur-part-seals", "server-limit", "server-leaving", "retry-after"})
+                    answer.fields.emplace_back(name, value);
+                answer.body = value;
+                static_cast<void>(codec.belongsTo(answer, "r1"));
+                static_cast<void>(codec.read(answer));
+                static_cast<void>(codec.passThrough(answer));
+            }
+        });
+    }
+
     void messages_changedAtRandom_areParsedOrRefused()
     {
         DelegatedRequest order;
--- a/test/failure/PlatformCodecFailureTest.cpp
+++ b/test/failure/PlatformCodecFailureTest.cpp
@@ -16,6 +16,9 @@
 {
     CPPUNIT_TEST_SUITE(PlatformCodecFailureTest);
     CPPUNIT_TEST(request_deadlineInAnyLetterCase_isReplacedByRemainingTime);
+    CPPUNIT_TEST(request_deadlineUnreadable_countsAsMissing);
+    CPPUNIT_TEST(request_deadlineHuge_isBounded);
+    CPPUNIT_TEST(request_hostIsIpv6Address_isKeptWhole);
     CPPUNIT_TEST(request_callerSetsTargetInstance_isReplacedByChosenUpstream);
     CPPUNIT_TEST(request_hopByHopFields_areNotForwarded);
     CPPUNIT_TEST(heartbeat_oddEntryOfAnotherWriter_isRefusedAndOthersHold);
@@ -150,6 +153,33 @@
         }
     }
 
+    void request_deadlineUnreadable_countsAsMissing()
+    {
+        for (const char *value : {"nan", "inf", "-5", "1e999", "soon", "100x"}) {
+            const Result<ForwardedRequest> forwarded =
+                m_codec.decodeRequest(request({{"Hickoryspur-Deadline-Ms", value}}));
+            CPPUNIT_ASSERT(forwarded.has_value());
+            CPPUNIT_ASSERT_MESSAGE(value, !forwarded->timeout.has_value());
+        }
+    }
+
+    void request_deadlineHuge_isBounded()
+    {
+        for (const char *value : {"1e300", "18446744073709551616"}) {
+            const Result<ForwardedRequest> forwarded =
+                m_codec.decodeRequest(request({{"Hickoryspur-Deadline-Ms", value}}));
+            CPPUNIT_ASSERT_MESSAGE(value, forwarded->timeout.has_value());
+            CPPUNIT_ASSERT_MESSAGE(value, *forwarded->timeout > 1min && *forwarded->timeout < 24h);
+        }
+    }
+
+    void request_hostIsIpv6Address_isKeptWhole()
+    {
+        CallerRequest withPort = request({});
+        withPort.headers["host"] = "[2001:db8::7]:8226";
+        CPPUNIT_ASSERT_EQUAL(std::string("[2001:db8::7]"), m_codec.decodeRequest(withPort)->host);
+    }
+
     void request_callerSetsTargetInstance_isReplacedByChosenUpstream()
     {
         const std::string bytes = encodedRequest(request({{"Hickoryspur-Target-Instance", "other"}}), 100ms);
