Refuse numbers in requests that are not wholly numbers

Cause: AdminApi had a second parser of numbers, which dropped the error; parseCoverage compared in a way that lets nan by. Change: one parser for both APIs in src/app/RequestParameters; the load tool checks its options.

--- a/src/app/AdminApi.cpp
+++ b/src/app/AdminApi.cpp
@@ -1,5 +1,6 @@
 #include "app/AdminApi.h"
 
+#include "app/RequestParameters.h"
 #include "hickoryspur/process/Digest.h"
 #include "hickoryspur/process/MessageCodec.h"
 #include "request/AnswerJson.h"
@@ -7,8 +8,6 @@
 #include <boost/fiber/future.hpp>
 #include <nlohmann/json.hpp>
 
-#include <charconv>
-
 namespace hickoryspur {
 
 namespace {
@@ -27,13 +26,6 @@
     return {httpStatus(code), failureJson({code, message, true}, nullptr), "application/json", {}};
 }
 
-uint64_t parseNumber(const std::string &text)
-{
-    uint64_t value = 0;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
-}
-
 nlohmann::json documentJson(const DocumentVersion &version, bool withText)
 {
     nlohmann::json result = {{"number", version.number},         {"digest", version.digest},
@@ -379,7 +371,11 @@
         return refusal(ResultCode::MalformedRequest,
                        "the parameter request-id is required, so that a resend is recognised");
     command.operatorName = holder.name;
-    command.expectedNumber = parseNumber(request.parameter("expected-number"));
+    const Result<int64_t> expected =
+        parseWholeNumber(request.parameter("expected-number"), "expected-number", 0, INT64_MAX);
+    if (!expected)
+        return refusal(expected.error().code, expected.error().message);
+    command.expectedNumber = static_cast<uint64_t>(*expected);
     command.expectedDigest = request.parameter("expected-digest");
     const bool wait = request.parameter("wait") == "in-force";
     const auto promise = std::make_shared<boost::fibers::promise<ApplyOutcome>>();
--- a/src/app/CallerApi.cpp
+++ b/src/app/CallerApi.cpp
@@ -1,11 +1,10 @@
 #include "app/CallerApi.h"
 
+#include "app/RequestParameters.h"
 #include "hickoryspur/process/Check.h"
 #include "hickoryspur/process/Metrics.h"
 #include "request/AnswerJson.h"
 
-#include <charconv>
-
 namespace hickoryspur {
 
 namespace {
@@ -18,29 +17,6 @@
     return {httpStatus(failure.code), failureJson(failure, nullptr), "application/json", {}};
 }
 
-/** Parses a whole number from a header or parameter; an empty text gives the fallback. */
-Result<int64_t> parseNumber(const std::string &text, const std::string &name, int64_t fallback, int64_t maxValue)
-{
-    if (text.empty())
-        return fallback;
-    int64_t value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size() || value < 0 || value > maxValue)
-        return HS_USER_ERROR(ResultCode::MalformedRequest) << name << " must be a whole number from 0 to " << maxValue;
-    return value;
-}
-
-Result<double> parseCoverage(const std::string &text)
-{
-    if (text.empty())
-        return 0.0;
-    double value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size() || value < 0 || value > 1)
-        return HS_USER_ERROR(ResultCode::MalformedRequest) << "hickoryspur-least-coverage must be a number from 0 to 1";
-    return value;
-}
-
 Result<Environment> parseEnvironment(const CallerRequest &request)
 {
     const std::string name = request.header("hickoryspur-environment");
@@ -101,8 +77,9 @@
         return refusal(name.error());
     const Result<Environment> environment = parseEnvironment(request);
     const Result<int64_t> deadline =
-        parseNumber(request.header("hickoryspur-deadline-ms"), "hickoryspur-deadline-ms", 0, kMaxDeadlineMs);
-    const Result<double> coverage = parseCoverage(request.header("hickoryspur-least-coverage"));
+        parseWholeNumber(request.header("hickoryspur-deadline-ms"), "hickoryspur-deadline-ms", 0, kMaxDeadlineMs);
+    const Result<double> coverage =
+        parseShare(request.header("hickoryspur-least-coverage"), "hickoryspur-least-coverage");
     for (const Failure *failure : {environment ? nullptr : &environment.error(), deadline ? nullptr : &deadline.error(),
                                    coverage ? nullptr : &coverage.error()})
         if (failure)
@@ -126,10 +103,10 @@
         return refusal(name.error());
     const Result<Environment> environment = parseEnvironment(request);
     const Result<int64_t> deadline =
-        parseNumber(request.header("hickoryspur-deadline-ms"), "hickoryspur-deadline-ms", 0, kMaxDeadlineMs);
-    const Result<int64_t> shard = parseNumber(request.parameter("shard"), "shard", 0, UINT32_MAX);
+        parseWholeNumber(request.header("hickoryspur-deadline-ms"), "hickoryspur-deadline-ms", 0, kMaxDeadlineMs);
+    const Result<int64_t> shard = parseWholeNumber(request.parameter("shard"), "shard", 0, UINT32_MAX);
     const Result<int64_t> keySeconds =
-        parseNumber(request.header("hickoryspur-key-time"), "hickoryspur-key-time", 0, INT64_MAX);
+        parseWholeNumber(request.header("hickoryspur-key-time"), "hickoryspur-key-time", 0, INT64_MAX);
     for (const Failure *failure : {environment ? nullptr : &environment.error(), deadline ? nullptr : &deadline.error(),
                                    shard ? nullptr : &shard.error(), keySeconds ? nullptr : &keySeconds.error()})
         if (failure)
--- a/tools/hickoryspur-load.cpp
+++ b/tools/hickoryspur-load.cpp
@@ -230,6 +230,9 @@
     plan.rate = values["rate"].as<double>();
     plan.connections = values["connections"].as<uint32_t>();
     plan.durationSeconds = values["duration"].as<int64_t>();
+    // Written so that a rate of "nan" is refused as well.
+    if (plan.shards == 0 || plan.connections == 0 || !(plan.rate > 0))
+        throw options::error("--shards, --connections and --rate must be greater than 0");
     plan.keyPrefix = values["key-prefix"].as<std::string>();
     const std::string lookup = values["lookup"].as<std::string>();
     const size_t pathAt = std::min(lookup.find('/'), lookup.size());
