Compare a new version also while it carries everything

Cause: a window was compared once it held 30 requests of the old version; in the last stage the old version has none, so nothing was compared. Ruled out: entries that do not know the move (all had it at 7.9 s), late reports (2 s at 30% had 47 requests in the leader's count). Change: at full share the old version's last 30 s are the comparison; only a clear rise of failures counts there. Windows of 250 ms in place of 1 s for ordered moves, stages of at most 1.5 s in place of 2 s, 20% in place of 30% in the second.

--- a/include/hickoryspur/version/MoveCoordinator.h
+++ b/include/hickoryspur/version/MoveCoordinator.h
@@ -18,9 +18,6 @@
 class MoveCoordinator
 {
 public:
-    /** Length of the windows that observations are evaluated in. */
-    static constexpr Duration kWindow = 1s;
-
     explicit MoveCoordinator(MoveTiming timing = {})
         : m_timing(std::move(timing))
     {
@@ -45,6 +42,7 @@
 
 private:
     void closeWindow(TimePoint now);
+    void follow(TimePoint now, const std::string &service, const MoveState &state, double firstShare);
     std::optional<std::pair<std::string, MoveState>> nextStep(TimePoint now, int64_t wallSeconds);
 
     MoveTiming m_timing;
--- a/include/hickoryspur/version/TrafficMove.h
+++ b/include/hickoryspur/version/TrafficMove.h
@@ -59,6 +59,8 @@
 
 struct MoveTiming
 {
+    /** Length of the windows in which the versions are compared. */
+    Duration window = 1s;
     /** Minimum duration of a stage, which lasts longer if the due time allows it. */
     Duration minStageDuration = 10s;
     Duration maxStageDuration = 5min;
@@ -86,7 +88,7 @@
 public:
     TrafficMove(MoveState state, double firstShare, MoveTiming timing, EvaluatorSettings settings, TimePoint now);
 
-    /** Adds one window, of about a second, of both versions. */
+    /** Adds one window of both versions. */
     void observe(TimePoint now, const VersionObservation &oldVersion, const VersionObservation &newVersion);
     /** The new state to append to the log, or nothing if it is unchanged. */
     std::optional<MoveState> tick(TimePoint now, int64_t wallSeconds);
--- a/include/hickoryspur/version/VersionEvaluator.h
+++ b/include/hickoryspur/version/VersionEvaluator.h
@@ -26,6 +26,9 @@
     /** Minimum rise in the share of failures, and of slow answers, that counts as bad. */
     double minFailureRise = 0.02;
     double minSlowRise = 0.10;
+    /** The same for failures that are compared with the past alone, with which trouble of both versions may begin. */
+    double minClearFailureRise = 0.20;
+    double clearFailureBaseline = 0.05;
     /** An answer is slow if its latency exceeds this quantile of the old version's latency. */
     double slowQuantile = 0.95;
     /** The baseline is made up of this many windows of the old version. */
@@ -42,6 +45,8 @@
     bool oldHasNoTraffic = false;
     /** Whether slow answers count; false while the new upstreams warm up. */
     bool countSlow = true;
+    /** Whether a suspicion rejects the version at once, without a comparison at the same time. */
+    bool onlyClearFailures = false;
 };
 
 class VersionEvaluator
--- a/src/version/MoveCoordinator.cpp
+++ b/src/version/MoveCoordinator.cpp
@@ -4,6 +4,13 @@
 
 namespace hickoryspur {
 
+namespace {
+
+/** The old version's requests of this time are what the new version is compared with. */
+constexpr Duration kBaselineTime = 30s;
+
+} // namespace
+
 std::optional<MoveState> unpackMoveState(const std::string &packed)
 {
     return unpack<MoveState>(packed);
@@ -52,7 +59,7 @@
         const std::optional<MoveState> current = found == m_states.end() ? std::nullopt : std::optional(found->second);
         if (const auto started = startMove(current, *config.version, documentNumber, wallSeconds))
             return std::make_pair(name.value(), *started);
-        m_moves.try_emplace(name.value(), *current, config.version->firstShare, m_timing, EvaluatorSettings(), now);
+        follow(now, name.value(), *current, config.version->firstShare);
     }
     return nextStep(now, wallSeconds);
 }
@@ -61,15 +68,22 @@
                                                                                     double firstShare)
 {
     for (const auto &[service, state] : m_states)
-        m_moves.try_emplace(service, state, firstShare, m_timing, EvaluatorSettings(), now);
+        follow(now, service, state, firstShare);
     return nextStep(now, wallSeconds);
 }
 
+void MoveCoordinator::follow(TimePoint now, const std::string &service, const MoveState &state, double firstShare)
+{
+    EvaluatorSettings settings;
+    settings.baselineWindows = static_cast<size_t>(kBaselineTime / m_timing.window);
+    m_moves.try_emplace(service, state, firstShare, m_timing, settings, now);
+}
+
 std::optional<std::pair<std::string, MoveState>> MoveCoordinator::nextStep(TimePoint now, int64_t wallSeconds)
 {
     if (now < m_windowEnd)
         return std::nullopt;
-    m_windowEnd = now + kWindow;
+    m_windowEnd = now + m_timing.window;
     closeWindow(now);
     for (auto &[service, move] : m_moves)
         if (const auto changed = move.tick(now, wallSeconds))
--- a/src/version/TrafficMove.cpp
+++ b/src/version/TrafficMove.cpp
@@ -41,12 +41,14 @@
 MoveTiming shortMoveTiming()
 {
     MoveTiming timing;
+    // A version that fails once it carries everything may get about a second of the service's requests.
+    timing.window = 250ms;
     timing.minStageDuration = 1200ms;
-    timing.maxStageDuration = 2s;
+    timing.maxStageDuration = 1500ms;
     // The entries report no latencies of cold upstreams, so no time has to be left out.
     timing.warmUpDuration = Duration::zero();
     timing.minStageRequests = 5;
-    timing.stageShares = {0.3, 1.0};
+    timing.stageShares = {0.2, 1.0};
     timing.firstStageTimeShare = 0.5;
     timing.keepsOldVersion = false;
     return timing;
@@ -73,8 +75,11 @@
 void TrafficMove::observe(TimePoint now, const VersionObservation &oldVersion, const VersionObservation &newVersion)
 {
     EvaluationScope scope;
-    scope.oldHasNoTraffic = m_state.kind() == MoveStatus::Done;
-    scope.countSlow = m_state.stage > 0 || now - m_stageStart > m_timing.warmUpDuration;
+    const bool movingAtFullShare = m_state.kind() == MoveStatus::Moving && m_state.sharePpm == kFullSharePpm;
+    scope.oldHasNoTraffic = m_state.kind() == MoveStatus::Done || movingAtFullShare;
+    scope.onlyClearFailures = movingAtFullShare;
+    // Under the whole load a good version may be slower than the old one was without the move.
+    scope.countSlow = !movingAtFullShare && (m_state.stage > 0 || now - m_stageStart > m_timing.warmUpDuration);
     m_evaluator.add(oldVersion, newVersion, scope);
 }
 
--- a/src/version/VersionEvaluator.cpp
+++ b/src/version/VersionEvaluator.cpp
@@ -95,7 +95,10 @@
         failureShare = std::max(failureShare, static_cast<double>(oldTotal.failures) / requests);
         slowShare = std::max(slowShare, static_cast<double>(oldTotal.latency.countAbove(slowLimit)) / requests);
     }
-    const Hypotheses failing = hypotheses(failureShare, m_settings.minFailureRise);
+    if (scope.onlyClearFailures)
+        failureShare = std::max(failureShare, m_settings.clearFailureBaseline);
+    const Hypotheses failing =
+        hypotheses(failureShare, scope.onlyClearFailures ? m_settings.minClearFailureRise : m_settings.minFailureRise);
     const Hypotheses slowing = hypotheses(slowShare, m_settings.minSlowRise);
     for (const auto &[upstream, tally] : newRoute.byUpstream) {
         const double failure = logLikelihoodRatio(tally.requests, tally.failures, failing.usual, failing.bad);
--- a/test/failure/OrderedMoveFailureTest.cpp
+++ b/test/failure/OrderedMoveFailureTest.cpp
@@ -26,8 +26,17 @@
     double slowdown = 1;
     /** The behaviour starts this long after the order. */
     Duration from = Duration::zero();
+    /** The behaviour needs at least this share of the requests. */
+    double fromShare = 0;
 };
 
+/** Requests a second to one service that many entries share; each of them reports at its own time. */
+constexpr int kSharedRequestsPerSecond = 95;
+constexpr Duration kReportInterval = 500ms;
+constexpr int kEntries = 40;
+/** Requests that a bad version may get beyond its tenth. */
+constexpr int kCanarySlack = 50;
+
 } // namespace
 
 class OrderedMoveFailureTest : public CppUnit::TestFixture
@@ -36,6 +45,8 @@
     CPPUNIT_TEST(version_failing_isTakenBackWithinCanaryLimit);
     CPPUNIT_TEST(version_slow_isTakenBackWithinCanaryLimit);
     CPPUNIT_TEST(version_badAfterSomeSeconds_isTakenBackWithinCanaryLimit);
+    CPPUNIT_TEST(version_failingOnlyAtFullShare_isTakenBackWithinCanaryLimit);
+    CPPUNIT_TEST(version_goodWhileBothFailFromFullShareOn_isNotTakenBack);
     CPPUNIT_TEST(version_good_isDoneBeforeDue);
     CPPUNIT_TEST(version_goodWhileBothFail_isNotTakenBack);
     CPPUNIT_TEST(leader_changesDuringMove_isDoneBeforeDue);
@@ -77,6 +88,45 @@
         tally.latency.add(Duration(static_cast<int64_t>(latency)));
     }
 
+    /** Plays a move against a service whose entries report late and one after the other. */
+    Run playReportedLate(const Behaviour &oldVersion, const Behaviour &newVersion)
+    {
+        MoveState state = ordered();
+        MoveCoordinator coordinator(shortMoveTiming());
+        Run run;
+        constexpr Duration kStep = 10ms;
+        const TimePoint start(1000s);
+        std::vector<ObservationBatch> unreported(kEntries);
+        for (Duration at = Duration::zero(); at < std::chrono::seconds(kWithinSeconds); at += kStep) {
+            const TimePoint now = start + at;
+            coordinator.updateStates(now, {{"rolls", pack(state)}});
+            if (draw() < kSharedRequestsPerSecond * 0.01) {
+                const bool isNew = draw() < state.share();
+                run.newRequests += isNew ? 1 : 0;
+                ++run.requests;
+                const Behaviour &behaviour = isNew ? newVersion : oldVersion;
+                const bool inForce = at >= behaviour.from && state.share() >= behaviour.fromShare;
+                addRequest(unreported[static_cast<size_t>(draw() * kEntries)], isNew ? "v2" : "",
+                           inForce ? behaviour : Behaviour());
+            }
+            for (int entry = 0; entry < kEntries; ++entry)
+                if ((at + entry * kReportInterval / kEntries) / kStep % (kReportInterval / kStep) == 0)
+                    coordinator.addObservations(std::exchange(unreported[static_cast<size_t>(entry)], {}));
+            if (const auto next = coordinator.nextOrderedChange(now, at / 1s, kFirstShare))
+                state = next->second;
+            recordEnd(run, state, at);
+        }
+        return run;
+    }
+
+    static void recordEnd(Run &run, const MoveState &state, Duration at)
+    {
+        if (state.kind() == MoveStatus::Moving || run.status != MoveStatus::Moving)
+            return;
+        run.status = state.kind();
+        run.ended = at;
+    }
+
     /** Plays a move against a service; the leader is replaced at the given time. */
     Run play(const Behaviour &oldVersion, const Behaviour &newVersion, Duration leaderChange = Duration::max())
     {
@@ -103,10 +153,7 @@
             coordinator->addObservations(batch);
             if (const auto next = coordinator->nextOrderedChange(now, at / 1s, kFirstShare))
                 state = next->second;
-            if (state.kind() != MoveStatus::Moving && run.status == MoveStatus::Moving) {
-                run.status = state.kind();
-                run.ended = at;
-            }
+            recordEnd(run, state, at);
         }
         return run;
     }
@@ -133,6 +180,27 @@
         assertTakenBackInTime(play(Behaviour(), {0.5, 1, 3s}));
     }
 
+    // Guards the rule on the requests that a bad version gets: it was completed, as nothing was compared in the last
+    // stage.
+    void version_failingOnlyAtFullShare_isTakenBackWithinCanaryLimit()
+    {
+        for (int play = 0; play < 20; ++play) {
+            const Run run = playReportedLate(Behaviour(), {0.4, 1, Duration::zero(), 1.0});
+            CPPUNIT_ASSERT(run.status == MoveStatus::TakenBack);
+            CPPUNIT_ASSERT(run.newRequests <= run.requests / 10 + kCanarySlack);
+        }
+    }
+
+    void version_goodWhileBothFailFromFullShareOn_isNotTakenBack()
+    {
+        const Behaviour troubled{0.08, 3, Duration::zero(), 1.0};
+        for (int play = 0; play < 20; ++play) {
+            const Run run = playReportedLate(troubled, troubled);
+            CPPUNIT_ASSERT(run.status == MoveStatus::Done);
+            CPPUNIT_ASSERT(run.ended < 13s);
+        }
+    }
+
     void version_good_isDoneBeforeDue()
     {
         const Run run = play(Behaviour(), Behaviour());
