Peers' links: hold no memory between two frames

What would be seen: after one large frame, for example the whole state, an idle link counted as the largest holder of connection memory. When another connection needed that memory, the link was closed, and the host dialled again. Cause: FrameLink kept the bytes of its last frame, and their share of the budget, until the next one began. Change: both are released before the message is handled. Before: link_longFrameReceived_holdsNoMemoryUntilTheNext failed (4,194,304 bytes held). After: FrameLinkFailureTest 4 passed, 0 failed.

--- a/src/process/FrameLink.cpp
+++ b/src/process/FrameLink.cpp
@@ -115,7 +115,6 @@
 
 void FrameLink::startBody()
 {
-    m_body = {};
     m_held = ByteBudget::Share(connectionBytes(), "peer", [weak = weak_from_this()] {
         if (const std::shared_ptr<FrameLink> self = weak.lock())
             asio::post(self->m_socket.get_executor(), [self] { self->close(); });
@@ -143,6 +142,9 @@
                     << "cannot decode " << self->m_body.size() << " bytes from a peer; closing the connection";
                 return self->close();
             }
+            // Until the next frame the link needs no memory, and is not the one to close when others do.
+            self->m_body = {};
+            self->m_held = {};
             self->m_lastReceiveTime = monotonicNow();
             const Receive receive = self->m_receive;
             if (!runGuarded("peer", [&] { receive(self, std::move(*message)); }))
--- a/test/failure/FrameLinkFailureTest.cpp
+++ b/test/failure/FrameLinkFailureTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST_SUITE(FrameLinkFailureTest);
     CPPUNIT_TEST(link_longFrameStatedAndNothingSent_reservesOneStep);
     CPPUNIT_TEST(link_longFrame_isReceivedWhole);
+    CPPUNIT_TEST(link_longFrameReceived_holdsNoMemoryUntilTheNext);
     CPPUNIT_TEST(link_receiverThrows_onlyTheLinkEnds);
     CPPUNIT_TEST_SUITE_END();
 
@@ -84,6 +85,29 @@
         runUntil([&] { return closed && senderClosed; });
     }
 
+    // Guards a peer's idle link: counted as the largest holder, it was closed when another connection needed the
+    // memory.
+    void link_longFrameReceived_holdsNoMemoryUntilTheNext()
+    {
+        const size_t before = connectionBytes().heldBytes();
+        bool closed = false;
+        bool received = false;
+        tcp::socket peer(m_context);
+        const auto link = accept(
+            peer, [&](const auto &, const PeerMessage &) { received = true; }, closed);
+        bool senderClosed = false;
+        const auto sender = std::make_shared<FrameLink>(
+            std::move(peer), [](const auto &, const PeerMessage &) {}, [&](const auto &) { senderClosed = true; });
+        sender->start();
+        PeerMessage message;
+        message.payload = std::string(3UL * 1024 * 1024, 'x');
+        sender->send(message);
+        runUntil([&] { return received; });
+        CPPUNIT_ASSERT_EQUAL(before, connectionBytes().heldBytes());
+        link->close();
+        runUntil([&] { return closed && senderClosed; });
+    }
+
     void link_receiverThrows_onlyTheLinkEnds()
     {
         const int64_t exceptions = connectionExceptions();
