Wait after a connection that could not be accepted

What would be seen: a process without a file descriptor left tried again at once and used a whole core, on the thread that serves its open connections. Cause: HttpCallerServer's accept loop continued on any error. FrameListener waited; it logged E1300, which means a silent host. Change: both wait kAcceptRetryDelay, count and log E1306. listen() keeps the first error of the listener's options. Before: server_noDescriptorLeft_waitsBetweenTriesAndServesLater failed with the count alone (more than 10 tries in 0.3 s).

--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -27,6 +27,7 @@
     RequestHandlerFailed = 1303,
     ConnectionException = 1304,
     MessageGivenUp = 1305,
+    AcceptFailed = 1306,
     DocumentAccepted = 1400,
     DocumentInForce = 1401,
     LeaseLost = 1402,
--- a/src/process/ConnectionGuard.cpp
+++ b/src/process/ConnectionGuard.cpp
@@ -13,6 +13,12 @@
     return exceptions;
 }
 
+Counter &acceptFailureCounter()
+{
+    static Counter &failures = Metrics::counter("hickoryspur_accept_failures_total");
+    return failures;
+}
+
 } // namespace
 
 void reportConnectionException(const char *reader, const std::exception &error)
@@ -26,4 +32,15 @@
     return exceptionCounter().value();
 }
 
+void reportAcceptFailure(const char *reader, const std::string &error)
+{
+    acceptFailureCounter().add();
+    HS_LOG(WARNING, LogEvent::AcceptFailed) << "reader=" << reader << " error=\"" << error << '"';
+}
+
+int64_t acceptFailures()
+{
+    return acceptFailureCounter().value();
+}
+
 } // namespace hickoryspur
--- a/src/process/FrameLink.cpp
+++ b/src/process/FrameLink.cpp
@@ -26,7 +26,6 @@
 /** Memory for a message is taken in steps of this size, in bytes. */
 constexpr size_t kMaxReadStep = 64UL * 1024;
 /** Delay before accepting again after a failure, such as running out of file descriptors. */
-constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(50);
 
 std::string frame(const PeerMessage &message)
 {
@@ -211,7 +210,7 @@
             m_accepted(std::move(socket));
             return accept();
         }
-        HS_LOG(WARNING, LogEvent::PeerSilent) << "cannot accept a peer's connection; retrying: " << error.message();
+        reportAcceptFailure("peer", error.message());
         m_retryTimer.expires_after(kAcceptRetryDelay);
         m_retryTimer.async_wait([this](error_code) { accept(); });
     });
--- a/src/request/HttpCallerServer.cpp
+++ b/src/request/HttpCallerServer.cpp
@@ -3,6 +3,7 @@
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/Metrics.h"
 #include "process/BoundedParser.h"
+#include "process/ConnectionGuard.h"
 #include "process/HttpLimits.h"
 #include "request/AnswerJson.h"
 #include "request/HttpCallerClient.h"
@@ -198,8 +199,13 @@
     while (!state->stopping && state->accepting) {
         asio::ip::tcp::socket socket(state->context);
         const error_code error = await([&](auto done) { state->acceptor.async_accept(socket, std::move(done)); });
-        if (error)
+        if (error) {
+            if (error != asio::error::operation_aborted) {
+                reportAcceptFailure("caller", error.message());
+                boost::this_fiber::sleep_for(kAcceptRetryDelay);
+            }
             continue;
+        }
         if (state->connections >= state->limits.connections) {
             refused.add();
             continue;
@@ -330,8 +336,10 @@
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.address), address.port);
     error_code error;
     state->acceptor.open(endpoint.protocol(), error);
-    state->acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    state->acceptor.set_option(ReusePort(true), error);
+    if (!error)
+        state->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        state->acceptor.set_option(ReusePort(true), error);
     if (!error)
         state->acceptor.bind(endpoint, error);
     if (!error)
--- a/test/failure/HttpCallerServerFailureTest.cpp
+++ b/test/failure/HttpCallerServerFailureTest.cpp
@@ -6,11 +6,14 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/fiber/all.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <sys/resource.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace hickoryspur;
 
@@ -20,6 +23,7 @@
     CPPUNIT_TEST(server_fieldAfterLastChunkTooLong_isRefusedAndNextIsServed);
     CPPUNIT_TEST(server_fieldTooLongForAWideHeaderLimit_isRefusedAndNextIsServed);
     CPPUNIT_TEST(server_responseCannotBeSent_endsItsConnectionOnly);
+    CPPUNIT_TEST(server_noDescriptorLeft_waitsBetweenTriesAndServesLater);
     CPPUNIT_TEST_SUITE_END();
 
     using tcp = boost::asio::ip::tcp;
@@ -65,6 +69,12 @@
             return exchange("GET " + target + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
         }
 
+        /** A connection whose descriptor was taken before. */
+        void connect(tcp::socket &socket)
+        {
+            socket.connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(), m_port));
+        }
+
         size_t openRequests() const { return m_openRequests; }
 
     private:
@@ -149,6 +159,34 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
         CPPUNIT_ASSERT_EQUAL(size_t{0}, server.openRequests());
     }
+
+    // A server without descriptors tried again at once, and kept its thread busy instead of serving open connections.
+    void server_noDescriptorLeft_waitsBetweenTriesAndServesLater()
+    {
+        Server server(limits(16U * 1024));
+        boost::asio::io_context clients;
+        tcp::socket waiting(clients, tcp::v4());
+        rlimit usual{};
+        CPPUNIT_ASSERT_EQUAL(0, ::getrlimit(RLIMIT_NOFILE, &usual));
+        const int lowestFree = ::dup(0);
+        CPPUNIT_ASSERT(lowestFree >= 0);
+        ::close(lowestFree);
+        rlimit none = usual;
+        none.rlim_cur = static_cast<rlim_t>(lowestFree);
+        const int64_t failures = acceptFailures();
+        CPPUNIT_ASSERT_EQUAL(0, ::setrlimit(RLIMIT_NOFILE, &none));
+        server.connect(waiting);
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(0, ::setrlimit(RLIMIT_NOFILE, &usual));
+        const int64_t tries = acceptFailures() - failures;
+        CPPUNIT_ASSERT(tries > 0);
+        CPPUNIT_ASSERT(tries <= 10);
+        boost::asio::write(waiting, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+        std::string answer;
+        boost::system::error_code error;
+        boost::asio::read_until(waiting, boost::asio::dynamic_buffer(answer), "\r\n", error);
+        CPPUNIT_ASSERT(hasStatus(answer, "200"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpCallerServerFailureTest);
