--- a/test/failure/FrameLinkFailureTest.cpp
+++ b/test/failure/FrameLinkFailureTest.cpp
@@ -1,4 +1,5 @@
 // Guards a process against what connects to its internal port and is not one of its peers.
+#include "fakes/RunUntil.h"
 #include "hickoryspur/process/ByteBudget.h"
 #include "process/ConnectionGuard.h"
 #include "process/FrameLink.h"
@@ -7,7 +8,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <stdexcept>
-#include <thread>
 
 using namespace hickoryspur;
 
@@ -28,17 +28,6 @@
     boost::asio::io_context m_context;
     tcp::acceptor m_acceptor{m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)};
 
-    template <typename Condition> void runUntil(Condition condition)
-    {
-        const TimePoint end = monotonicNow() + 5s;
-        while (!condition() && monotonicNow() < end) {
-            m_context.poll();
-            m_context.restart();
-            std::this_thread::sleep_for(1ms);
-        }
-        CPPUNIT_ASSERT(condition());
-    }
-
     std::shared_ptr<FrameLink> accept(tcp::socket &peer, FrameLink::Receive receive, bool &closed)
     {
         peer.connect(m_acceptor.local_endpoint());
@@ -57,10 +46,10 @@
         const auto link = accept(
             peer, [](const auto &, const PeerMessage &) {}, closed);
         boost::asio::write(peer, boost::asio::buffer(&kStatedBytes, sizeof(kStatedBytes)));
-        runUntil([&] { return connectionBytes().heldBytes() > before; });
+        runUntil(m_context, [&] { return connectionBytes().heldBytes() > before; });
         CPPUNIT_ASSERT(connectionBytes().heldBytes() - before < kMaxReservedBytes);
         link->close();
-        runUntil([&] { return closed; });
+        runUntil(m_context, [&] { return closed; });
         CPPUNIT_ASSERT_EQUAL(before, connectionBytes().heldBytes());
     }
 
@@ -79,10 +68,10 @@
         PeerMessage message;
         message.payload = payload;
         sender->send(message);
-        runUntil([&] { return !received.empty(); });
+        runUntil(m_context, [&] { return !received.empty(); });
         CPPUNIT_ASSERT(received == payload);
         link->close();
-        runUntil([&] { return closed && senderClosed; });
+        runUntil(m_context, [&] { return closed && senderClosed; });
     }
 
     // Guards a peer's idle link: counted as the largest holder, it was closed when another connection needed the
@@ -102,10 +91,10 @@
         PeerMessage message;
         message.payload = std::string(3UL * 1024 * 1024, 'x');
         sender->send(message);
-        runUntil([&] { return received; });
+        runUntil(m_context, [&] { return received; });
         CPPUNIT_ASSERT_EQUAL(before, connectionBytes().heldBytes());
         link->close();
-        runUntil([&] { return closed && senderClosed; });
+        runUntil(m_context, [&] { return closed && senderClosed; });
     }
 
     void link_receiverThrows_onlyTheLinkEnds()
@@ -120,7 +109,7 @@
             std::move(peer), [](const auto &, const PeerMessage &) {}, [&](const auto &) { senderClosed = true; });
         sender->start();
         sender->send(PeerMessage());
-        runUntil([&] { return closed && senderClosed; });
+        runUntil(m_context, [&] { return closed && senderClosed; });
         CPPUNIT_ASSERT_EQUAL(exceptions + 1, connectionExceptions());
     }
 };
--- a/test/failure/PeerCallsFailureTest.cpp
+++ b/test/failure/PeerCallsFailureTest.cpp
@@ -1,9 +1,9 @@
 #include "connection/PeerCalls.h"
+#include "fakes/RunUntil.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <thread>
 
 using namespace hickoryspur;
 
@@ -66,17 +66,6 @@
         return result;
     }
 
-    template <typename Condition> void runUntil(Condition condition)
-    {
-        const TimePoint end = monotonicNow() + 5s;
-        while (!condition() && monotonicNow() < end) {
-            m_context.poll();
-            m_context.restart();
-            std::this_thread::sleep_for(1ms);
-        }
-        CPPUNIT_ASSERT(condition());
-    }
-
 public:
     void call_answeredTwice_bothRepliesArrive()
     {
@@ -84,11 +73,11 @@
         const auto server = makeServer(address);
         const auto client = makeClient();
         client->call(monotonicNow(), address, "question", hooks());
-        runUntil([&] { return !m_served.empty(); });
+        runUntil(m_context, [&] { return !m_served.empty(); });
         m_respond("first", false);
         m_respond("second", true);
         m_respond("third", true);
-        runUntil([&] { return m_replies.size() == 2; });
+        runUntil(m_context, [&] { return m_replies.size() == 2; });
         CPPUNIT_ASSERT((m_replies == std::vector<std::string>{"first", "second."}));
         CPPUNIT_ASSERT(m_lost.empty());
     }
@@ -98,7 +87,7 @@
         const HostAddress address = freeAddress();
         const auto client = makeClient();
         client->call(monotonicNow(), address, "question", hooks());
-        runUntil([&] { return !m_lost.empty(); });
+        runUntil(m_context, [&] { return !m_lost.empty(); });
         CPPUNIT_ASSERT(m_lost == std::vector<bool>{false});
         CPPUNIT_ASSERT(!client->isUsable(monotonicNow(), address));
         CPPUNIT_ASSERT(client->isUsable(monotonicNow() + PeerCalls::kRedialDelay, address));
@@ -112,9 +101,9 @@
         client->call(monotonicNow(), address, "question", hooks());
         tcp::socket socket(m_context);
         acceptor.accept(socket);
-        runUntil([&] { return socket.available() > 0; });
+        runUntil(m_context, [&] { return socket.available() > 0; });
         socket.close();
-        runUntil([&] { return !m_lost.empty(); });
+        runUntil(m_context, [&] { return !m_lost.empty(); });
         CPPUNIT_ASSERT(m_lost == std::vector<bool>{true});
     }
 
@@ -127,12 +116,12 @@
         client->call(start, address, "question", hooks());
         tcp::socket socket(m_context);
         acceptor.accept(socket);
-        runUntil([&] { return socket.available() > 0; });
+        runUntil(m_context, [&] { return socket.available() > 0; });
         CPPUNIT_ASSERT(client->isUsable(start, address));
         client->tick(start + 200ms);
         CPPUNIT_ASSERT(!client->isUsable(start + 200ms + PeerCalls::kSuspectAfter, address));
         client->tick(start + 201ms + PeerCalls::kCloseAfter);
-        runUntil([&] { return !m_lost.empty(); });
+        runUntil(m_context, [&] { return !m_lost.empty(); });
         CPPUNIT_ASSERT(m_lost == std::vector<bool>{true});
     }
 
@@ -142,9 +131,9 @@
         const auto server = makeServer(address);
         const auto client = makeClient();
         const PeerCalls::CallId id = client->call(monotonicNow(), address, "question", hooks());
-        runUntil([&] { return !m_served.empty(); });
+        runUntil(m_context, [&] { return !m_served.empty(); });
         client->cancel(id);
-        runUntil([&] { return m_cancelled == 1; });
+        runUntil(m_context, [&] { return m_cancelled == 1; });
         m_respond("late", true);
         m_context.poll();
         CPPUNIT_ASSERT(m_replies.empty());
@@ -158,14 +147,14 @@
         const auto server = makeServer(address);
         const auto client = makeClient();
         client->call(monotonicNow(), address, "question", hooks());
-        runUntil([&] { return !m_served.empty(); });
+        runUntil(m_context, [&] { return !m_served.empty(); });
         m_respond("answer", true);
-        runUntil([&] { return m_replies.size() == 1; });
+        runUntil(m_context, [&] { return m_replies.size() == 1; });
         CPPUNIT_ASSERT_EQUAL(size_t(1), client->connections());
         client->tick(monotonicNow() + PeerCalls::kIdleTimeout + 1s);
         CPPUNIT_ASSERT_EQUAL(size_t(0), client->connections());
         client->call(monotonicNow(), address, "next", hooks());
-        runUntil([&] { return m_served.size() == 2; });
+        runUntil(m_context, [&] { return m_served.size() == 2; });
     }
 
     void call_callerEnds_isCancelledThere()
@@ -176,11 +165,11 @@
         {
             const auto client = makeClient();
             client->call(monotonicNow(), address, "question", hooks());
-            runUntil([&] { return !m_served.empty(); });
+            runUntil(m_context, [&] { return !m_served.empty(); });
             client->tick(monotonicNow() + 200ms);
             client->tick(monotonicNow() + 201ms + PeerCalls::kCloseAfter);
         }
-        runUntil([&] { return m_cancelled == 1; });
+        runUntil(m_context, [&] { return m_cancelled == 1; });
     }
 };
 
--- a/test/failure/UpstreamConnectionsFailureTest.cpp
+++ b/test/failure/UpstreamConnectionsFailureTest.cpp
@@ -1,4 +1,5 @@
 #include "connection/UpstreamConnections.h"
+#include "fakes/RunUntil.h"
 #include "hickoryspur/process/ByteBudget.h"
 #include "hickoryspur/process/Metrics.h"
 #include "process/ConnectionGuard.h"
@@ -104,20 +105,9 @@
     }
 
     /** Polls the io_context until the condition holds, for 5 s at most. */
-    template <typename Condition> void runUntil(Condition condition)
-    {
-        const TimePoint end = monotonicNow() + 5s;
-        while (!condition() && monotonicNow() < end) {
-            m_context.poll();
-            m_context.restart();
-            std::this_thread::sleep_for(1ms);
-        }
-        CPPUNIT_ASSERT(condition());
-    }
-
     void awaitRequest(Upstream &upstream)
     {
-        runUntil([&] {
+        runUntil(m_context, [&] {
             boost::system::error_code error;
             if (!upstream.socket.is_open()) {
                 upstream.acceptor.non_blocking(true);
@@ -163,7 +153,7 @@
         reply(upstream, start);
         upstream.socket.non_blocking(true);
         size_t written = 0;
-        runUntil([&] {
+        runUntil(m_context, [&] {
             boost::system::error_code error;
             while (!error && !result && written < kMaxBytes) {
                 written += upstream.socket.write_some(boost::asio::buffer(repeated), error);
@@ -180,7 +170,7 @@
         send(target(upstream, "u"), "r2", [&](const ExchangeResult &ended) { body = ended.answer.body; });
         awaitRequest(upstream);
         reply(upstream, answer("r2", "fresh"));
-        runUntil([&] { return !body.empty(); });
+        runUntil(m_context, [&] { return !body.empty(); });
         CPPUNIT_ASSERT_EQUAL(std::string("fresh"), body);
     }
 
@@ -216,7 +206,7 @@
         send(target(upstream, upstreamId), requestId, [&](ExchangeResult ended) { next = std::move(ended); });
         awaitRequest(upstream);
         reply(upstream, answer(requestId));
-        runUntil([&] { return next.has_value(); });
+        runUntil(m_context, [&] { return next.has_value(); });
         CPPUNIT_ASSERT(next->outcome == AttemptOutcome::Answered);
     }
 
@@ -240,7 +230,7 @@
             target(upstream, "u"), "r1", [&](ExchangeResult ended) { early = std::move(ended); }, kBodyBytes);
         awaitRequest(upstream);
         reply(upstream, answer("r1"));
-        runUntil([&] { return early.has_value(); });
+        runUntil(m_context, [&] { return early.has_value(); });
         CPPUNIT_ASSERT(early->outcome == AttemptOutcome::Answered);
         tcp::socket first = std::exchange(upstream.socket, tcp::socket(m_context));
         assertNextIsServed(upstream, "u", "r2");
@@ -259,10 +249,10 @@
         awaitRequest(upstream);
         send(narrow, "r2", [&](ExchangeResult ended) { second = std::move(ended); });
         upstream.socket.close();
-        runUntil([&] { return first.has_value(); });
+        runUntil(m_context, [&] { return first.has_value(); });
         awaitRequest(upstream);
         reply(upstream, answer("r2"));
-        runUntil([&] { return second.has_value(); });
+        runUntil(m_context, [&] { return second.has_value(); });
         CPPUNIT_ASSERT(second->outcome == AttemptOutcome::Answered);
     }
 
@@ -274,7 +264,7 @@
             send(target(upstream, "u"), id, [&](ExchangeResult ended) { result = std::move(ended); });
             awaitRequest(upstream);
             reply(upstream, answer(id));
-            runUntil([&] { return result.has_value(); });
+            runUntil(m_context, [&] { return result.has_value(); });
             CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Answered);
         }
     }
@@ -288,7 +278,7 @@
         send(target(upstream, "u"), "r1", [&](ExchangeResult ended) { result = std::move(ended); });
         awaitRequest(upstream);
         reply(upstream, bytes);
-        runUntil([&] { return result.has_value(); });
+        runUntil(m_context, [&] { return result.has_value(); });
         CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Failed);
         CPPUNIT_ASSERT_EQUAL(exceptions, connectionExceptions());
         upstream.socket.close();
@@ -332,7 +322,7 @@
             endless[i]->socket.non_blocking(true);
         }
         const std::string filler(64UL * 1024, 'x');
-        runUntil([&] {
+        runUntil(m_context, [&] {
             for (const std::unique_ptr<Upstream> &upstream : endless) {
                 boost::system::error_code error;
                 upstream->socket.write_some(boost::asio::buffer(filler), error);
@@ -354,7 +344,7 @@
         awaitRequest(upstream);
         reply(upstream,
               "HTTP/1.1 200 OK\r\nRequest: r1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Late: 1\r\n\r\n");
-        runUntil([&] { return result.has_value(); });
+        runUntil(m_context, [&] { return result.has_value(); });
         CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Answered);
         CPPUNIT_ASSERT_EQUAL(std::string("x"), result->answer.body);
         CPPUNIT_ASSERT_EQUAL(std::string(), result->answer.field("X-Late"));
@@ -374,7 +364,7 @@
         }
         CPPUNIT_ASSERT(!result);
         m_connections.tick(monotonicNow() + 6s);
-        runUntil([&] { return result.has_value(); });
+        runUntil(m_context, [&] { return result.has_value(); });
         CPPUNIT_ASSERT(result->outcome == AttemptOutcome::NoResponse);
     }
 
@@ -386,7 +376,7 @@
         send(target(upstream, "u"), "r1", [&](const ExchangeResult &) { ++ended; });
         awaitRequest(upstream);
         reply(upstream, answer("r1"));
-        runUntil([&] { return ended == 1; });
+        runUntil(m_context, [&] { return ended == 1; });
         send(target(upstream, "u"), "r2", [&](const ExchangeResult &) { ++ended; });
         size_t turns = m_context.poll();
         m_context.restart();
@@ -410,7 +400,7 @@
             awaitRequest(upstream);
             reply(upstream, head);
             upstream.socket.close();
-            runUntil([&] { return result.has_value(); });
+            runUntil(m_context, [&] { return result.has_value(); });
             CPPUNIT_ASSERT_MESSAGE(head, result->outcome != AttemptOutcome::Answered);
         }
     }
@@ -423,7 +413,7 @@
         awaitRequest(upstream);
         reply(upstream, "HTTP/1.1 200 OK\r\nRequest: r\r\n\r\nwhole");
         upstream.socket.close();
-        runUntil([&] { return result.has_value(); });
+        runUntil(m_context, [&] { return result.has_value(); });
         CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Answered);
         CPPUNIT_ASSERT_EQUAL(std::string("whole"), result->answer.body);
     }
@@ -439,7 +429,7 @@
         m_context.restart();
         upstream.socket.set_option(boost::asio::socket_base::linger(true, 0));
         upstream.socket.close();
-        runUntil([&] { return result.has_value(); });
+        runUntil(m_context, [&] { return result.has_value(); });
         CPPUNIT_ASSERT(result->outcome != AttemptOutcome::Answered);
     }
 
@@ -462,7 +452,7 @@
         awaitRequest(second);
         reply(first, answer("r1"));
         reply(second, answer("r2"));
-        runUntil([&] { return firstCompletions + secondCompletions == 2; });
+        runUntil(m_context, [&] { return firstCompletions + secondCompletions == 2; });
         m_context.poll();
         CPPUNIT_ASSERT_EQUAL(1, firstCompletions);
         CPPUNIT_ASSERT_EQUAL(1, secondCompletions);
@@ -475,7 +465,7 @@
         send(target(upstream, "u"), "r", [&](ExchangeResult ended) { result = std::move(ended); });
         awaitRequest(upstream);
         reply(upstream, answer("earlier", "wrong") + answer("r", "right"));
-        runUntil([&] { return result.has_value(); });
+        runUntil(m_context, [&] { return result.has_value(); });
         CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Answered);
         CPPUNIT_ASSERT_EQUAL(std::string("right"), result->answer.body);
     }
@@ -487,14 +477,14 @@
         send(target(upstream, "u"), "r1", [&](const ExchangeResult &) { ++completions; });
         awaitRequest(upstream);
         reply(upstream, answer("r1") + answer("r1", "again"));
-        runUntil([&] { return completions == 1; });
+        runUntil(m_context, [&] { return completions == 1; });
         Upstream *sameAddress = &upstream;
         sameAddress->socket = tcp::socket(m_context);
         std::string body;
         send(target(upstream, "u"), "r2", [&](const ExchangeResult &ended) { body = ended.answer.body; });
         awaitRequest(upstream);
         reply(upstream, answer("r2", "fresh"));
-        runUntil([&] { return !body.empty(); });
+        runUntil(m_context, [&] { return !body.empty(); });
         CPPUNIT_ASSERT_EQUAL(std::string("fresh"), body);
     }
 
@@ -506,7 +496,7 @@
         awaitRequest(upstream);
         reply(upstream, "HTTP/1.1 200 OK\r\nRequest: r\r\nContent-Length: 100\r\n\r\npart");
         upstream.socket.close();
-        runUntil([&] { return result.has_value(); });
+        runUntil(m_context, [&] { return result.has_value(); });
         CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Failed);
     }
 
@@ -519,12 +509,12 @@
         send(notKept, "r", [&](ExchangeResult ended) { result = std::move(ended); });
         awaitRequest(upstream);
         reply(upstream, answer("r"));
-        runUntil([&] { return result.has_value(); });
+        runUntil(m_context, [&] { return result.has_value(); });
         CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Answered);
         boost::system::error_code error;
         std::array<char, 1> byte{};
         upstream.socket.non_blocking(true);
-        runUntil([&] {
+        runUntil(m_context, [&] {
             upstream.socket.read_some(boost::asio::buffer(byte), error);
             return error == boost::asio::error::eof;
         });
@@ -539,7 +529,7 @@
         upstream.acceptor.accept(upstream.socket);
         upstream.socket.set_option(boost::asio::socket_base::linger(true, 0));
         upstream.socket.close();
-        runUntil([&] { return result.has_value(); });
+        runUntil(m_context, [&] { return result.has_value(); });
         CPPUNIT_ASSERT(result->outcome == AttemptOutcome::NotSent);
     }
 
@@ -550,7 +540,7 @@
         upstream.acceptor.close();
         std::optional<ExchangeResult> result;
         send(to, "r", [&](ExchangeResult ended) { result = std::move(ended); });
-        runUntil([&] { return result.has_value(); });
+        runUntil(m_context, [&] { return result.has_value(); });
         CPPUNIT_ASSERT(result->outcome == AttemptOutcome::NotSent);
     }
 
@@ -589,7 +579,7 @@
         m_context.poll();
         m_connections.cancelIfNotSent(second);
         reply(upstream, answer("r1"));
-        runUntil([&] { return completions.size() == 2; });
+        runUntil(m_context, [&] { return completions.size() == 2; });
         m_context.poll();
         std::this_thread::sleep_for(5ms);
         CPPUNIT_ASSERT_EQUAL(size_t(0), upstream.socket.available());
@@ -610,7 +600,7 @@
         m_connections.withdrawWaiting(to.id);
         CPPUNIT_ASSERT(outcomes.at("r2") == AttemptOutcome::Withheld);
         reply(upstream, answer("r1"));
-        runUntil([&] { return outcomes.size() == 2; });
+        runUntil(m_context, [&] { return outcomes.size() == 2; });
         CPPUNIT_ASSERT(outcomes.at("r1") == AttemptOutcome::Answered);
         m_context.poll();
         std::this_thread::sleep_for(5ms);
@@ -625,7 +615,7 @@
         awaitRequest(upstream);
         m_connections.cancelIfNotSent(handle);
         reply(upstream, answer("r"));
-        runUntil([&] { return result.has_value(); });
+        runUntil(m_context, [&] { return result.has_value(); });
         CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Answered);
     }
 
