UpstreamQueue: remove a function that nothing calls, and state what a test means

wakeAt() had no caller. queue_blockedAfterHandover_dispatchesNothingUntilUnblocked compared refuse.size() + 1 with 1; it now asks that the tick before the end of the block refuses and dispatches nothing, which is stricter.

--- a/include/hickoryspur/connection/UpstreamQueue.h
+++ b/include/hickoryspur/connection/UpstreamQueue.h
@@ -11,7 +11,6 @@
 #include "hickoryspur/connection/ConcurrencyLimit.h"
 #include "hickoryspur/connection/SubRequest.h"
 
-#include <optional>
 #include <set>
 #include <vector>
 
@@ -59,8 +58,6 @@
     size_t waiting() const { return m_waiting.size(); }
     size_t running() const { return m_running.size(); }
     const ConcurrencyLimit &limit() const { return m_limit; }
-    /** When tick() has something to do; nullopt while no sub-request waits. */
-    std::optional<TimePoint> wakeAt(TimePoint now) const;
 
 private:
     struct Waiting
--- a/src/connection/UpstreamQueue.cpp
+++ b/src/connection/UpstreamQueue.cpp
@@ -109,14 +109,4 @@
     }
 }
 
-std::optional<TimePoint> UpstreamQueue::wakeAt(TimePoint now) const
-{
-    if (m_waiting.empty())
-        return std::nullopt;
-    const TimePoint latestStart = m_waiting.begin()->deadline - m_limit.floor();
-    if (dispatchAllowedAt() > now)
-        return std::min(latestStart, dispatchAllowedAt());
-    return latestStart;
-}
-
 } // namespace hickoryspur
--- a/test/failure/UpstreamQueueFailureTest.cpp
+++ b/test/failure/UpstreamQueueFailureTest.cpp
@@ -140,7 +140,8 @@
         UpstreamQueue queue(kSlots, 1);
         queue.blockUntil(m_now + 1s);
         CPPUNIT_ASSERT_EQUAL(size_t(0), dispatchedOf(queue, 1, 3));
-        CPPUNIT_ASSERT_EQUAL(size_t(1), queue.tick(m_now + 1s - 1us).refuse.size() + 1);
+        const DispatchActions beforeTheEnd = queue.tick(m_now + 1s - 1us);
+        CPPUNIT_ASSERT(beforeTheEnd.refuse.empty() && beforeTheEnd.dispatch.empty());
         queue.submit(m_now + 1s, {9, m_now + 2s});
         CPPUNIT_ASSERT_EQUAL(size_t(1), queue.running());
     }
