--- a/test/failure/PeerCallsFailureTest.cpp
+++ b/test/failure/PeerCallsFailureTest.cpp
@@ -4,7 +4,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
-
 using namespace hickoryspur;
 
 /**
