Read the change once more: two comments without their lines, one loop that stood twice, one unclear comment

FrameLink.cpp and UpstreamConnectionsFailureTest kept comments of a constant and a function that had moved; ParserFuzzTest had the loop that feeds a parser in two places; EvaluationScope::onlyClearFailures did not say what it does.

--- a/include/hickoryspur/version/VersionEvaluator.h
+++ b/include/hickoryspur/version/VersionEvaluator.h
@@ -45,7 +45,8 @@
     bool oldHasNoTraffic = false;
     /** Whether slow answers count; false while the new upstreams warm up. */
     bool countSlow = true;
-    /** Whether a suspicion rejects the version at once, without a comparison at the same time. */
+    /** Whether only a rise by minClearFailureRise counts, as nothing confirms a suspicion before it rejects the
+     * version. */
     bool onlyClearFailures = false;
 };
 
--- a/src/process/FrameLink.cpp
+++ b/src/process/FrameLink.cpp
@@ -25,7 +25,6 @@
 constexpr size_t kMaxQueuedBytes = 16ULL * 1024 * 1024;
 /** Memory for a message is taken in steps of this size, in bytes. */
 constexpr size_t kMaxReadStep = 64UL * 1024;
-/** Delay before accepting again after a failure, such as running out of file descriptors. */
 
 std::string frame(const PeerMessage &message)
 {
--- a/test/failure/ParserFuzzTest.cpp
+++ b/test/failure/ParserFuzzTest.cpp
@@ -129,6 +129,15 @@
         CPPUNIT_ASSERT_EQUAL(exceptions, connectionExceptions());
     }
 
+    /** Gives the parser what it takes of the bytes and removes it from them. */
+    template <typename Parser> static boost::system::error_code put(Parser &parser, std::string &unparsed)
+    {
+        boost::system::error_code error;
+        while (!error && !parser.is_done() && !unparsed.empty())
+            unparsed.erase(0, parser.put(boost::asio::buffer(unparsed), error));
+        return error;
+    }
+
     /** Feeds the bytes in pieces, as reads return them, and ends with the end of the connection. */
     template <typename Parser> void feed(const std::string &bytes)
     {
@@ -140,9 +149,7 @@
             const size_t piece = 1 + below(bytes.size() - offset);
             unparsed += bytes.substr(offset, piece);
             offset += piece;
-            error = {};
-            while (!error && !parser.is_done() && !unparsed.empty())
-                unparsed.erase(0, parser.put(boost::asio::buffer(unparsed), error));
+            error = put(parser, unparsed);
             if (error && error != boost::beast::http::error::need_more)
                 return;
         }
@@ -169,12 +176,9 @@
         AnswerParser parser{ParserLimits()};
         parser.eager(true);
         std::string unparsed;
-        boost::system::error_code error;
         for (const char byte : std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")) {
             unparsed += byte;
-            error = {};
-            while (!error && !parser.is_done() && !unparsed.empty())
-                unparsed.erase(0, parser.put(boost::asio::buffer(unparsed), error));
+            put(parser, unparsed);
         }
         CPPUNIT_ASSERT(parser.is_done());
         CPPUNIT_ASSERT(parser.get().body().empty());
--- a/test/failure/UpstreamConnectionsFailureTest.cpp
+++ b/test/failure/UpstreamConnectionsFailureTest.cpp
@@ -104,7 +104,6 @@
         return m_connections.send(to, std::move(request), std::move(done));
     }
 
-    /** Polls the io_context until the condition holds, for 5 s at most. */
     void awaitRequest(Upstream &upstream)
     {
         runUntil(m_context, [&] {
