--- a/src/request/ScatterGather.cpp
+++ b/src/request/ScatterGather.cpp
@@ -96,6 +96,8 @@
         return false;
     shard.held = false;
     --m_held;
+    // The replica that was chosen at the start may have left since.
+    shard.first.reset();
     return true;
 }
 
--- a/test/failure/ScatterGatherFailureTest.cpp
+++ b/test/failure/ScatterGatherFailureTest.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(scatter_maxAttemptsUsed_sendsToNoFurtherReplica);
     CPPUNIT_TEST(scatter_unreachableReplicas_doNotUseAttemptsOrBudget);
     CPPUNIT_TEST(scatter_replicaPausedBeforeTheSend_isSentElsewhereWithoutBudget);
+    CPPUNIT_TEST(scatter_replicaLeavesWhileShardIsHeld_isNotSentToIt);
     CPPUNIT_TEST(scatter_deadlinePassed_timesOut);
     CPPUNIT_TEST(scatter_upstreamsEndUnderIt_noOtherReplicaGetsIt);
     CPPUNIT_TEST(scatter_allConnectionsEnded_isServedByOtherReplicas);
@@ -344,6 +345,19 @@
                        == ScatterOutcome::Complete);
     }
 
+    // A shard that was held until the probe's answer went to the upstream chosen at the start, which had left by then.
+    void scatter_replicaLeavesWhileShardIsHeld_isNotSentToIt()
+    {
+        ScatterPlan probe = plan(2, 1);
+        probe.probesFirst = true;
+        ScatterGather run(probe, hooks());
+        run.start(m_now);
+        m_unreachable = {"shard1"};
+        const ScatterActions actions = run.attemptEnded(m_now + 25ms, {0, 0}, AttemptOutcome::Answered);
+        CPPUNIT_ASSERT(actions.sends.empty());
+        CPPUNIT_ASSERT(actions.outcome == ScatterOutcome::Partial);
+    }
+
     void scatter_deadlinePassed_timesOut()
     {
         ScatterGather run(plan(3, 2), hooks());
