Ask of all work that waits whether its upstream may still be used

Cause: what waits for a connection was withdrawn only where an upstream leaves or asks for a pause. A data centre taken out, a version taken back, an address taken over by another upstream and a request put in quarantine withdrew nothing, and a request that was posted in the same turn of the loop began to wait after the withdrawal.

Now each exchange carries the question whether it may start. ConnectionPool asks it when the exchange arrives, before it is written, on each of these events and at each tick; withdrawWaiting and retireUpstream are gone. Replicas of a version that was taken back are not chosen for a further attempt either. A pool whose upstream has another address is driven until it has ended.

--- a/include/hickoryspur/connection/UpstreamAdmission.h
+++ b/include/hickoryspur/connection/UpstreamAdmission.h
@@ -93,6 +93,11 @@
     bool maySend(TimePoint now, const AdmissionQuery &query) const { return nextSend(now, query) <= now; }
     /** Whether a leaving upstream may still get a request if no other replica is left. */
     bool maySendToLastReplica(TimePoint now, const AdmissionQuery &query) const;
+    /**
+     * Whether a request for which the upstream was chosen then, and which waits, may still be sent to it: rates are
+     * not asked again, since it has taken its turn.
+     */
+    bool mayStillSend(TimePoint now, TimePoint chosenAt, const AdmissionQuery &query) const;
     /** The earliest time at which a request may be sent; max() if that cannot be told, or if it is leaving. */
     TimePoint nextSend(TimePoint now, const AdmissionQuery &query) const;
     /** Records a request that is sent, whether or not it was allowed. */
@@ -138,6 +143,8 @@
     };
 
     Duration intervalOf(const UpstreamId &id, double limit) const;
+    /** Whether a leaving upstream still serves what is sent to it as the last replica. */
+    bool servesAsLast(TimePoint now, const Record &record) const;
     /** This entry's part of a limit that the upstream names. */
     double shareOf(const UpstreamId &id) const;
     const Record *find(const AdmissionQuery &query) const;
--- a/include/hickoryspur/request/VersionSplit.h
+++ b/include/hickoryspur/request/VersionSplit.h
@@ -61,6 +61,8 @@
     /** The replicas for a further attempt of the same request, whose first attempt went to the given group. */
     VersionGroup pickForExtra(const ServiceName &service, VersionGroup first) const;
     bool isInGroup(const ServiceName &service, const VersionName &version, VersionGroup group) const;
+    /** Whether the version was found bad, so that it gets no more requests. */
+    bool isTakenBack(const ServiceName &service, const VersionName &version) const;
     /** The group that may be used if the service has no replica in the given one; nullopt if none may. */
     std::optional<VersionGroup> fallback(const ServiceName &service, VersionGroup group) const;
 
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -148,7 +148,7 @@
         if (m_applied.isReplacedBy(update.applied, update.confirmed)) {
             m_applied.recordLogState(update.applied, StateOrigin::Committed);
             m_traffic.setDataCentresOut(update.dataCentresOut);
-            m_traffic.versions().setMoves(update.moves);
+            m_traffic.setMoves(update.moves);
         }
     }
     if (update.confirmed) {
@@ -193,7 +193,7 @@
     if (m_applied.isReplacedBy(newest->lastIndex.value(), false)) {
         m_applied.recordLogState(newest->lastIndex.value(), StateOrigin::Logs);
         m_traffic.setDataCentresOut(newest->dataCentresOut);
-        m_traffic.versions().setMoves(newest->moves);
+        m_traffic.setMoves(newest->moves);
     }
     m_confirmed = true;
     HS_LOG(INFO, LogEvent::StateFromLogs)
--- a/src/connection/ConnectionPool.cpp
+++ b/src/connection/ConnectionPool.cpp
@@ -1,8 +1,10 @@
 #include "connection/ConnectionPool.h"
 
 #include "connection/ConnectionReport.h"
+#include "hickoryspur/process/Metrics.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace hickoryspur {
 
@@ -13,6 +15,13 @@
 /** A request that must not be sent twice uses only a connection that has been idle for less than this. */
 constexpr Duration kMaxFreshIdleTime = 1s;
 
+void withhold(const Exchange &exchange)
+{
+    static Counter &withheld = Metrics::counter("hickoryspur_sub_requests_withheld_total");
+    withheld.add();
+    exchange.done({AttemptOutcome::Withheld, {}, "the upstream may not be used any more"});
+}
+
 } // namespace
 
 void ConnectionPool::setLimits(const UpstreamTarget &target)
@@ -50,6 +59,8 @@
 
 void ConnectionPool::send(Exchange exchange)
 {
+    if (!exchange.request.mayStart())
+        return withhold(exchange);
     const TimePoint now = monotonicNow();
     const bool fresh = exchange.request.fresh;
     if (const std::shared_ptr<UpstreamConnection> connection = findIdle(now, fresh)) {
@@ -106,6 +117,7 @@
 
 void ConnectionPool::startWaiting()
 {
+    withdrawUnusable();
     while (!m_waiting.empty()) {
         const std::shared_ptr<UpstreamConnection> connection =
             findIdle(monotonicNow(), m_waiting.front().request.fresh);
@@ -139,6 +151,16 @@
         exchange.done({outcome, {}, reason});
 }
 
+void ConnectionPool::withdrawUnusable()
+{
+    const auto usable = std::stable_partition(m_waiting.begin(), m_waiting.end(),
+                                              [](const Exchange &exchange) { return !exchange.request.mayStart(); });
+    const std::vector<Exchange> withdrawn(std::make_move_iterator(m_waiting.begin()), std::make_move_iterator(usable));
+    m_waiting.erase(m_waiting.begin(), usable);
+    for (const Exchange &exchange : withdrawn)
+        withhold(exchange);
+}
+
 bool ConnectionPool::cancelIfNotSent(ExchangeHandle handle)
 {
     const auto waiting = std::find_if(m_waiting.begin(), m_waiting.end(),
--- a/src/connection/ConnectionPool.h
+++ b/src/connection/ConnectionPool.h
@@ -48,18 +48,25 @@
     void cancel(ExchangeHandle handle);
     /** Returns false if the exchange does not wait for a connection. */
     bool cancelIfNotSent(ExchangeHandle handle);
-    /** Ends all exchanges that wait for a connection. */
-    void endWaiting(AttemptOutcome outcome, const std::string &reason);
+    /** Ends the waiting exchanges that may not start any more as Withheld. */
+    void withdrawUnusable();
     void tick(TimePoint now);
     void closeIdle();
     bool hasRoom() const;
+    bool hasWaiting() const { return !m_waiting.empty(); }
     size_t size() const { return m_connections.size(); }
+    /** Sets whether the pool is dropped once nothing uses it; until then it goes on with what it has begun. */
+    void setRetired(bool retired) { m_retired = retired; }
+    /** Retired, without connections and without exchanges that wait for one. */
+    bool hasEnded() const { return m_retired && m_connections.empty() && m_waiting.empty(); }
     bool belongsTo(const UpstreamAnswer &answer, const std::string &id) const { return m_belongsTo(answer, id); }
 
 private:
     /** Opens a connection if the limit allows; the event says what for. */
     void open(ConnectionEvent purpose);
     std::shared_ptr<UpstreamConnection> findIdle(TimePoint now, bool fresh);
+    /** Ends all exchanges that wait for a connection. */
+    void endWaiting(AttemptOutcome outcome, const std::string &reason);
     void startWaiting();
     /** Opens a connection, within the limit, if more requests wait than connections are being opened. */
     void openForWaiting();
@@ -72,6 +79,7 @@
     std::vector<std::shared_ptr<UpstreamConnection>> m_connections;
     std::deque<Exchange> m_waiting;
     ReconnectBackoff m_backoff;
+    bool m_retired = false;
 };
 
 } // namespace hickoryspur
--- a/src/connection/UpstreamAdmission.cpp
+++ b/src/connection/UpstreamAdmission.cpp
@@ -129,8 +129,23 @@
     const Record *record = find(query);
     if (!record || !record->leavingSince)
         return maySend(now, query);
+    return servesAsLast(now, *record) && nextByRate(now, query, record) <= now;
+}
+
+bool UpstreamAdmission::servesAsLast(TimePoint now, const Record &record) const
+{
     const Duration usable(static_cast<int64_t>(kLastReplicaShare * static_cast<double>(m_drainTime.count())));
-    return now - *record->leavingSince < usable && nextByRate(now, query, record) <= now;
+    return now - *record.leavingSince < usable;
+}
+
+bool UpstreamAdmission::mayStillSend(TimePoint now, TimePoint chosenAt, const AdmissionQuery &query) const
+{
+    const Record *record = find(query);
+    if (!record)
+        return true;
+    if (record->pausedUntil && now < *record->pausedUntil)
+        return false;
+    return !record->leavingSince || (chosenAt > *record->leavingSince && servesAsLast(now, *record));
 }
 
 void UpstreamAdmission::recordSent(TimePoint now, const AdmissionQuery &query)
--- a/src/connection/UpstreamConnections.cpp
+++ b/src/connection/UpstreamConnections.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+#include <iterator>
 #include <unordered_map>
 #include <vector>
 
@@ -15,6 +17,8 @@
     BelongsTo belongsTo;
     Connected connected;
     std::unordered_map<UpstreamId, std::shared_ptr<ConnectionPool>> pools;
+    /** Pools of upstreams that have another address now, until their last exchanges have ended. */
+    std::vector<std::shared_ptr<ConnectionPool>> replaced;
     std::unordered_map<Handle, std::weak_ptr<ConnectionPool>> running;
     Handle nextHandle = 1;
     std::mt19937_64 random;
@@ -23,17 +27,44 @@
     std::shared_ptr<ConnectionPool> pool(const UpstreamTarget &target);
     /** Null if the exchange has ended. */
     std::shared_ptr<ConnectionPool> poolOf(Handle handle) const;
+    /** All pools, replaced ones too; a copy, since exchanges that end may change the list. */
+    std::vector<std::shared_ptr<ConnectionPool>> allPools() const;
+    /** Forgets the retired pools that nothing uses, also no exchange that has been posted to one. */
+    void dropEnded();
 };
 
 std::shared_ptr<ConnectionPool> UpstreamConnections::State::pool(const UpstreamTarget &target)
 {
     std::shared_ptr<ConnectionPool> &pool = pools[target.id];
-    if (!pool || pool->address().text() != target.address.text())
+    if (pool && pool->address().text() != target.address.text()) {
+        pool->closeIdle();
+        pool->setRetired(true);
+        replaced.push_back(std::move(pool));
+    }
+    if (!pool)
         pool = std::make_shared<ConnectionPool>(context, target, belongsTo, connected, random());
+    pool->setRetired(false);
     pool->setLimits(target);
     return pool;
 }
 
+std::vector<std::shared_ptr<ConnectionPool>> UpstreamConnections::State::allPools() const
+{
+    std::vector<std::shared_ptr<ConnectionPool>> all = replaced;
+    for (const auto &[id, pool] : pools)
+        all.push_back(pool);
+    return all;
+}
+
+void UpstreamConnections::State::dropEnded()
+{
+    const auto isDropped = [](const std::shared_ptr<ConnectionPool> &pool) {
+        return pool->hasEnded() && pool.use_count() == 1;
+    };
+    std::erase_if(replaced, isDropped);
+    std::erase_if(pools, [isDropped](const auto &item) { return isDropped(item.second); });
+}
+
 std::shared_ptr<ConnectionPool> UpstreamConnections::State::poolOf(Handle handle) const
 {
     const auto found = running.find(handle);
@@ -42,7 +73,7 @@
 
 UpstreamConnections::UpstreamConnections(boost::asio::io_context &context, BelongsTo belongsTo, uint64_t seed,
                                          Connected connected)
-    : m_state(new State{context, std::move(belongsTo), std::move(connected), {}, {}, 1, std::mt19937_64(seed), {}})
+    : m_state(new State{context, std::move(belongsTo), std::move(connected), {}, {}, {}, 1, std::mt19937_64(seed), {}})
 {
 }
 
@@ -80,13 +111,16 @@
     return pool && pool->cancelIfNotSent(handle);
 }
 
-void UpstreamConnections::withdrawWaiting(const UpstreamId &id)
+void UpstreamConnections::withdrawUnusable()
 {
-    const auto found = m_state->pools.find(id);
-    if (found == m_state->pools.end())
-        return;
-    const std::shared_ptr<ConnectionPool> pool = found->second;
-    pool->endWaiting(AttemptOutcome::Withheld, "the upstream takes no requests now");
+    std::vector<std::shared_ptr<ConnectionPool>> waiting;
+    for (const auto &[id, pool] : m_state->pools)
+        if (pool->hasWaiting())
+            waiting.push_back(pool);
+    std::copy_if(m_state->replaced.begin(), m_state->replaced.end(), std::back_inserter(waiting),
+                 [](const auto &pool) { return pool->hasWaiting(); });
+    for (const std::shared_ptr<ConnectionPool> &pool : waiting)
+        pool->withdrawUnusable();
 }
 
 void UpstreamConnections::warm(const UpstreamTarget &target)
@@ -111,23 +145,19 @@
     const auto found = m_state->pools.find(id);
     if (found == m_state->pools.end())
         return;
-    const std::shared_ptr<ConnectionPool> pool = found->second;
-    pool->closeIdle();
-    if (pool->size() == 0)
-        m_state->pools.erase(found);
+    found->second->closeIdle();
+    found->second->setRetired(true);
 }
 
 void UpstreamConnections::tick(TimePoint now)
 {
-    std::vector<std::shared_ptr<ConnectionPool>> pools;
-    for (const auto &[id, pool] : m_state->pools)
-        pools.push_back(pool);
     size_t openConnections = 0;
-    for (const std::shared_ptr<ConnectionPool> &pool : pools) {
+    for (const std::shared_ptr<ConnectionPool> &pool : m_state->allPools()) {
         pool->tick(now);
         openConnections += pool->size();
     }
-    m_state->report.tick(now, openConnections, pools.size());
+    m_state->dropEnded();
+    m_state->report.tick(now, openConnections, m_state->pools.size());
 }
 
 } // namespace hickoryspur
--- a/src/connection/UpstreamConnections.h
+++ b/src/connection/UpstreamConnections.h
@@ -34,15 +34,15 @@
     /** Ends an exchange that still waits for a connection; returns false if its request has been sent, and continues.
      */
     bool cancelIfNotSent(Handle handle);
-    /** Ends the exchanges that wait for a connection to this upstream as Withheld; sent ones continue. */
-    void withdrawWaiting(const UpstreamId &id);
+    /** Ends the waiting exchanges that may not start any more as Withheld; sent ones continue. */
+    void withdrawUnusable();
     /** Opens a connection if there is none, unless the reconnection backoff forbids it. */
     void warm(const UpstreamTarget &target);
     /** Whether an exchange could start without waiting for another one to end. */
     bool hasRoom(const UpstreamId &id) const;
     /** Closes all idle connections; running exchanges continue. */
     void closeIdle();
-    /** Closes the idle connections to an upstream that is gone; running exchanges continue. */
+    /** Closes the idle connections to an upstream that leaves or is gone; running exchanges continue. */
     void removeUpstream(const UpstreamId &id);
     /** Ends exchanges that are past their deadline and connection attempts that time out. */
     void tick(TimePoint now);
--- a/src/connection/UpstreamExchange.h
+++ b/src/connection/UpstreamExchange.h
@@ -35,6 +35,8 @@
      * the upstream cannot have closed for idleness.
      */
     bool fresh = false;
+    /** Whether the request may still be sent; asked again until it is, since it may wait for a connection meanwhile. */
+    std::function<bool()> mayStart = [] { return true; };
 };
 
 struct ExchangeResult
--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -79,7 +79,10 @@
 ScatterHooks EntryTraffic::ActiveRequest::hooks()
 {
     ScatterHooks hooks;
-    hooks.choose = [this](const ServiceName &service, const std::vector<UpstreamId> &tried) {
+    hooks.choose = [this](const ServiceName &service,
+                          const std::vector<UpstreamId> &tried) -> std::optional<ReplicaChoice> {
+        if (isStopped())
+            return std::nullopt;
         return m_traffic.chooseReplica(service, tried, versionGroup(service, !tried.empty()));
     };
     hooks.tryConsumeBudget = [this](const ServiceName &service) { return m_traffic.tryConsumeBudget(service); };
@@ -91,6 +94,11 @@
     return hooks;
 }
 
+bool EntryTraffic::ActiveRequest::isStopped() const
+{
+    return !m_isProbe && m_traffic.isQuarantined(m_request);
+}
+
 VersionGroup EntryTraffic::ActiveRequest::versionGroup(const ServiceName &service, bool isExtra)
 {
     const auto found = m_versionGroups.find(service);
@@ -164,6 +172,9 @@
     m_traffic.m_admission.recordSent(now, m_traffic.admissionQuery(announcement));
     SentAttempt &sent = m_runningAttempts[attempt.key];
     sent = {attempt.upstream, announcement.incarnation, now, 0, attempt.isProbe};
+    request.mayStart = [self = shared_from_this(), sent] {
+        return !self->isStopped() && self->m_traffic.mayStillSend(sent.at, sent.upstream, sent.incarnation);
+    };
     sent.handle = m_traffic.m_connections.send(*target, std::move(request),
                                                [self = shared_from_this(), key = attempt.key](ExchangeResult result) {
                                                    self->onAttemptEnded(key, std::move(result));
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -184,7 +184,8 @@
 
 void EntryTraffic::mergeSuspects(TimePoint now, const std::vector<SuspectReport> &reports)
 {
-    m_quarantine.merge(now, reports);
+    if (m_quarantine.merge(now, reports))
+        m_connections.withdrawUnusable();
 }
 
 void EntryTraffic::recordHeartbeat(TimePoint now, const UpstreamId &upstream)
@@ -244,8 +245,7 @@
     for (const UpstreamId &id : m_registry.replicas(service)) {
         const KnownUpstream *known = m_registry.find(id);
         const Announcement &announcement = known->announcement;
-        if (m_dataCentresOut.contains(announcement.dataCentre.value())
-            || !m_versions.isInGroup(service, announcement.version, group))
+        if (!isOpen(announcement) || !m_versions.isInGroup(service, announcement.version, group))
             continue;
         if (includesLeaving ? m_admission.maySendToLastReplica(now, admissionQuery(announcement))
                             : mayGetRequest(now, announcement))
@@ -281,10 +281,10 @@
         return;
     reportSignals(upstream, incarnation, signals, changes, m_connectionPlan.entryCount());
     reportCounts(m_admission.counts());
-    if (changes.pauseBegun)
-        m_connections.withdrawWaiting(upstream);
+    if (changes.pauseBegun || changes.leavingBegun)
+        m_connections.withdrawUnusable();
     if (changes.leavingBegun)
-        retireUpstream(upstream);
+        m_connections.removeUpstream(upstream);
 }
 
 void EntryTraffic::updateAdmission(TimePoint now)
@@ -453,6 +453,13 @@
 {
     m_dataCentresOut = std::set<std::string>(out.begin(), out.end());
     m_routeGroups.setOutdated();
+    m_connections.withdrawUnusable();
+}
+
+void EntryTraffic::setMoves(const std::map<std::string, std::string> &packed)
+{
+    m_versions.setMoves(packed);
+    m_connections.withdrawUnusable();
 }
 
 void EntryTraffic::setEntryCount(uint32_t entries)
@@ -507,14 +514,28 @@
         return;
     if (!known || known->announcement.upstreamState() == UpstreamState::Gone)
         m_admission.remove(announcement.id);
-    retireUpstream(announcement.id);
+    m_connections.withdrawUnusable();
+    m_connections.removeUpstream(announcement.id);
+}
+
+bool EntryTraffic::mayStillSend(TimePoint chosenAt, const UpstreamId &upstream, uint64_t incarnation) const
+{
+    const KnownUpstream *known = m_registry.find(upstream);
+    if (!known || !known->takesWork() || known->announcement.incarnation != incarnation)
+        return false;
+    return isOpen(known->announcement)
+        && (m_admission.empty() || m_admission.mayStillSend(monotonicNow(), chosenAt, {upstream, incarnation}));
+}
+
+bool EntryTraffic::isOpen(const Announcement &announcement) const
+{
+    return !m_dataCentresOut.contains(announcement.dataCentre.value())
+        && !m_versions.isTakenBack(announcement.service, announcement.version);
 }
 
-void EntryTraffic::retireUpstream(const UpstreamId &upstream)
+bool EntryTraffic::isQuarantined(const ForwardedRequest &request) const
 {
-    // What waits for a connection to it would be sent later than the upstream serves.
-    m_connections.withdrawWaiting(upstream);
-    m_connections.removeUpstream(upstream);
+    return !m_quarantine.empty() && m_quarantine.isInQuarantine(monotonicNow(), fingerprintOf(request));
 }
 
 void EntryTraffic::updateServiceStatus(TimePoint now)
@@ -558,6 +579,8 @@
     m_connections.tick(now);
     m_delegations.tick(now);
     m_registry.removeExpired(now);
+    // Whatever has ended the use of an upstream or of a request since the last tick.
+    m_connections.withdrawUnusable();
     updateAdmission(now);
     m_quarantine.tick(now);
     m_probes.tick(
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -72,10 +72,12 @@
 
     /** Replaces the route table unless the given one has a lower number. */
     void setRoutes(RouteTable table);
-    /** Replicas in these data centres get no new requests. */
+    /** Replicas in these data centres get no new requests, nor those that wait for a connection to them. */
     void setDataCentresOut(std::vector<std::string> out);
     /** The split of services between two versions of their upstreams, and the observations of both. */
     VersionSplit &versions() { return m_versions; }
+    /** Takes over the states of all moves, packed as in the log. */
+    void setMoves(const std::map<std::string, std::string> &packed);
     /** Sets how many entries share the extra sub-requests and the upstreams' connections. */
     void setEntryCount(uint32_t entries);
     /** Sets the entries that callers are sent to, and so share the upstreams' connections, and this entry's address. */
@@ -164,8 +166,12 @@
     Duration timeUntilAdmitted(TimePoint now, const std::vector<ServiceName> &services) const;
     RouteLatency &latencyOf(const Route &route);
     std::optional<UpstreamTarget> targetOf(const UpstreamId &upstream) const;
-    /** Sends nothing more to an upstream that leaves or has gone; requests that wait for it go to other replicas. */
-    void retireUpstream(const UpstreamId &upstream);
+    /** Whether a request for which the upstream was chosen then, and which waits for it, may still be sent to it. */
+    bool mayStillSend(TimePoint chosenAt, const UpstreamId &upstream, uint64_t incarnation) const;
+    /** Whether neither the upstream's data centre nor its version has been taken out of service. */
+    bool isOpen(const Announcement &announcement) const;
+    /** Whether the request has been put in quarantine since it was accepted. */
+    bool isQuarantined(const ForwardedRequest &request) const;
     /** Logs which services have lost or regained their upstreams, and updates the metrics. */
     void updateServiceStatus(TimePoint now);
     /** Connections that an upstream of the service accepts from all entries together; nullopt if that is not known. */
--- a/src/request/VersionSplit.cpp
+++ b/src/request/VersionSplit.cpp
@@ -63,6 +63,12 @@
     return (version.value() == move->state.to) == (group == VersionGroup::New);
 }
 
+bool VersionSplit::isTakenBack(const ServiceName &service, const VersionName &version) const
+{
+    const Move *move = findMove(service);
+    return move && move->state.kind() == MoveStatus::TakenBack && version.value() == move->state.to;
+}
+
 std::optional<VersionGroup> VersionSplit::fallback(const ServiceName &service, VersionGroup group) const
 {
     const Move *move = findMove(service);
--- a/test/failure/UpstreamAdmissionFailureTest.cpp
+++ b/test/failure/UpstreamAdmissionFailureTest.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(leaving_saidInAnAnswer_endsItsUse);
     CPPUNIT_TEST(leaving_lastReplica_isUsedWithinTheDrainTime);
     CPPUNIT_TEST(leaving_newIncarnation_startsClean);
+    CPPUNIT_TEST(leaving_whileARequestWaits_itIsWithheld);
     CPPUNIT_TEST(pause_begun_nothingIsSentUntilItsEnd);
     CPPUNIT_TEST(pause_severalRefusals_theLatestEndCounts);
     CPPUNIT_TEST(pause_longerThanTheBound_isCut);
@@ -317,6 +318,19 @@
         CPPUNIT_ASSERT(!admission.isWithdrawn(m_now, m_upstream, 8));
     }
 
+    // What chose the upstream before it said so goes elsewhere; what chose it as the last replica may wait for a while.
+    void leaving_whileARequestWaits_itIsWithheld()
+    {
+        UpstreamAdmission admission(1, kDrainTime);
+        CPPUNIT_ASSERT(admission.mayStillSend(m_now, m_now - 1s, {m_upstream, 7}));
+        admission.recordSignals(m_now, m_upstream, 7, leaving());
+        CPPUNIT_ASSERT(!admission.mayStillSend(m_now, m_now - 1s, {m_upstream, 7}));
+        CPPUNIT_ASSERT(admission.mayStillSend(m_now + kDrainTime / 2, m_now + 1ms, {m_upstream, 7}));
+        CPPUNIT_ASSERT(!admission.mayStillSend(m_now + kDrainTime, m_now + 1ms, {m_upstream, 7}));
+        admission.recordSignals(m_now, m_upstream, 7, pause(1s));
+        CPPUNIT_ASSERT(!admission.mayStillSend(m_now + 500ms, m_now + 1ms, {m_upstream, 7}));
+    }
+
     void pause_begun_nothingIsSentUntilItsEnd()
     {
         UpstreamAdmission admission(1, kDrainTime);
--- a/test/failure/UpstreamConnectionsFailureTest.cpp
+++ b/test/failure/UpstreamConnectionsFailureTest.cpp
@@ -40,6 +40,8 @@
     CPPUNIT_TEST(connections_endWhileAsManyRequestsWaitAsAreAllowed_waitingOnesAreSent);
     CPPUNIT_TEST(connections_cancelledWhileWaiting_requestNotSent);
     CPPUNIT_TEST(connections_upstreamPausedWhileWaiting_requestNotSent);
+    CPPUNIT_TEST(connections_upstreamEndsBeforeRequestIsTaken_requestNotSent);
+    CPPUNIT_TEST(connections_addressChangesWhileWaiting_requestEndsAtItsDeadline);
     CPPUNIT_TEST(connections_cancelIfNotSentWhileRunning_exchangeCompletes);
     CPPUNIT_TEST(connections_headWithoutEnd_exchangeFailsAndNextIsServed);
     CPPUNIT_TEST(connections_bodyWithoutEnd_exchangeFailsAndNextIsServed);
@@ -101,6 +103,7 @@
         };
         request.requestId = id;
         request.deadline = monotonicNow() + 5s;
+        request.mayStart = [this] { return m_mayStart; };
         return m_connections.send(to, std::move(request), std::move(done));
     }
 
@@ -596,7 +599,8 @@
         awaitRequest(upstream);
         send(to, "r2", [&](const ExchangeResult &ended) { outcomes["r2"] = ended.outcome; });
         m_context.poll();
-        m_connections.withdrawWaiting(to.id);
+        m_mayStart = false;
+        m_connections.withdrawUnusable();
         CPPUNIT_ASSERT(outcomes.at("r2") == AttemptOutcome::Withheld);
         reply(upstream, answer("r1"));
         runUntil(m_context, [&] { return outcomes.size() == 2; });
@@ -606,6 +610,42 @@
         CPPUNIT_ASSERT_EQUAL(size_t(0), upstream.socket.available());
     }
 
+    // A request was posted to its connections in the turn of the loop in which its upstream's leaving arrived; it began
+    // to wait only after those that waited had been withdrawn.
+    void connections_upstreamEndsBeforeRequestIsTaken_requestNotSent()
+    {
+        Upstream upstream(m_context);
+        std::optional<ExchangeResult> result;
+        send(target(upstream, "u"), "r1", [&](ExchangeResult ended) { result = std::move(ended); });
+        m_mayStart = false;
+        m_connections.withdrawUnusable();
+        m_connections.removeUpstream(UpstreamId("u"));
+        runUntil(m_context, [&] { return result.has_value(); });
+        CPPUNIT_ASSERT(result->outcome == AttemptOutcome::Withheld);
+    }
+
+    // A request that waited for an upstream at its old address had no deadline any more once the address changed.
+    void connections_addressChangesWhileWaiting_requestEndsAtItsDeadline()
+    {
+        Upstream before(m_context);
+        Upstream after(m_context);
+        UpstreamTarget to = target(before, "u");
+        to.connections = 1;
+        std::map<std::string, AttemptOutcome> outcomes;
+        send(to, "r1", [&](const ExchangeResult &ended) { outcomes["r1"] = ended.outcome; });
+        awaitRequest(before);
+        send(to, "r2", [&](const ExchangeResult &ended) { outcomes["r2"] = ended.outcome; });
+        m_context.poll();
+        send(target(after, "u"), "r3", [&](const ExchangeResult &ended) { outcomes["r3"] = ended.outcome; });
+        awaitRequest(after);
+        reply(after, answer("r3"));
+        runUntil(m_context, [&] { return outcomes.contains("r3"); });
+        m_connections.tick(monotonicNow() + 6s);
+        CPPUNIT_ASSERT(outcomes.at("r1") == AttemptOutcome::NoResponse);
+        CPPUNIT_ASSERT(outcomes.at("r2") == AttemptOutcome::NotSent);
+        CPPUNIT_ASSERT(outcomes.at("r3") == AttemptOutcome::Answered);
+    }
+
     void connections_cancelIfNotSentWhileRunning_exchangeCompletes()
     {
         Upstream upstream(m_context);
@@ -620,6 +660,8 @@
 
 private:
     boost::asio::io_context m_context;
+    /** Whether requests that have not been sent yet may still be. */
+    bool m_mayStart = true;
     UpstreamConnections m_connections{
         m_context, [](const UpstreamAnswer &answer, const std::string &id) { return answer.field("Request") == id; },
         1};
