Leave out unreachable entries before choosing which are asked

An entry that is cut off from the upstreams hands its callers' requests to other entries.

Now an entry that cannot be reached does not count among the four that are asked. DelegationFailureTest entry_cutOffAndMostOthersUnreachable_callersAreServedThroughTheLastOne: failed in 3 of 3 runs before, passes in 3 of 3.

--- a/src/request/RemoteRequest.cpp
+++ b/src/request/RemoteRequest.cpp
@@ -22,7 +22,6 @@
     , m_isCallerGone(std::move(isCallerGone))
     , m_timer(traffic.m_context)
 {
-    m_entries.resize(std::min(m_entries.size(), kMaxEntries));
     std::reverse(m_entries.begin(), m_entries.end());
     const TimePoint now = monotonicNow();
     const Duration timeout = std::min(m_request.timeout.value_or(route.timeout), route.timeout);
@@ -44,10 +43,11 @@
     const TimePoint now = monotonicNow();
     while (!m_entries.empty() && !m_traffic.m_delegations.isUsable(now, m_entries.back()))
         m_entries.pop_back();
-    if (m_entries.empty() || now >= m_deadline)
+    if (m_entries.empty() || m_asked == kMaxAsked || now >= m_deadline)
         return finish(m_traffic.makeRefusal(RefusalKind::NotRunTryLater));
     m_entry = std::move(m_entries.back());
     m_entries.pop_back();
+    ++m_asked;
     delegated.add();
     DelegatedRequest order;
     order.request = m_request;
--- a/src/request/RemoteRequest.h
+++ b/src/request/RemoteRequest.h
@@ -18,8 +18,8 @@
 class EntryTraffic::RemoteRequest : public std::enable_shared_from_this<RemoteRequest>
 {
 public:
-    /** Entries that are asked, one after the other. */
-    static constexpr size_t kMaxEntries = 4;
+    /** Entries that are asked, one after the other; those that cannot be reached now do not count. */
+    static constexpr size_t kMaxAsked = 4;
 
     /** @param entries Where to send it, in this order. */
     RemoteRequest(EntryTraffic &traffic, const Route &route, ForwardedRequest request, std::vector<std::string> entries,
@@ -41,6 +41,7 @@
     ForwardedRequest m_request;
     /** The entries that have not been asked, the next one last. */
     std::vector<std::string> m_entries;
+    size_t m_asked = 0;
     std::function<bool()> m_isCallerGone;
     boost::asio::steady_timer m_timer;
     TimePoint m_deadline;
--- a/test/failure/DelegationFailureTest.cpp
+++ b/test/failure/DelegationFailureTest.cpp
@@ -15,12 +15,17 @@
     CPPUNIT_TEST(entries_allCutOff_refuseAtOnceAndHandNothingOnTwice);
     CPPUNIT_TEST(entry_cutOffAndNoOtherKnown_triesItself);
     CPPUNIT_TEST(entry_backInTouch_servesItself);
+    CPPUNIT_TEST(entry_cutOffAndMostOthersUnreachable_callersAreServedThroughTheLastOne);
     CPPUNIT_TEST(notIdempotent_delegated_runsOnce);
     CPPUNIT_TEST(query_overManyShards_isAnsweredByBothEntries);
     CPPUNIT_TEST(query_otherEntryGone_isAnsweredByThisOne);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr size_t kShards = ShardGroups::kMinShards;
+    /** Requests after which an entry has found out which other entries cannot be reached. */
+    static constexpr int kLearning = 20;
+    /** Fewer than an unreachable entry is left out for. */
+    static constexpr int kRequests = 30;
 
     /** Sends requests until the entry knows that it is cut off. */
     static void awaitCutOff(EntryTraffic &entry)
@@ -121,6 +126,26 @@
         });
     }
 
+    // Four entries were drawn before those that were known to be unreachable were left out, so that requests were
+    // refused although another entry could serve them.
+    void entry_cutOffAndMostOthersUnreachable_callersAreServedThroughTheLastOne()
+    {
+        onFibers([](World &world) {
+            addUpstreams(world, 6);
+            const Pair pair = startPair(world, true, false);
+            std::vector<EntryLocation> entries = locations();
+            for (const char *address :
+                 {"127.0.0.91:80", "127.0.0.92:80", "127.0.0.93:80", "127.0.0.94:80", "127.0.0.95:80", "127.0.0.96:80"})
+                entries.push_back({address, DataCentreName("b")});
+            pair.first->setEntries(monotonicNow(), locations()[0].address, entries);
+            awaitCutOff(*pair.first);
+            for (int i = 0; i < kLearning; ++i)
+                pair.first->serve(request("/label/1"), neverGone);
+            for (int i = 0; i < kRequests; ++i)
+                CPPUNIT_ASSERT_EQUAL(200U, pair.first->serve(request("/label/1"), neverGone).status);
+        });
+    }
+
     void notIdempotent_delegated_runsOnce()
     {
         onFibers([](World &world) {
