Wait for votes as long as the disks take to write them

Operators saw: with disks whose syncs take 200 ms, three control hosts elect nobody and accept no change (E1204 on all, terms climb).

Cause: a vote is two syncs, of the candidate and then of the voter, 800 ms together, while a candidate waits for 320 to 640 ms and then starts the next term. A new leader writes its first entry before its first heartbeat, and was replaced meanwhile.

ReplicatedLog now measures what its writes take, also while the log is opened, and adds two of them to what it allows the others; a voter that has granted a pre-vote waits for the vote. Writes shorter than a heartbeat change nothing; the lease and the withholding of votes keep the election timeout, so only liveness depends on it. A write above 2 s counts as a stall.

--- a/include/hickoryspur/process/ReplicatedLog.h
+++ b/include/hickoryspur/process/ReplicatedLog.h
@@ -153,6 +153,8 @@
     HardState hardState;
     Checkpoint checkpoint;
     std::vector<LogEntry> entries;
+    /** About how long a vote takes to be written, as far as opening the log has shown. */
+    Duration writeTime = Duration::zero();
 };
 
 class ReplicatedLog
@@ -164,7 +166,8 @@
 
     LogActions tick(TimePoint now);
     LogActions receive(TimePoint now, const LogMessage &message);
-    /** Reports that all entries up to this index are durable on this host. */
+    /** Reports that all entries up to this index are durable on this host, which has done nothing else since the event
+     * that caused the write: a write that took long makes it wait longer for others. */
     LogActions persisted(TimePoint now, LogIndex index);
 
     /** Appends a command and returns its index; not yet committed. Fails with NoLeader on other hosts. */
@@ -230,7 +233,11 @@
     const LogEntry &entryAt(LogIndex index) const;
     /** Whether this log has the entry, in its checkpoint or behind it; then all earlier entries agree too. */
     bool holds(LogIndex index, Term term) const;
+    void startElectionTimer(TimePoint now, Duration minimum);
     void resetElectionTimer(TimePoint now);
+    void recordWrite(TimePoint now);
+    /** Time to add to what is allowed for the others' messages, since their disks may be as slow as this one. */
+    Duration slowWriteAllowance() const;
     bool hasRecentLeaderContact(TimePoint now) const;
     bool isLogUpToDate(LogIndex index, Term term) const;
     std::vector<MemberId> otherMembers() const;
@@ -278,6 +285,10 @@
     /** Index of the first entry of this leader's term. */
     LogIndex m_termStart;
     TimePoint m_electionDeadline;
+    /** The latest event. */
+    TimePoint m_eventAt;
+    /** How long the latest slow write took; halved by each that is not slow. */
+    Duration m_slowWrite = Duration::zero();
     TimePoint m_lastLeaderContact;
     TimePoint m_nextHeartbeat;
     TimePoint m_nextJoinRequest;
--- a/src/process/LogStorage.cpp
+++ b/src/process/LogStorage.cpp
@@ -28,6 +28,8 @@
 constexpr size_t kHeaderBytes = 16;
 /** The disk incarnation of a folder that format() prepared. */
 constexpr uint64_t kFormattedIncarnation = 1;
+/** The file is synced, and then its folder. */
+constexpr int kSyncsPerReplacedFile = 2;
 
 Result<void> diskFailure(const std::string &context)
 {
@@ -279,7 +281,10 @@
     if (recovered.truncatedBytes > 0 && ::ftruncate(m_logFile, m_logSize) != 0)
         return diskFailure(path);
     m_needsSync = true;
-    return sync();
+    const TimePoint start = monotonicNow();
+    Result<void> synced = sync();
+    recovered.log.writeTime = kSyncsPerReplacedFile * (monotonicNow() - start);
+    return synced;
 }
 
 Result<void> FileLogStorage::append(const std::vector<LogEntry> &entries)
--- a/src/process/ReplicatedLog.cpp
+++ b/src/process/ReplicatedLog.cpp
@@ -11,6 +11,10 @@
 
 /** A pre-vote is retried after 1/4 to 1/2 of the election timeout. */
 constexpr int kPreVoteRetryDivisor = 4;
+/** A vote is a write of the voter, and the first entry of the new leader another one, before its heartbeat arrives. */
+constexpr int kWritesOfAnElection = 2;
+/** A longer write is one of a disk that has stalled, or of a paused host, and says nothing about the next one. */
+constexpr Duration kMaxSlowWrite = 2s;
 
 LogIndex after(LogIndex index)
 {
@@ -56,6 +60,7 @@
     , m_checkpoint(std::move(recovered.checkpoint))
     , m_commit(m_checkpoint.index)
     , m_persisted(m_checkpoint.index)
+    , m_eventAt(now)
     // Before a restart this member may have acknowledged a heartbeat, on which the leader's lease relies. It
     // therefore withholds its vote for an election timeout, as if it had received a heartbeat at its start.
     , m_lastLeaderContact(now)
@@ -68,7 +73,10 @@
         m_entries.push_back(std::move(entry));
     }
     m_persisted = lastIndex();
-    resetElectionTimer(now);
+    if (recovered.writeTime >= m_timing.heartbeat)
+        m_slowWrite = std::min(recovered.writeTime, kMaxSlowWrite);
+    // No other host can be a candidate for whose votes to wait.
+    startElectionTimer(now, m_timing.electionTimeout);
 }
 
 LogIndex ReplicatedLog::lastIndex() const
@@ -109,10 +117,34 @@
         m_memberships[entry.index] = unpackMembership(entry.data);
 }
 
+void ReplicatedLog::startElectionTimer(TimePoint now, Duration minimum)
+{
+    // Candidates that start within one write of each other divide the votes.
+    std::uniform_int_distribution<int64_t> extra(0, (m_timing.electionTimeout + m_slowWrite).count());
+    m_electionDeadline = now + minimum + Duration(extra(m_random));
+}
+
 void ReplicatedLog::resetElectionTimer(TimePoint now)
 {
-    std::uniform_int_distribution<int64_t> extra(0, m_timing.electionTimeout.count());
-    m_electionDeadline = now + m_timing.electionTimeout + Duration(extra(m_random));
+    startElectionTimer(now, m_timing.electionTimeout + slowWriteAllowance());
+}
+
+Duration ReplicatedLog::slowWriteAllowance() const
+{
+    return kWritesOfAnElection * m_slowWrite;
+}
+
+void ReplicatedLog::recordWrite(TimePoint now)
+{
+    const Duration took = now - m_eventAt;
+    if (took < m_timing.heartbeat) {
+        m_slowWrite /= 2;
+        return;
+    }
+    m_slowWrite = std::min(took, kMaxSlowWrite);
+    // What the others sent meanwhile has not been read yet, so their silence says nothing.
+    if (!isLeader())
+        resetElectionTimer(now);
 }
 
 bool ReplicatedLog::hasRecentLeaderContact(TimePoint now) const
@@ -147,10 +179,11 @@
 LogActions ReplicatedLog::tick(TimePoint now)
 {
     LogActions actions;
+    m_eventAt = now;
     if (m_role == Role::Leader) {
         const std::optional<TimePoint> quorumAcked = quorumAckedSend();
         const TimePoint lastQuorum = std::max(quorumAcked.value_or(m_leaderSince), m_leaderSince);
-        if (now - lastQuorum > 2 * m_timing.electionTimeout) {
+        if (now - lastQuorum > 2 * m_timing.electionTimeout + slowWriteAllowance()) {
             becomeFollower(m_hardState.term, now, actions);
             return actions;
         }
@@ -254,6 +287,7 @@
 LogActions ReplicatedLog::receive(TimePoint now, const LogMessage &message)
 {
     LogActions actions;
+    m_eventAt = now;
     const LogMessageType kind = message.kind();
     if (kind == LogMessageType::JoinRequest) {
         admitLearner(message.from, actions);
@@ -324,6 +358,9 @@
     bool granted = isLogUpToDate(message.index, message.indexTerm);
     if (preVote) {
         granted = granted && message.term > m_hardState.term;
+        // The request for the vote itself comes only after the candidate's write.
+        if (granted && m_slowWrite > Duration::zero())
+            resetElectionTimer(now);
     } else {
         granted = granted && (m_hardState.votedFor == MemberId() || m_hardState.votedFor == message.from);
         if (granted) {
@@ -550,9 +587,10 @@
     return entry.index;
 }
 
-LogActions ReplicatedLog::persisted(TimePoint, LogIndex index)
+LogActions ReplicatedLog::persisted(TimePoint now, LogIndex index)
 {
     LogActions actions;
+    recordWrite(now);
     m_persisted = std::max(m_persisted, std::min(index, lastIndex()));
     if (isLeader())
         advanceCommit(actions);
--- a/test/failure/LogStorageFailureTest.cpp
+++ b/test/failure/LogStorageFailureTest.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <sys/resource.h>
+#include <thread>
 
 using namespace hickoryspur;
 
@@ -18,6 +19,7 @@
     CPPUNIT_TEST(log_lastRecordTorn_isTruncated);
     CPPUNIT_TEST(log_endedBeforeItsSync_isSyncedWhenOpened);
     CPPUNIT_TEST(log_syncFailsWhenOpened_failsToOpen);
+    CPPUNIT_TEST(log_syncIsSlowWhenOpened_isReported);
     CPPUNIT_TEST(log_cutBack_isSyncedBeforeItIsWrittenAgain);
     CPPUNIT_TEST(log_damagedInTheMiddle_openFailsNamingFileAndOffset);
     CPPUNIT_TEST(log_checkpointFromLeader_dropsLaterEntries);
@@ -203,6 +205,19 @@
         CPPUNIT_ASSERT_EQUAL(before + 1, syncs);
     }
 
+    // A host that does not know how slow its disk is gives up its first elections before their votes are written.
+    void log_syncIsSlowWhenOpened_isReported()
+    {
+        constexpr Duration kSync = 100ms;
+        write(1, 3);
+        const auto opened = FileLogStorage::open(m_folder, NodeId("a"), 77, m_recovered, [kSync](int) {
+            std::this_thread::sleep_for(kSync);
+            return 0;
+        });
+        CPPUNIT_ASSERT(opened);
+        CPPUNIT_ASSERT(m_recovered.log.writeTime >= 2 * kSync);
+    }
+
     void log_syncFailsWhenOpened_failsToOpen()
     {
         write(1, 3);
--- a/test/fakes/GroupFleet.cpp
+++ b/test/fakes/GroupFleet.cpp
@@ -3,6 +3,7 @@
 #include "hickoryspur/process/Check.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hickoryspur {
 
@@ -11,6 +12,8 @@
 constexpr Duration kStep = 5ms;
 /** As in GroupThread. */
 constexpr Duration kReopenDelay = 300ms;
+/** The file is synced, and then its folder. */
+constexpr int kSyncsPerReplacedFile = 2;
 
 } // namespace
 
@@ -58,8 +61,12 @@
     Host &host = m_hosts[index];
     GroupTiming timing;
     timing.entriesPerCheckpoint = 20;
-    host.node = std::make_unique<GroupNode>(host.disk->recover(), m_seeds, timing, m_random(), m_now);
+    RecoveredStorage recovered = host.disk->recover();
+    recovered.log.writeTime = kSyncsPerReplacedFile * host.syncTime;
+    host.node = std::make_unique<GroupNode>(recovered, m_seeds, timing, m_random(), m_now);
     host.frozenUntil = TimePoint();
+    host.syncedAt = TimePoint();
+    host.syncing.reset();
     host.reopensAt.reset();
 }
 
@@ -112,6 +119,27 @@
         host.reopensAt = m_now + kReopenDelay;
         return;
     }
+    const Duration duration = syncDuration(host, actions);
+    if (duration == Duration::zero())
+        return finishWrite(index, actions);
+    host.syncing = actions;
+    host.syncedAt = m_now + duration;
+}
+
+Duration GroupFleet::syncDuration(const Host &host, const GroupActions &actions)
+{
+    Duration duration = Duration::zero();
+    for (const LogActions &log : actions.log) {
+        duration += log.saveHardState ? kSyncsPerReplacedFile * host.syncTime : Duration::zero();
+        duration += log.installCheckpoint ? 2 * kSyncsPerReplacedFile * host.syncTime : Duration::zero();
+        duration += log.truncateFrom || !log.append.empty() ? host.syncTime : Duration::zero();
+    }
+    return duration;
+}
+
+void GroupFleet::finishWrite(size_t index, const GroupActions &actions)
+{
+    Host &host = m_hosts[index];
     for (const LogEnvelope &envelope : actions.messages)
         m_links.send(m_now, host.name, envelope.to, envelope.message);
     for (const CommandAnswer &answer : actions.answers)
@@ -125,13 +153,16 @@
 void GroupFleet::step()
 {
     m_now += kStep;
+    for (size_t i = 0; i < m_hosts.size(); ++i)
+        if (isUp(i) && m_hosts[i].syncing && m_now >= busyUntil(m_hosts[i]))
+            finishWrite(i, *std::exchange(m_hosts[i].syncing, std::nullopt));
     for (auto &delivery : m_links.due(m_now)) {
         const std::optional<size_t> to = find(delivery.to);
         if (!to || !isUp(*to))
             continue;
-        // A frozen host receives its messages when it resumes.
-        if (m_now < m_hosts[*to].frozenUntil)
-            m_links.send(m_hosts[*to].frozenUntil, delivery.from, delivery.to, delivery.message);
+        // A host that is frozen or waits for its disk receives its messages when it resumes.
+        if (m_now < busyUntil(m_hosts[*to]))
+            m_links.send(busyUntil(m_hosts[*to]), delivery.from, delivery.to, delivery.message);
         else
             execute(*to, node(*to).receive(m_now, delivery.message));
     }
@@ -142,7 +173,7 @@
             start(i);
         }
     for (size_t i = 0; i < m_hosts.size(); ++i)
-        if (isUp(i) && m_now >= m_hosts[i].frozenUntil)
+        if (isUp(i) && m_now >= busyUntil(m_hosts[i]))
             execute(i, node(i).tick(m_now));
 }
 
--- a/test/fakes/GroupFleet.h
+++ b/test/fakes/GroupFleet.h
@@ -7,6 +7,7 @@
 #include "fakes/MemoryLinks.h"
 #include "hickoryspur/process/GroupNode.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -29,6 +30,8 @@
     void restart(size_t index);
     /** Makes the host's disk full, or gives it room again; a host whose write fails opens its log again later. */
     void setDiskFull(size_t index, bool full) { m_hosts[index].disk->setFull(full); }
+    /** Sets how long each sync of the host's disk takes; the host does nothing else meanwhile, as in GroupThread. */
+    void setSyncTime(size_t index, Duration syncTime) { m_hosts[index].syncTime = syncTime; }
     void freeze(size_t index, Duration duration) { m_hosts[index].frozenUntil = m_now + duration; }
     /** Cuts the links between the host and all others until heal(). */
     void isolate(size_t index);
@@ -58,6 +61,10 @@
         std::unique_ptr<MemoryDisk> disk;
         std::unique_ptr<GroupNode> node;
         TimePoint frozenUntil;
+        Duration syncTime = Duration::zero();
+        /** What a write that is being synced will send and answer, and when it is on the disk. */
+        std::optional<GroupActions> syncing;
+        TimePoint syncedAt;
         /** When the host opens its log again after a failed write. */
         std::optional<TimePoint> reopensAt;
         std::vector<NodeId> published;
@@ -66,6 +73,11 @@
     void start(size_t index);
     void step();
     void execute(size_t index, const GroupActions &actions);
+    /** Sends and answers what a write allows that is on the disk. */
+    void finishWrite(size_t index, const GroupActions &actions);
+    /** Until when the host neither receives messages nor ticks. */
+    TimePoint busyUntil(const Host &host) const { return std::max(host.frozenUntil, host.syncedAt); }
+    static Duration syncDuration(const Host &host, const GroupActions &actions);
     /** Returns false if the disk refused a write; the host then neither sends nor answers. */
     static bool write(Host &host, const GroupActions &actions);
     std::optional<size_t> find(const NodeId &name) const;
