Numbers in fields: one function that reads a text as a whole

The same check stood by hand in four other places.

Now parseWhole serves all five; a field that is no number counts as missing, which no request matches. RequestParametersFailureTest::field_onlyBeginsLikeANumber_isNoNumber is new, with the function; not shown to fail before.

--- a/src/app/RequestParameters.cpp
+++ b/src/app/RequestParameters.cpp
@@ -1,8 +1,7 @@
 #include "app/RequestParameters.h"
 
 #include "hickoryspur/process/Check.h"
-
-#include <charconv>
+#include "process/Numbers.h"
 
 namespace hickoryspur {
 
@@ -10,24 +9,22 @@
 {
     if (text.empty())
         return fallback;
-    int64_t value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size() || value < 0 || value > maxValue)
+    const std::optional<int64_t> value = parseWhole<int64_t>(text);
+    if (!value || *value < 0 || *value > maxValue)
         return HS_USER_ERROR(ResultCode::MalformedRequest) << name << " must be a whole number from 0 to " << maxValue;
-    return value;
+    return *value;
 }
 
 Result<double> parseShare(const std::string &text, const std::string &name)
 {
     if (text.empty())
         return 0.0;
-    double value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const std::optional<double> value = parseWhole<double>(text);
     // Written so that "nan" is refused as well.
-    const bool inRange = value >= 0 && value <= 1;
-    if (error != std::errc() || end != text.data() + text.size() || !inRange)
+    const bool inRange = value && *value >= 0 && *value <= 1;
+    if (!inRange)
         return HS_USER_ERROR(ResultCode::MalformedRequest) << name << " must be a number from 0 to 1";
-    return value;
+    return *value;
 }
 
 } // namespace hickoryspur
--- a/src/connection/HttpUpstreamChannel.cpp
+++ b/src/connection/HttpUpstreamChannel.cpp
@@ -6,6 +6,7 @@
 #include "hickoryspur/process/Metrics.h"
 #include "process/BoundedParser.h"
 #include "process/HttpLimits.h"
+#include "process/Numbers.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -14,7 +15,6 @@
 #include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 
-#include <charconv>
 #include <unordered_map>
 
 namespace hickoryspur {
@@ -26,11 +26,10 @@
 namespace http = beast::http;
 using boost::system::error_code;
 
-uint64_t numberOr(beast::string_view text, uint64_t fallback)
+/** A field that is missing or is no number counts as the fallback, which belongs to no request. */
+template <typename Number> Number numberOr(beast::string_view text, Number fallback)
 {
-    uint64_t value = fallback;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
+    return parseWhole<Number>({text.data(), text.size()}).value_or(fallback);
 }
 
 SubOutcome outcomeOf(const http::response<http::string_body> &response)
@@ -223,9 +222,9 @@
 {
     ChannelResult result;
     result.outcome = outcomeOf(response);
-    result.shard = static_cast<uint32_t>(numberOr(response["Hickoryspur-Shard"], UINT32_MAX));
-    result.generation = MapGeneration(numberOr(response["Hickoryspur-Map-Generation"], 0));
-    result.snapshot = SnapshotId(numberOr(response["Hickoryspur-Snapshot"], 0));
+    result.shard = numberOr<uint32_t>(response["Hickoryspur-Shard"], UINT32_MAX);
+    result.generation = MapGeneration(numberOr<uint64_t>(response["Hickoryspur-Map-Generation"], 0));
+    result.snapshot = SnapshotId(numberOr<uint64_t>(response["Hickoryspur-Snapshot"], 0));
     result.body = response.body();
     if (result.outcome == SubOutcome::Ok && !nlohmann::json::accept(result.body))
         result.outcome = SubOutcome::Failed;
--- a/src/process/Settings.cpp
+++ b/src/process/Settings.cpp
@@ -1,11 +1,11 @@
 #include "hickoryspur/process/Settings.h"
 
+#include "process/Numbers.h"
 #include "process/YamlReader.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
-#include <charconv>
 #include <cstring>
 #include <fstream>
 #include <set>
@@ -75,8 +75,8 @@
     HostAddress result;
     if (colon != std::string::npos) {
         result.address = text.substr(0, colon);
-        const auto [end, error] = std::from_chars(text.data() + colon + 1, text.data() + text.size(), result.port);
-        if (error == std::errc() && end == text.data() + text.size() && result.port > 0 && isIpAddress(result.address))
+        result.port = parseWhole<uint16_t>(std::string_view(text).substr(colon + 1)).value_or(0);
+        if (result.port > 0 && isIpAddress(result.address))
             return result;
     }
     return failure(ResultCode::UsageError, "must be an IP address and a port, as in 10.0.0.1:8100");
--- a/test/failure/RequestParametersFailureTest.cpp
+++ b/test/failure/RequestParametersFailureTest.cpp
@@ -1,6 +1,7 @@
 // Guards numbers in requests: a text that only begins like a number, or that no comparison can place ("nan"), must be
 // refused with its field's name. Read as 0, an operator's change would replace the first document by mistake.
 #include "app/RequestParameters.h"
+#include "process/Numbers.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -12,6 +13,7 @@
     CPPUNIT_TEST(wholeNumber_notWhollyANumber_isRefused);
     CPPUNIT_TEST(wholeNumber_missing_givesTheFallback);
     CPPUNIT_TEST(share_notBetweenZeroAndOne_isRefused);
+    CPPUNIT_TEST(field_onlyBeginsLikeANumber_isNoNumber);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -36,6 +38,14 @@
             CPPUNIT_ASSERT_MESSAGE(text, !parseShare(text, "hickoryspur-least-coverage"));
         CPPUNIT_ASSERT_EQUAL(0.5, parseShare("0.5", "hickoryspur-least-coverage").value());
     }
+
+    // A reply for shard "3x" counted as one for shard 3, and one for shard 2^32 + 3 too.
+    void field_onlyBeginsLikeANumber_isNoNumber()
+    {
+        for (const char *text : {"3x", "", "-3", "4294967299", " 3"})
+            CPPUNIT_ASSERT_MESSAGE(text, !parseWhole<uint32_t>(text));
+        CPPUNIT_ASSERT_EQUAL(3U, parseWhole<uint32_t>("3").value());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestParametersFailureTest);
