--- a/include/hickoryspur/process/ReplicatedLog.h
+++ b/include/hickoryspur/process/ReplicatedLog.h
@@ -166,8 +166,10 @@
 
     LogActions tick(TimePoint now);
     LogActions receive(TimePoint now, const LogMessage &message);
-    /** Reports that all entries up to this index are durable on this host, which has done nothing else since the event
-     * that caused the write: a write that took long makes it wait longer for others. */
+    /**
+     * Reports that all entries up to this index are durable on this host. It has done nothing else since the event that
+     * caused the write; after a slow write it waits longer for others.
+     */
     LogActions persisted(TimePoint now, LogIndex index);
 
     /** Appends a command and returns its index; not yet committed. Fails with NoLeader on other hosts. */
@@ -233,8 +235,10 @@
     const LogEntry &entryAt(LogIndex index) const;
     /** Whether this log has the entry, in its checkpoint or behind it; then all earlier entries agree too. */
     bool holds(LogIndex index, Term term) const;
+    /** Sets the time of the next election to the minimum from now, and a random part. */
     void startElectionTimer(TimePoint now, Duration minimum);
     void resetElectionTimer(TimePoint now);
+    /** A write that the latest event caused has ended. */
     void recordWrite(TimePoint now);
     /** Time to add to what is allowed for the others' messages, since their disks may be as slow as this one. */
     Duration slowWriteAllowance() const;
--- a/src/connection/UpstreamConnections.cpp
+++ b/src/connection/UpstreamConnections.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <iterator>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace hickoryspur {
@@ -39,7 +40,7 @@
     if (pool && pool->address().text() != target.address.text()) {
         pool->closeIdle();
         pool->setRetired(true);
-        replaced.push_back(std::move(pool));
+        replaced.push_back(std::exchange(pool, nullptr));
     }
     if (!pool)
         pool = std::make_shared<ConnectionPool>(context, target, belongsTo, connected, random());
