Tests of cut-off entries: one awaitCutOff in place of two

WaitingRequestFailureTest repeated the loop of DelegationFailureTest by which an entry finds out that it is cut off. It stands in EntryWorld.h now; every assertion is kept.

--- a/test/failure/DelegationFailureTest.cpp
+++ b/test/failure/DelegationFailureTest.cpp
@@ -27,17 +27,6 @@
     /** Fewer than an unreachable entry is left out for. */
     static constexpr int kRequests = 30;
 
-    /** Sends requests until the entry knows that it is cut off. */
-    static void awaitCutOff(EntryTraffic &entry)
-    {
-        const TimePoint end = monotonicNow() + 5s;
-        while (!entry.isCutOff() && monotonicNow() < end) {
-            boost::fibers::fiber([&entry] { entry.serve(request("/query/1"), neverGone); }).join();
-            tickFor({&entry}, 30ms);
-        }
-        CPPUNIT_ASSERT(entry.isCutOff());
-    }
-
     struct Pair
     {
         std::unique_ptr<EntryTraffic> first;
--- a/test/failure/WaitingRequestFailureTest.cpp
+++ b/test/failure/WaitingRequestFailureTest.cpp
@@ -316,12 +316,7 @@
             }
             cutOff->setEntries(monotonicNow(), locations[0].address, locations);
             entry->setEntries(monotonicNow(), locations[1].address, locations);
-            const TimePoint end = monotonicNow() + 5s;
-            while (!cutOff->isCutOff() && monotonicNow() < end) {
-                boost::fibers::fiber([&cutOff] { cutOff->serve(request("/query/1"), neverGone); }).join();
-                tickFor(both, 30ms);
-            }
-            CPPUNIT_ASSERT(cutOff->isCutOff());
+            awaitCutOff(*cutOff);
             std::vector<CallerAnswer> answers;
             for (size_t i = 0; i < kRequests; ++i)
                 boost::fibers::fiber([&] {
--- a/test/fakes/EntryWorld.h
+++ b/test/fakes/EntryWorld.h
@@ -9,6 +9,7 @@
 #include "request/HttpCallerServer.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -160,6 +161,17 @@
     }
 }
 
+/** Sends requests until the entry knows that it is cut off. */
+inline void awaitCutOff(EntryTraffic &entry)
+{
+    const TimePoint end = monotonicNow() + 5s;
+    while (!entry.isCutOff() && monotonicNow() < end) {
+        boost::fibers::fiber([&entry] { entry.serve(request("/query/1"), neverGone); }).join();
+        tickFor({&entry}, 30ms);
+    }
+    CPPUNIT_ASSERT(entry.isCutOff());
+}
+
 /** Runs a test on a thread of its own, since fibers' scheduling is set for a thread. */
 inline void onFibers(const std::function<void(World &)> &test)
 {
