Customers with API keys: entries authenticate requests and name the customer to upstreams

A configuration may name customers (tenants) with keys and a priority, and routes that are exempt. What is sent later for the request, to upstreams or to other entries, carries this. An entry checks requests of other entries against its own table and refuses as not run what the table does not have. A request that waits when its key is withdrawn, or when customers are configured first, is not sent. Without customers nothing is looked at.

--- a/include/hickoryspur/process/Digest.h
+++ b/include/hickoryspur/process/Digest.h
@@ -1,13 +1,18 @@
-// Digests, checksums and the comparison of secrets. SHA-256 identifies documents and requests; xxHash
+// Digests, checksums and the comparison of secrets. SHA-256 identifies documents, requests and keys; xxHash
 // detects corrupt records on disk and assigns upstreams to their homes.
 #pragma once
 
+#include <array>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
 namespace hickoryspur {
 
+std::array<unsigned char, 32> sha256(std::string_view text);
+/** The bytes in lower-case hexadecimal. */
+std::string toHex(std::span<const unsigned char> bytes);
 /** SHA-256 in lower-case hexadecimal. */
 std::string sha256Hex(std::string_view text);
 /** 64-bit xxHash (XXH3). Not collision-resistant: don't use it on input that an attacker can choose. */
--- a/include/hickoryspur/request/RequestCodec.h
+++ b/include/hickoryspur/request/RequestCodec.h
@@ -6,6 +6,7 @@
 #include "hickoryspur/connection/UpstreamSignals.h"
 #include "hickoryspur/process/Ids.h"
 #include "hickoryspur/process/Time.h"
+#include "hickoryspur/version/CustomerTable.h"
 
 #include <msgpack.hpp>
 
@@ -34,7 +35,13 @@
     std::string id;
     /** How long the caller waits, if the request states it. It is not packed, since it has to be reduced by a hop. */
     std::optional<Duration> timeout;
-    MSGPACK_DEFINE(method, target, path, host, fields, body, id)
+    /** The customer that the request was authenticated as; empty without keyDigest. */
+    CustomerName customer;
+    /** The key with which it was authenticated; nullopt if it was not, or came from an entry that runs an old build. */
+    std::optional<KeyDigest> keyDigest;
+    /** The customer's priority by the configuration of the entry that serves the request; not packed. */
+    std::optional<int> customerPriority;
+    MSGPACK_DEFINE(method, target, path, host, fields, body, id, customer, keyDigest)
 };
 
 /** The same for requests of the same method, host, target and body, whichever entry gets them. */
@@ -92,10 +99,14 @@
     UpstreamFailed,
     /** The deadline passed or the caller disconnected; the request may have run. */
     TimedOut,
+    /** The request has no key of a customer; it has not run and must not be repeated as it is. */
+    Unauthenticated,
 };
 
 struct RequestCodec
 {
+    /** Name of the header field in which upstreams are told the name of the customer. */
+    std::string customerField;
     /** The bytes of the request to one upstream, which they name; `left` is the time that the caller still waits. */
     std::function<std::string(const ForwardedRequest &, const UpstreamId &, Duration left)> encode;
     /** Whether the answer belongs to the request with this id. */
--- a/include/hickoryspur/version/RouteTable.h
+++ b/include/hickoryspur/version/RouteTable.h
@@ -5,6 +5,7 @@
 
 #include "hickoryspur/process/Ids.h"
 #include "hickoryspur/process/Time.h"
+#include "hickoryspur/version/CustomerTable.h"
 
 #include <cstdint>
 #include <map>
@@ -44,6 +45,8 @@
     uint32_t topRecords = 0;
     /** Minimum share of the shards that have to answer. */
     double minCoverage = 1;
+    /** Requests are not authenticated, and upstreams are not told a customer. */
+    bool authExempt = false;
 
     bool isScattered() const { return !shards.empty(); }
     /** Picks a service by weight; `draw` is a uniform random number in [0, 1). */
@@ -74,6 +77,8 @@
     std::vector<Route> routes;
     std::map<ServiceName, ServiceSpec> services;
     CallerLimits limits;
+    /** If there are any, requests need the key of one, except on exempt routes. */
+    CustomerTable customers;
 
     /** The route on that host with the longest matching prefix of the path; null if none matches. */
     const Route *find(std::string_view host, std::string_view path) const;
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -119,10 +119,10 @@
 {
     if (!m_confirmed)
         return toResponse(m_traffic.makeRefusal(RefusalKind::NotRunTryLater));
-    const Result<ForwardedRequest> forwarded = m_codec.decodeRequest(request);
+    Result<ForwardedRequest> forwarded = m_codec.decodeRequest(request);
     if (!forwarded)
         return toResponse(m_traffic.makeRefusal(RefusalKind::Malformed));
-    return toResponse(m_traffic.serve(*forwarded, request.isCallerGone));
+    return toResponse(m_traffic.serve(std::move(*forwarded), request.isCallerGone));
 }
 
 void EntryHost::onMessage(const NodeId &from, const PeerMessage &message)
--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -96,7 +96,8 @@
 
 bool EntryTraffic::ActiveRequest::isStopped() const
 {
-    return !m_isProbe && m_traffic.isQuarantined(m_request);
+    return lacksAuthentication(*m_routes, *m_traffic.m_routes, m_request)
+        || (!m_isProbe && m_traffic.isQuarantined(m_request));
 }
 
 VersionGroup EntryTraffic::ActiveRequest::versionGroup(const ServiceName &service, bool isExtra)
@@ -388,8 +389,8 @@
     if (outcome == ScatterOutcome::Complete)
         return m_traffic.m_codec.passThrough(m_answers.begin()->second);
     if (outcome == ScatterOutcome::NotRun)
-        return m_traffic.makeRefusal(RefusalKind::NotRunTryLater,
-                                     m_traffic.timeUntilAdmitted(monotonicNow(), m_scatter->shards()));
+        return m_traffic.refuseNotRun(m_request, m_route,
+                                      m_traffic.timeUntilAdmitted(monotonicNow(), m_scatter->shards()));
     if (!m_route.isScattered() && m_failure)
         return m_traffic.m_codec.passThrough(*m_failure);
     return m_traffic.makeRefusal(outcome == ScatterOutcome::TimedOut ? RefusalKind::TimedOut
--- a/src/request/ActiveRequest.h
+++ b/src/request/ActiveRequest.h
@@ -77,7 +77,7 @@
 
     void start(ScatterPlan plan);
     ScatterHooks hooks();
-    /** Put in quarantine since it was accepted: it reaches no further upstream. */
+    /** Put in quarantine, or its key withdrawn, since it was accepted: it reaches no further upstream. */
     bool isStopped() const;
     /** The versions for an attempt; all first attempts at a service use the same ones. */
     VersionGroup versionGroup(const ServiceName &service, bool isExtra);
--- a/src/request/DelegatedServer.cpp
+++ b/src/request/DelegatedServer.cpp
@@ -13,13 +13,22 @@
         && m_traffic.canFinish(now, route, order.request);
 }
 
+bool EntryTraffic::DelegatedServer::isAuthenticated(const RouteTable &routes, const Route &route,
+                                                    ForwardedRequest &request) const
+{
+    const auto failure = m_traffic.m_authenticator.checkDelegated(routes, route, request);
+    if (failure)
+        logUnauthenticated(request, route, *failure);
+    return !failure;
+}
+
 EntryTraffic::DelegatedServer::Cancel EntryTraffic::DelegatedServer::serve(DelegatedRequest order, const Reply &reply)
 {
     if (order.timeoutMicros > 0)
         order.request.timeout = Duration(order.timeoutMicros);
     const Routes routes = m_traffic.m_routes;
     const Route *route = routes ? routes->find(order.request.host, order.request.path) : nullptr;
-    if (!route || !canServe(monotonicNow(), *route, order)) {
+    if (!route || !canServe(monotonicNow(), *route, order) || !isAuthenticated(*routes, *route, order.request)) {
         DelegatedReply refusal;
         refusal.refused = true;
         reply(std::move(refusal));
--- a/src/request/DelegatedServer.h
+++ b/src/request/DelegatedServer.h
@@ -28,6 +28,8 @@
     using Routes = std::shared_ptr<const RouteTable>;
 
     bool canServe(TimePoint now, const Route &route, const DelegatedRequest &order) const;
+    /** Checks the request by this entry's table and prepares it for upstreams. */
+    bool isAuthenticated(const RouteTable &routes, const Route &route, ForwardedRequest &request) const;
     Cancel serveGroup(const Routes &routes, const Route &route, DelegatedRequest order, const Reply &reply);
     Cancel serveWhole(const Routes &routes, const Route &route, ForwardedRequest request, const Reply &reply);
 
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -59,6 +59,7 @@
     : m_context(context)
     , m_config(std::move(config))
     , m_codec(std::move(codec))
+    , m_authenticator(m_codec.customerField)
     , m_replicaTracker(m_config.seed)
     , m_versions(m_config.seed + 3)
     , m_probes(context, m_config.seed + 5)
@@ -93,7 +94,7 @@
     return m_codec.refusal(kind, delay + jitter);
 }
 
-CallerAnswer EntryTraffic::serve(const ForwardedRequest &request, const std::function<bool()> &isCallerGone)
+CallerAnswer EntryTraffic::serve(ForwardedRequest request, const std::function<bool()> &isCallerGone)
 {
     if (!m_routes)
         return makeRefusal(RefusalKind::NotRunTryLater);
@@ -101,16 +102,43 @@
     const Route *route = routes->find(request.host, request.path);
     if (!route)
         return makeRefusal(RefusalKind::NoRoute);
+    if (const auto failure = m_authenticator.authenticate(*routes, *route, request))
+        return refuseUnauthenticated(request, *route, *failure);
     if (!canFinish(monotonicNow(), *route, request))
         return makeRefusal(RefusalKind::NotRunTryLater);
     if (isCutOff()) {
         std::vector<std::string> others = shuffledEntries();
         if (!others.empty())
-            return std::make_shared<RemoteRequest>(*this, *route, request, std::move(others), isCallerGone)->serve();
+            return std::make_shared<RemoteRequest>(*this, routes, *route, request, std::move(others), isCallerGone)
+                ->serve();
     }
     return serveHere(routes, *route, request, isCallerGone);
 }
 
+void EntryTraffic::logUnauthenticated(const ForwardedRequest &request, const Route &route,
+                                      const AuthenticationFailure &failure)
+{
+    HS_LOG_REQUEST(LogEvent::RequestUnauthenticated)
+        << "request=" << request.id << " route=" << route.name << " reason=" << failure.reason
+        << " key=" << (failure.key ? shortDigest(*failure.key) : "none");
+}
+
+CallerAnswer EntryTraffic::refuseUnauthenticated(const ForwardedRequest &request, const Route &route,
+                                                 const AuthenticationFailure &failure)
+{
+    static Counter &refused = Metrics::counter("hickoryspur_requests_unauthenticated_total");
+    refused.add();
+    logUnauthenticated(request, route, failure);
+    return makeRefusal(RefusalKind::Unauthenticated);
+}
+
+CallerAnswer EntryTraffic::refuseNotRun(const ForwardedRequest &request, const Route &route, Duration minDelay)
+{
+    if (isKeyWithdrawn(*m_routes, request))
+        return refuseUnauthenticated(request, route, {"key-withdrawn", request.keyDigest});
+    return makeRefusal(RefusalKind::NotRunTryLater, minDelay);
+}
+
 std::vector<std::string> EntryTraffic::shuffledEntries()
 {
     std::vector<std::string> entries = m_otherEntries;
@@ -447,6 +475,8 @@
         << "routes=" << table.number << " before=" << routesNumber() << " count=" << table.routes.size();
     m_routes = std::make_shared<const RouteTable>(std::move(table));
     updateGroups();
+    if (!m_routes->customers.empty())
+        m_connections.withdrawUnusable();
 }
 
 void EntryTraffic::setDataCentresOut(std::vector<std::string> out)
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -9,6 +9,7 @@
 #include "hickoryspur/connection/ConnectionPlan.h"
 #include "hickoryspur/connection/UpstreamAdmission.h"
 #include "hickoryspur/connection/UpstreamRegistry.h"
+#include "hickoryspur/request/Authenticator.h"
 #include "hickoryspur/request/LatencyQuantile.h"
 #include "hickoryspur/request/ReplicaTracker.h"
 #include "hickoryspur/request/RequestCodec.h"
@@ -66,7 +67,7 @@
     /** Accepts requests that other entries delegate to this one. */
     Result<void> listen() { return m_delegations.listen(); }
     /** Must be called on a fiber; blocks it until the final answer or until isCallerGone returns true. */
-    CallerAnswer serve(const ForwardedRequest &request, const std::function<bool()> &isCallerGone);
+    CallerAnswer serve(ForwardedRequest request, const std::function<bool()> &isCallerGone);
     /** An answer that refuses a request, with a jittered delay after which the caller may retry; at least minDelay. */
     CallerAnswer makeRefusal(RefusalKind kind, Duration minDelay = Duration::zero());
 
@@ -122,6 +123,14 @@
     /** Serves a request over this entry's connections, with the help of others if it is divided. */
     CallerAnswer serveHere(const std::shared_ptr<const RouteTable> &routes, const Route &route,
                            const ForwardedRequest &request, const std::function<bool()> &isCallerGone);
+    /** Logs why the request is not authenticated. */
+    static void logUnauthenticated(const ForwardedRequest &request, const Route &route,
+                                   const AuthenticationFailure &failure);
+    /** Logs and counts a request that is not authenticated, and refuses it. */
+    CallerAnswer refuseUnauthenticated(const ForwardedRequest &request, const Route &route,
+                                       const AuthenticationFailure &failure);
+    /** The answer to a request that has not run: if its key has been withdrawn meanwhile, the caller must not retry. */
+    CallerAnswer refuseNotRun(const ForwardedRequest &request, const Route &route, Duration minDelay);
     /** The other entries that callers are sent to, in random order. */
     std::vector<std::string> shuffledEntries();
     /** The upstreams that still send heartbeats. */
@@ -186,6 +195,7 @@
     boost::asio::io_context &m_context;
     TrafficConfig m_config;
     RequestCodec m_codec;
+    Authenticator m_authenticator;
     std::shared_ptr<const RouteTable> m_routes;
     std::set<std::string> m_dataCentresOut;
     uint64_t m_sentSubRequests = 0;
--- a/src/request/GroupedRequest.cpp
+++ b/src/request/GroupedRequest.cpp
@@ -221,8 +221,7 @@
                                         mergeTopRecords(parts, m_route.topRecords));
     }
     case ScatterOutcome::NotRun:
-        return m_traffic.makeRefusal(RefusalKind::NotRunTryLater,
-                                     m_traffic.timeUntilAdmitted(monotonicNow(), m_route.shards));
+        return m_traffic.refuseNotRun(m_request, m_route, m_traffic.timeUntilAdmitted(monotonicNow(), m_route.shards));
     case ScatterOutcome::TimedOut:
         return m_traffic.makeRefusal(RefusalKind::TimedOut);
     case ScatterOutcome::Failed:
--- a/src/request/RemoteRequest.cpp
+++ b/src/request/RemoteRequest.cpp
@@ -14,9 +14,12 @@
 
 } // namespace
 
-EntryTraffic::RemoteRequest::RemoteRequest(EntryTraffic &traffic, const Route &route, ForwardedRequest request,
+EntryTraffic::RemoteRequest::RemoteRequest(EntryTraffic &traffic, std::shared_ptr<const RouteTable> routes,
+                                           const Route &route, ForwardedRequest request,
                                            std::vector<std::string> entries, std::function<bool()> isCallerGone)
     : m_traffic(traffic)
+    , m_routes(std::move(routes))
+    , m_route(route)
     , m_request(std::move(request))
     , m_entries(std::move(entries))
     , m_isCallerGone(std::move(isCallerGone))
@@ -43,8 +46,9 @@
     const TimePoint now = monotonicNow();
     while (!m_entries.empty() && !m_traffic.m_delegations.isUsable(now, m_entries.back()))
         m_entries.pop_back();
-    if (m_entries.empty() || m_asked == kMaxAsked || now >= m_deadline)
-        return finish(m_traffic.makeRefusal(RefusalKind::NotRunTryLater));
+    if (m_entries.empty() || m_asked == kMaxAsked || now >= m_deadline
+        || lacksAuthentication(*m_routes, *m_traffic.m_routes, m_request))
+        return finish(m_traffic.refuseNotRun(m_request, m_route, Duration::zero()));
     m_entry = std::move(m_entries.back());
     m_entries.pop_back();
     ++m_asked;
--- a/src/request/RemoteRequest.h
+++ b/src/request/RemoteRequest.h
@@ -22,8 +22,8 @@
     static constexpr size_t kMaxAsked = 4;
 
     /** @param entries Where to send it, in this order. */
-    RemoteRequest(EntryTraffic &traffic, const Route &route, ForwardedRequest request, std::vector<std::string> entries,
-                  std::function<bool()> isCallerGone);
+    RemoteRequest(EntryTraffic &traffic, std::shared_ptr<const RouteTable> routes, const Route &route,
+                  ForwardedRequest request, std::vector<std::string> entries, std::function<bool()> isCallerGone);
 
     /** Must be called on a fiber; blocks it until the final answer. */
     CallerAnswer serve();
@@ -38,6 +38,9 @@
     void finish(CallerAnswer answer);
 
     EntryTraffic &m_traffic;
+    /** Keeps m_route valid when another table replaces this one. */
+    std::shared_ptr<const RouteTable> m_routes;
+    const Route &m_route;
     ForwardedRequest m_request;
     /** The entries that have not been asked, the next one last. */
     std::vector<std::string> m_entries;
--- a/src/version/RouteTable.cpp
+++ b/src/version/RouteTable.cpp
@@ -75,6 +75,7 @@
         if (!hostsAndPrefixes.emplace(route.host, route.pathPrefix).second)
             errors.push_back("two routes share the host " + route.host + " and the prefix " + route.pathPrefix);
     }
+    errors.insert(errors.end(), table.customers.errors().begin(), table.customers.errors().end());
     return errors;
 }
 
--- a/test/failure/ParserFuzzTest.cpp
+++ b/test/failure/ParserFuzzTest.cpp
@@ -9,6 +9,7 @@
 #include "hickoryspur/process/MessageCodec.h"
 #include "hickoryspur/process/PeerMessage.h"
 #include "hickoryspur/process/SessionMessage.h"
+#include "hickoryspur/request/Authenticator.h"
 #include "hickoryspur/request/Delegation.h"
 #include "hickoryspur/version/Document.h"
 #include "process/BoundedParser.h"
@@ -204,18 +205,23 @@
     void callerFields_changedAtRandom_areReadOrIgnored()
     {
         const HostCodec codec = platform::makePlatformCodec();
-        fuzz({"1500", "[2001:db8::7]:8226", "close, X-Hop"}, [&](const std::string &value) {
+        const Authenticator authenticator(codec.traffic.customerField);
+        RouteTable routes;
+        routes.customers = CustomerTable({{{CustomerName("a"), {}}, {"k1"}}});
+        fuzz({"1500", "[2001:db8::7]:8226", "close, X-Hop", "Bearer k1"}, [&](const std::string &value) {
             CallerRequest request;
             request.method = "GET";
             request.target = request.path = "/rolls/7";
             request.headers["hickoryspur-request-id"] = "r1";
-            for (const char *name : {"host", "connection", "hickoryspur-deadline-ms"}) {
+            for (const char *name : {"host", "connection", "hickoryspur-deadline-ms", "authorization"}) {
                 request.headers[name] = value;
                 request.fields.emplace_back(name, value);
             }
-            const Result<ForwardedRequest> forwarded = codec.decodeRequest(std::move(request));
+            Result<ForwardedRequest> forwarded = codec.decodeRequest(std::move(request));
             CPPUNIT_ASSERT(forwarded.has_value());
             CPPUNIT_ASSERT(!forwarded->timeout || *forwarded->timeout >= Duration::zero());
+            const bool refused = authenticator.authenticate(routes, Route(), *forwarded).has_value();
+            CPPUNIT_ASSERT(refused || forwarded->customer == CustomerName("a"));
             static_cast<void>(codec.traffic.encode(*forwarded, UpstreamId("u-1"), 430ms));
         });
     }
@@ -298,8 +304,10 @@
     void configurations_changedAtRandom_areParsedOrRefused()
     {
         const HostCodec codec = platform::makePlatformCodec();
-        fuzz({fileText("examples/hosts/configuration.json")},
-             [&](const std::string &bytes) { static_cast<void>(codec.parseRoutes(bytes)); });
+        fuzz(
+            {fileText("examples/hosts/configuration.json"),
+             R"({"version":1,"routes":[],"services":[],"tenants":[{"name":"a","api-keys":["k1","k2"],"priority":1}]})"},
+            [&](const std::string &bytes) { static_cast<void>(codec.parseRoutes(bytes)); });
     }
 
     void settingsAndDocuments_changedAtRandom_areParsedOrRefused()
