--- a/test/failure/AuthenticationFailureTest.cpp
+++ b/test/failure/AuthenticationFailureTest.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char *kKey = "secret-key-of-a";
+    static constexpr Duration kWork = 300ms;
+    static constexpr size_t kRequests = 3;
     static constexpr const char *kCustomerField = "Hickoryspur-Tenant";
 
     static CustomerTable customers(const std::string &key = kKey)
@@ -112,20 +114,21 @@
         std::vector<unsigned> statuses;
         onFibers([&](World &world) {
             std::vector<HeaderFields> seen;
-            addNoting(world, 1, seen, 500ms);
+            addNoting(world, 1, seen, kWork);
             const std::unique_ptr<EntryTraffic> entry = world.startEntry("127.0.0.1", "a");
             announce(world, *entry, false);
             RouteTable routes = table(world);
             routes.services.begin()->second.connectionLimit = 1;
             entry->setRoutes(customersBefore ? withCustomers(routes) : routes);
-            for (int i = 0; i < 3; ++i)
+            for (size_t i = 0; i < kRequests; ++i)
                 boost::fibers::fiber([&] {
                     statuses.push_back(entry->serve(ownRequest("/notice/1"), neverGone).status);
                 }).detach();
             tickFor({entry.get()}, 100ms);
             routes.number = 2;
             entry->setRoutes(withCustomers(routes, keyAfter));
-            tickFor({entry.get()}, 1s);
+            // Long enough for all to be answered one after the other, if none is withheld.
+            tickFor({entry.get()}, (kRequests + 2) * kWork);
             runs = seen.size();
         });
         return statuses;
