--- a/test/failure/AuthenticationFailureTest.cpp
+++ b/test/failure/AuthenticationFailureTest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(delegated_withoutCustomerOrKeyUnknown_isRefused);
     CPPUNIT_TEST(entry_requestWithoutKey_isAnswered401AndLogsNoKey);
     CPPUNIT_TEST(request_hedged_everyUpstreamIsToldTheCustomer);
+    CPPUNIT_TEST(request_keyWithdrawnBeforeItsHedge_getsAnswerOfWhatWasSent);
     CPPUNIT_TEST(request_handedToAnotherEntry_upstreamIsToldTheCustomer);
     CPPUNIT_TEST(request_handedOverByEntryWithoutCustomers_isNotRun);
     CPPUNIT_TEST(query_divided_everyUpstreamIsToldTheCustomer);
@@ -134,6 +135,26 @@
         return statuses;
     }
 
+    /** What two slow replicas get of a request that succeeds; before its hedge is due, the key is replaced. */
+    static std::vector<HeaderFields> hedged(const std::string &keyAfter)
+    {
+        std::vector<HeaderFields> seen;
+        onFibers([&](World &world) {
+            addNoting(world, 2, seen, 400ms);
+            world.upstreams[1].service = world.upstreams[0].service;
+            const std::unique_ptr<EntryTraffic> entry = world.startEntry("127.0.0.1", "a");
+            announce(world, *entry, false);
+            entry->setRoutes(withCustomers(table(world)));
+            unsigned status = 0;
+            boost::fibers::fiber([&] { status = entry->serve(ownRequest("/label/1"), neverGone).status; }).detach();
+            tickFor({entry.get()}, 50ms);
+            entry->setRoutes(withCustomers(table(world), keyAfter));
+            tickFor({entry.get()}, 1s);
+            CPPUNIT_ASSERT_EQUAL(200U, status);
+        });
+        return seen;
+    }
+
     /** What is logged, from WARNING on, while it lives. */
     struct Lines : google::LogSink
     {
@@ -318,22 +339,17 @@
 
     void request_hedged_everyUpstreamIsToldTheCustomer()
     {
-        std::vector<HeaderFields> seen;
-        onFibers([&seen](World &world) {
-            addNoting(world, 2, seen, 400ms);
-            // Both are replicas of one service.
-            world.upstreams[1].service = world.upstreams[0].service;
-            const std::unique_ptr<EntryTraffic> entry = world.startEntry("127.0.0.1", "a");
-            announce(world, *entry, false);
-            entry->setRoutes(withCustomers(table(world)));
-            CPPUNIT_ASSERT_EQUAL(200U, entry->serve(ownRequest("/label/1"), neverGone).status);
-            tickFor({entry.get()}, 500ms);
-        });
+        const std::vector<HeaderFields> seen = hedged(kKey);
         CPPUNIT_ASSERT_EQUAL(size_t{2}, seen.size());
         for (const HeaderFields &fields : seen)
             assertNames(fields, {"a"});
     }
 
+    void request_keyWithdrawnBeforeItsHedge_getsAnswerOfWhatWasSent()
+    {
+        CPPUNIT_ASSERT_EQUAL(size_t{1}, hedged("newer").size());
+    }
+
     void request_handedToAnotherEntry_upstreamIsToldTheCustomer()
     {
         onFibers([](World &world) {
