Admission of requests by what a refusal costs callers, behind the setting admission: cost

Cause: in overload an entry sends every request on arrival. Connections and the queues of upstreams fill with requests that are answered late or fail, and the most urgent kind is served worst.

Change: with `admission: cost`, RequestAdmission decides which request starts, waits or is refused as not run; RequestGate tells it what room upstreams have and ends what is no longer wanted while it waits. ConnectionPool orders what waits by priority, then arrival. The hook setSharedRoom takes in what other entries have running. One thing changes for both modes: an exchange that waits for a connection ends at its deadline also if the one before it has a later deadline.

--- a/include/hickoryspur/process/HostSettings.h
+++ b/include/hickoryspur/process/HostSettings.h
@@ -16,6 +16,14 @@
 
 enum class HostRole { Entry, Control };
 
+/** In which order an entry starts requests when not all can start at once. */
+enum class AdmissionMode {
+    /** Each starts on arrival. */
+    Arrival,
+    /** By what their delay or refusal costs callers, see RequestAdmission. */
+    Cost,
+};
+
 struct HostSettings
 {
     std::string name;
@@ -48,6 +56,7 @@
     Duration upstreamDrainTime = 3s;
     /** Limit on the bytes that all connections hold together; see ByteBudget. */
     size_t connectionBytes = ByteBudget::kDefaultLimitBytes;
+    AdmissionMode admission = AdmissionMode::Arrival;
     /** Upper bound of directoryValidity(). */
     Duration maxDirectoryValidity = 5s;
 
--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -74,6 +74,7 @@
     RequestCleared = 1905,
     GroupLost = 1906,
     CallerFieldInvalid = 1907,
+    RequestNotAdmitted = 1910,
 };
 
 /** Limit on log lines about single requests, for each thread; lines beyond it are dropped and counted. */
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -31,8 +31,8 @@
 
 TrafficConfig trafficConfig(const HostSettings &settings, uint64_t incarnation)
 {
-    return {settings.dataCentre,        settings.extraShare,      settings.extraSlack,
-            settings.upstreamDrainTime, settings.internalAddress, incarnation};
+    return {settings.dataCentre,      settings.extraShare, settings.extraSlack, settings.upstreamDrainTime,
+            settings.internalAddress, settings.admission,  incarnation};
 }
 
 } // namespace
--- a/src/connection/ConnectionPool.cpp
+++ b/src/connection/ConnectionPool.cpp
@@ -49,16 +49,36 @@
     std::erase_if(m_connections, [](const auto &connection) { return connection->isClosed(); });
 }
 
-bool ConnectionPool::hasRoom() const
+size_t ConnectionPool::load() const
 {
     const auto usable = std::count_if(m_connections.begin(), m_connections.end(), [](const auto &connection) {
         return connection->isBusy() || connection->isOpening();
     });
-    return static_cast<size_t>(usable) + m_waiting.size() < m_target.connections;
+    return static_cast<size_t>(usable) + m_waiting.size();
+}
+
+bool ConnectionPool::hasRoom() const
+{
+    return load() < m_target.connections;
+}
+
+bool ConnectionPool::hasRoomBesidesExpected() const
+{
+    return load() + m_expected < m_target.connections;
+}
+
+void ConnectionPool::addWaiting(Exchange exchange)
+{
+    const auto place =
+        std::upper_bound(m_waiting.begin(), m_waiting.end(), exchange, [](const Exchange &left, const Exchange &right) {
+            return left.request.priority < right.request.priority;
+        });
+    m_waiting.insert(place, std::move(exchange));
 }
 
 void ConnectionPool::send(Exchange exchange)
 {
+    --m_expected;
     if (!exchange.request.mayStart())
         return withhold(exchange);
     const TimePoint now = monotonicNow();
@@ -70,7 +90,7 @@
     }
     if (fresh)
         closeIdle();
-    m_waiting.push_back(std::move(exchange));
+    addWaiting(std::move(exchange));
     openForWaiting();
 }
 
@@ -199,11 +219,18 @@
             connection->finish({AttemptOutcome::NoResponse, {}, "no answer before the deadline"}, false);
         }
     }
-    while (!m_waiting.empty() && now >= m_waiting.front().request.deadline) {
-        const Exchange exchange = std::move(m_waiting.front());
-        m_waiting.pop_front();
+    endOverdue(now);
+}
+
+void ConnectionPool::endOverdue(TimePoint now)
+{
+    // An exchange behind a more urgent one may have an earlier deadline than that.
+    const auto waits = [now](const Exchange &exchange) { return now < exchange.request.deadline; };
+    const auto overdue = std::stable_partition(m_waiting.begin(), m_waiting.end(), waits);
+    const std::vector<Exchange> ended(std::make_move_iterator(overdue), std::make_move_iterator(m_waiting.end()));
+    m_waiting.erase(overdue, m_waiting.end());
+    for (const Exchange &exchange : ended)
         exchange.done({AttemptOutcome::NotSent, {}, "no connection before the deadline"});
-    }
 }
 
 void ConnectionPool::closeIdle()
--- a/src/connection/ConnectionPool.h
+++ b/src/connection/ConnectionPool.h
@@ -53,6 +53,10 @@
     void tick(TimePoint now);
     void closeIdle();
     bool hasRoom() const;
+    /** Like hasRoom(), but also counts the exchanges that are about to be sent here; see expect(). */
+    bool hasRoomBesidesExpected() const;
+    /** An exchange has been posted for send(). */
+    void expect() { ++m_expected; }
     bool hasWaiting() const { return !m_waiting.empty(); }
     size_t size() const { return m_connections.size(); }
     /** Sets whether the pool is dropped once nothing uses it; until then it goes on with what it has begun. */
@@ -68,6 +72,11 @@
     /** Ends all exchanges that wait for a connection. */
     void endWaiting(AttemptOutcome outcome, const std::string &reason);
     void startWaiting();
+    /** Ends the waiting exchanges whose deadline has passed. */
+    void endOverdue(TimePoint now);
+    void addWaiting(Exchange exchange);
+    /** Busy and opening connections, and the exchanges that wait for one. */
+    size_t load() const;
     /** Opens a connection, within the limit, if more requests wait than connections are being opened. */
     void openForWaiting();
     void dropClosed();
@@ -77,7 +86,10 @@
     BelongsTo m_belongsTo;
     Connected m_connected;
     std::vector<std::shared_ptr<UpstreamConnection>> m_connections;
+    /** By priority, then in order of arrival. */
     std::deque<Exchange> m_waiting;
+    /** Exchanges that are posted for send() and have not arrived. */
+    size_t m_expected = 0;
     ReconnectBackoff m_backoff;
     bool m_retired = false;
 };
--- a/src/connection/UpstreamConnections.cpp
+++ b/src/connection/UpstreamConnections.cpp
@@ -85,6 +85,7 @@
     const Handle handle = m_state->nextHandle++;
     const std::shared_ptr<ConnectionPool> pool = m_state->pool(target);
     m_state->running[handle] = pool;
+    pool->expect();
     State *state = m_state.get();
     // Posted, so that an immediate failure does not call done from within send().
     boost::asio::post(state->context,
@@ -135,6 +136,12 @@
     return found == m_state->pools.end() || found->second->hasRoom();
 }
 
+bool UpstreamConnections::hasRoomBesidesPosted(const UpstreamId &id) const
+{
+    const auto found = m_state->pools.find(id);
+    return found == m_state->pools.end() || found->second->hasRoomBesidesExpected();
+}
+
 void UpstreamConnections::closeIdle()
 {
     for (const auto &[id, pool] : m_state->pools)
--- a/src/connection/UpstreamConnections.h
+++ b/src/connection/UpstreamConnections.h
@@ -40,6 +40,9 @@
     void warm(const UpstreamTarget &target);
     /** Whether an exchange could start without waiting for another one to end. */
     bool hasRoom(const UpstreamId &id) const;
+    /** Like hasRoom(), but also counts what send() has taken in this turn of the loop and the pool does not know yet.
+     */
+    bool hasRoomBesidesPosted(const UpstreamId &id) const;
     /** Closes all idle connections; running exchanges continue. */
     void closeIdle();
     /** Closes the idle connections to an upstream that leaves or is gone; running exchanges continue. */
--- a/src/connection/UpstreamExchange.h
+++ b/src/connection/UpstreamExchange.h
@@ -35,6 +35,9 @@
      * the upstream cannot have closed for idleness.
      */
     bool fresh = false;
+    /** Of the exchanges that wait for a connection, one with a lower number goes first; equal ones in order of arrival.
+     */
+    int priority = 0;
     /** Whether the request may still be sent; asked again until it is, since it may wait for a connection meanwhile. */
     std::function<bool()> mayStart = [] { return true; };
 };
--- a/src/process/HostSettings.cpp
+++ b/src/process/HostSettings.cpp
@@ -42,6 +42,14 @@
     return role == "control" ? HostRole::Control : HostRole::Entry;
 }
 
+AdmissionMode readAdmission(YamlSection &section)
+{
+    const std::string mode = section.text("admission", "arrival");
+    if (mode != "arrival" && mode != "cost")
+        section.error("admission", "must be arrival or cost");
+    return mode == "cost" ? AdmissionMode::Cost : AdmissionMode::Arrival;
+}
+
 std::vector<HostAddress> readSeeds(YamlSection &section)
 {
     std::vector<HostAddress> seeds;
@@ -116,6 +124,7 @@
     const double megabytes = section.number("connection-memory-mb", kMinConnectionMegabytes, kMaxConnectionMegabytes,
                                             static_cast<double>(settings.connectionBytes) / kBytesPerMegabyte);
     settings.connectionBytes = static_cast<size_t>(megabytes * kBytesPerMegabyte);
+    settings.admission = readAdmission(section);
     checkRole(section, settings);
     section.finish();
     if (!errors.empty())
--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -4,6 +4,7 @@
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/Metrics.h"
 #include "hickoryspur/request/TopRecords.h"
+#include "request/RequestGate.h"
 
 #include <algorithm>
 #include <array>
@@ -83,7 +84,8 @@
                           const std::vector<UpstreamId> &tried) -> std::optional<ReplicaChoice> {
         if (isStopped())
             return std::nullopt;
-        return m_traffic.chooseReplica(service, tried, versionGroup(service, !tried.empty()));
+        return m_traffic.chooseReplica(service, tried, versionGroup(service, !tried.empty()),
+                                       priorityOf(m_route, m_request));
     };
     hooks.tryConsumeBudget = [this](const ServiceName &service) { return m_traffic.tryConsumeBudget(service); };
     hooks.reportOverdue = [this](const UpstreamId &upstream) { m_traffic.m_replicaTracker.recordOverdue(upstream); };
@@ -112,12 +114,51 @@
     ScatterPlan plan = m_traffic.makePlan(m_started, m_route, m_request);
     plan.probesFirst = m_isProbe;
     boost::fibers::future<CallerAnswer> answer = m_promise.get_future();
-    start(std::move(plan));
+    std::optional<AdmissionNumber> number;
+    // A probe is sent to one upstream, and must not be delayed: others wait for what it shows.
+    if (m_traffic.m_gate && !m_isProbe)
+        number = enterGate(std::move(plan));
+    else
+        start(std::move(plan));
     CallerAnswer result = answer.get();
+    if (number)
+        m_traffic.m_gate->leave(*number);
     reportLosses();
     return result;
 }
 
+AdmissionNumber EntryTraffic::ActiveRequest::enterGate(ScatterPlan plan)
+{
+    m_waitingPlan = std::move(plan);
+    RequestGate::Waiter waiter;
+    waiter.plan = &*m_waitingPlan;
+    waiter.start = [self = shared_from_this()] {
+        self->m_begun = monotonicNow();
+        self->start(std::move(*self->m_waitingPlan));
+    };
+    waiter.refuse = [self = shared_from_this()](Duration retryAfter) {
+        self->endUnsent(self->m_traffic.m_codec.refusal(RefusalKind::NotRunTryLater, retryAfter));
+    };
+    waiter.endIfUnwanted = [self = shared_from_this()] { return self->endIfUnwanted(); };
+    return m_traffic.m_gate->enter(m_started, m_route, m_request, m_started, std::move(waiter));
+}
+
+void EntryTraffic::ActiveRequest::endUnsent(CallerAnswer answer)
+{
+    m_finished = true;
+    countRequest(monotonicNow() - m_started, ScatterOutcome::NotRun);
+    m_promise.set_value(std::move(answer));
+}
+
+bool EntryTraffic::ActiveRequest::endIfUnwanted()
+{
+    if (m_isCallerGone())
+        endUnsent(m_traffic.m_codec.refusal(RefusalKind::TimedOut, Duration::zero()));
+    else if (isStopped() || !m_traffic.canFinish(monotonicNow(), m_route, m_request))
+        endUnsent(m_traffic.makeRefusal(RefusalKind::NotRunTryLater));
+    return m_finished;
+}
+
 void EntryTraffic::ActiveRequest::serveGroup(GroupOrder order)
 {
     ScatterPlan plan = m_traffic.makePlan(m_started, m_route, m_request);
@@ -136,9 +177,9 @@
     m_deadline = plan.deadline;
     m_shardCount = plan.shards.size();
     for (const ServiceName &service : plan.shards)
-        m_traffic.budget(service).recordFirstSubRequests(m_started, 1);
+        m_traffic.budget(service).recordFirstSubRequests(m_begun, 1);
     m_scatter.emplace(std::move(plan), hooks());
-    execute(m_scatter->start(m_started));
+    execute(m_scatter->start(m_begun));
 }
 
 void EntryTraffic::ActiveRequest::execute(const ScatterActions &actions)
@@ -165,6 +206,7 @@
     request.requestId = m_request.id;
     request.deadline = m_deadline;
     request.fresh = !m_route.idempotent;
+    request.priority = m_traffic.waitingPriority(m_route, m_request);
     m_traffic.m_replicaTracker.recordSent(attempt.upstream);
     m_traffic.m_probes.reachability().recordSent(now, attempt.upstream);
     ++m_traffic.m_sentSubRequests;
@@ -234,6 +276,8 @@
     if (!m_finished)
         execute(actions);
     reportGroupIfDue(now);
+    if (m_traffic.m_gate)
+        m_traffic.m_gate->onRoomChanged();
 }
 
 void EntryTraffic::ActiveRequest::keep(ByteBudget::Share held)
--- a/src/request/ActiveRequest.h
+++ b/src/request/ActiveRequest.h
@@ -5,6 +5,7 @@
 
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/request/Delegation.h"
+#include "hickoryspur/request/RequestAdmission.h"
 #include "request/EntryTraffic.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -55,6 +56,7 @@
         , m_isCallerGone(std::move(isCallerGone))
         , m_timer(traffic.m_context)
         , m_started(monotonicNow())
+        , m_begun(m_started)
     {
     }
 
@@ -76,6 +78,12 @@
     };
 
     void start(ScatterPlan plan);
+    /** Starts the request when it is admitted, or refuses it. Returns its number at the gate. */
+    AdmissionNumber enterGate(ScatterPlan plan);
+    /** Answers a request of which nothing has been sent. */
+    void endUnsent(CallerAnswer answer);
+    /** Ends a request that waits to start if it may not start any more, or if nobody waits for its answer. */
+    bool endIfUnwanted();
     ScatterHooks hooks();
     /** Put in quarantine since it was accepted: it reaches no further upstream. */
     bool isStopped() const;
@@ -120,6 +128,10 @@
     std::function<bool()> m_isCallerGone;
     boost::asio::steady_timer m_timer;
     TimePoint m_started;
+    /** When its first attempts were sent; later than m_started if it had to wait for that. */
+    TimePoint m_begun;
+    /** Set while it waits to start. */
+    std::optional<ScatterPlan> m_waitingPlan;
     TimePoint m_deadline;
     /** When the attempts that still run after the caller has disconnected are cancelled; max() if they are not. */
     TimePoint m_cancelRunningAt = TimePoint::max();
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -6,6 +6,7 @@
 #include "request/DelegatedServer.h"
 #include "request/GroupedRequest.h"
 #include "request/RemoteRequest.h"
+#include "request/RequestGate.h"
 #include "request/SignalReport.h"
 
 #include <algorithm>
@@ -76,6 +77,8 @@
                         return DelegatedServer(*this).serve(std::move(order), reply);
                     })
 {
+    if (m_config.admission == AdmissionMode::Cost)
+        m_gate = std::make_unique<RequestGate>(*this, m_config.seed + 6);
     m_admission.setEntryCount(monotonicNow(), m_connectionPlan.entryCount());
     m_admission.setGroupOf([this](const UpstreamId &id) {
         const KnownUpstream *known = m_registry.find(id);
@@ -86,6 +89,8 @@
     });
 }
 
+EntryTraffic::~EntryTraffic() = default;
+
 CallerAnswer EntryTraffic::makeRefusal(RefusalKind kind, Duration minDelay)
 {
     const Duration jitter(static_cast<int64_t>(randomFraction() * kRetryAfterJitter.count()));
@@ -313,7 +318,8 @@
 }
 
 std::optional<ReplicaChoice> EntryTraffic::chooseReplica(const ServiceName &service,
-                                                         const std::vector<UpstreamId> &tried, VersionGroup group)
+                                                         const std::vector<UpstreamId> &tried, VersionGroup group,
+                                                         int priority)
 {
     std::vector<ReplicaTracker::Candidate> all;
     std::vector<ReplicaTracker::Candidate> withRoom;
@@ -329,7 +335,7 @@
         candidate.cold = announcement.coldForMillis > 0;
         candidate.heartbeatAge = m_registry.heartbeatAge(*known);
         all.push_back(candidate);
-        if (keepsConnections(id, service) && m_connections.hasRoom(id))
+        if (keepsConnections(id, service) && m_connections.hasRoom(id) && (!m_gate || m_hasSharedRoom(id, priority)))
             withRoom.push_back(std::move(candidate));
     }
     const std::vector<ReplicaTracker::Candidate> &candidates = withRoom.empty() ? all : withRoom;
@@ -385,6 +391,16 @@
     return m_latencies.try_emplace(route.host + route.pathPrefix, quantile).first->second;
 }
 
+int EntryTraffic::priorityOf(const Route &route, const ForwardedRequest &)
+{
+    return route.priority;
+}
+
+int EntryTraffic::waitingPriority(const Route &route, const ForwardedRequest &request) const
+{
+    return m_gate ? priorityOf(route, request) : 0;
+}
+
 std::optional<uint32_t> EntryTraffic::connectionLimit(const ServiceName &service) const
 {
     if (!m_routes)
@@ -447,6 +463,8 @@
         << "routes=" << table.number << " before=" << routesNumber() << " count=" << table.routes.size();
     m_routes = std::make_shared<const RouteTable>(std::move(table));
     updateGroups();
+    if (m_gate)
+        m_gate->setRoutes(*m_routes);
 }
 
 void EntryTraffic::setDataCentresOut(std::vector<std::string> out)
@@ -583,6 +601,8 @@
     m_connections.withdrawUnusable();
     updateAdmission(now);
     m_quarantine.tick(now);
+    if (m_gate)
+        m_gate->tick(now);
     m_probes.tick(
         now, [this, now] { return aliveUpstreams(now); },
         [this](const UpstreamId &upstream) { return targetOf(upstream)->address; });
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -9,6 +9,7 @@
 #include "hickoryspur/connection/ConnectionPlan.h"
 #include "hickoryspur/connection/UpstreamAdmission.h"
 #include "hickoryspur/connection/UpstreamRegistry.h"
+#include "hickoryspur/process/HostSettings.h"
 #include "hickoryspur/request/LatencyQuantile.h"
 #include "hickoryspur/request/ReplicaTracker.h"
 #include "hickoryspur/request/RequestCodec.h"
@@ -42,6 +43,7 @@
     Duration upstreamDrainTime = 3s;
     /** Where this entry accepts requests that other entries delegate to it. */
     HostAddress internalAddress;
+    AdmissionMode admission = AdmissionMode::Arrival;
     /** Seeds replica selection, route splits, reconnect backoff and retry jitter. */
     uint64_t seed = 0;
 };
@@ -62,6 +64,9 @@
 {
 public:
     EntryTraffic(boost::asio::io_context &context, TrafficConfig config, RequestCodec codec);
+    ~EntryTraffic();
+    EntryTraffic(const EntryTraffic &) = delete;
+    EntryTraffic &operator=(const EntryTraffic &) = delete;
 
     /** Accepts requests that other entries delegate to this one. */
     Result<void> listen() { return m_delegations.listen(); }
@@ -101,6 +106,14 @@
     std::vector<SuspectReport> suspects(TimePoint now) const { return m_quarantine.ownReports(now); }
     /** Called when suspects() has changed by what this entry has seen. */
     void setSuspectsChanged(std::function<void()> hook) { m_suspectsChanged = std::move(hook); }
+    /**
+     * Sets whether an upstream has room for a request of this priority besides those of other entries; asked only with
+     * AdmissionMode::Cost, for each replica of each shard of a request.
+     */
+    void setSharedRoom(std::function<bool(const UpstreamId &, int priority)> hook)
+    {
+        m_hasSharedRoom = std::move(hook);
+    }
     /** Every request is answered by then; one that may take longer is turned away, while it can be sent elsewhere. */
     void setStopTime(TimePoint at) { m_stopTime = at; }
     void tick(TimePoint now);
@@ -118,6 +131,8 @@
     friend class RemoteRequest;
     class DelegatedServer;
     friend class DelegatedServer;
+    class RequestGate;
+    friend class RequestGate;
 
     /** Serves a request over this entry's connections, with the help of others if it is divided. */
     CallerAnswer serveHere(const std::shared_ptr<const RouteTable> &routes, const Route &route,
@@ -141,7 +156,7 @@
     void updateGroups();
     ScatterPlan makePlan(TimePoint now, const Route &route, const ForwardedRequest &request);
     std::optional<ReplicaChoice> chooseReplica(const ServiceName &service, const std::vector<UpstreamId> &tried,
-                                               VersionGroup group);
+                                               VersionGroup group, int priority);
     /** The replicas of the group that may get a request, or of its fallback, or those that are leaving if none is left.
      */
     std::vector<const KnownUpstream *> usableReplicas(TimePoint now, const ServiceName &service,
@@ -165,6 +180,10 @@
     /** Time until each of the services has a replica that may get a request; zero if that is not known to be later. */
     Duration timeUntilAdmitted(TimePoint now, const std::vector<ServiceName> &services) const;
     RouteLatency &latencyOf(const Route &route);
+    /** 0 is the most urgent. */
+    static int priorityOf(const Route &route, const ForwardedRequest &request);
+    /** The request's place among those that wait for a connection; the same for all with AdmissionMode::Arrival. */
+    int waitingPriority(const Route &route, const ForwardedRequest &request) const;
     std::optional<UpstreamTarget> targetOf(const UpstreamId &upstream) const;
     /** Whether a request for which the upstream was chosen then, and which waits for it, may still be sent to it. */
     bool mayStillSend(TimePoint chosenAt, const UpstreamId &upstream, uint64_t incarnation) const;
@@ -213,6 +232,11 @@
     TimePoint m_nextServiceCheck;
     TimePoint m_nextAdvanceOpening;
     std::mt19937_64 m_random;
+    std::function<bool(const UpstreamId &, int priority)> m_hasSharedRoom = [](const UpstreamId &, int) {
+        return true;
+    };
+    /** Null with AdmissionMode::Arrival. */
+    std::unique_ptr<RequestGate> m_gate;
     Delegations m_delegations;
 };
 
--- a/src/request/GroupedRequest.cpp
+++ b/src/request/GroupedRequest.cpp
@@ -3,6 +3,7 @@
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/Metrics.h"
 #include "hickoryspur/request/TopRecords.h"
+#include "request/RequestGate.h"
 
 #include <boost/asio/post.hpp>
 
@@ -46,13 +47,52 @@
     plan.deadline = m_plan.deadline;
     m_gather.emplace(std::move(plan));
     boost::fibers::future<CallerAnswer> answer = m_promise.get_future();
-    execute(m_gather->start());
-    scheduleTimer();
+    std::optional<AdmissionNumber> number;
+    if (m_traffic.m_gate)
+        number = enterGate();
+    else
+        start();
     CallerAnswer result = answer.get();
+    if (number)
+        m_traffic.m_gate->leave(*number);
     reportLosses();
     return result;
 }
 
+void EntryTraffic::GroupedRequest::start()
+{
+    execute(m_gather->start());
+    scheduleTimer();
+}
+
+AdmissionNumber EntryTraffic::GroupedRequest::enterGate()
+{
+    RequestGate::Waiter waiter;
+    waiter.plan = &m_plan;
+    waiter.start = [self = shared_from_this()] { self->start(); };
+    waiter.refuse = [self = shared_from_this()](Duration retryAfter) {
+        self->endUnsent(self->m_traffic.m_codec.refusal(RefusalKind::NotRunTryLater, retryAfter));
+    };
+    waiter.endIfUnwanted = [self = shared_from_this()] { return self->endIfUnwanted(); };
+    return m_traffic.m_gate->enter(m_started, m_route, m_request, m_started, std::move(waiter));
+}
+
+void EntryTraffic::GroupedRequest::endUnsent(CallerAnswer answer)
+{
+    m_finished = true;
+    countRequest(monotonicNow() - m_started, ScatterOutcome::NotRun);
+    m_promise.set_value(std::move(answer));
+}
+
+bool EntryTraffic::GroupedRequest::endIfUnwanted()
+{
+    if (m_isCallerGone())
+        endUnsent(m_traffic.m_codec.refusal(RefusalKind::TimedOut, Duration::zero()));
+    else if (m_traffic.isQuarantined(m_request) || !m_traffic.canFinish(monotonicNow(), m_route, m_request))
+        endUnsent(m_traffic.makeRefusal(RefusalKind::NotRunTryLater));
+    return m_finished;
+}
+
 void EntryTraffic::GroupedRequest::execute(const GroupActions &actions)
 {
     for (const size_t group : actions.dispatches)
--- a/src/request/GroupedRequest.h
+++ b/src/request/GroupedRequest.h
@@ -40,6 +40,13 @@
         std::set<std::string> tried;
     };
 
+    void start();
+    /** Starts the request when it is admitted, or refuses it. Returns its number at the gate. */
+    AdmissionNumber enterGate();
+    /** Answers a request of which nothing has been sent. */
+    void endUnsent(CallerAnswer answer);
+    /** Ends a request that waits to start if it may not start any more, or if nobody waits for its answer. */
+    bool endIfUnwanted();
     void execute(const GroupActions &actions);
     void dispatch(size_t group);
     /** The entry to send the group to; empty if this entry is to ask the shards itself. */
--- a/test/correctness/HostSettingsTest.cpp
+++ b/test/correctness/HostSettingsTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(settings_seeds_getInternalPortInNodeIds);
     CPPUNIT_TEST(settings_slackWithFraction_isRead);
     CPPUNIT_TEST(settings_numberOutOfRange_isRefused);
+    CPPUNIT_TEST(settings_admission_isArrivalUnlessCostIsSet);
     CPPUNIT_TEST_SUITE_END();
 
     /** Parses the settings of an entry, followed by the lines in `rest`. */
@@ -69,6 +70,15 @@
             CPPUNIT_ASSERT_MESSAGE(line, !parseWith(kAddresses + line + "\n"));
     }
 
+    // Guards against a host that admits by cost, or does not, against its settings.
+    void settings_admission_isArrivalUnlessCostIsSet()
+    {
+        CPPUNIT_ASSERT(parseWith(kAddresses)->admission == AdmissionMode::Arrival);
+        CPPUNIT_ASSERT(parseWith(kAddresses + "admission: arrival\n")->admission == AdmissionMode::Arrival);
+        CPPUNIT_ASSERT(parseWith(kAddresses + "admission: \"cost\"\n")->admission == AdmissionMode::Cost);
+        CPPUNIT_ASSERT(!parseWith(kAddresses + "admission: costs\n"));
+    }
+
 private:
     static inline const std::string kAddresses =
         "seeds: [\"10.0.0.2:8224\"]\ncaller-address: \"10.0.0.1:80\"\nreadiness-address: \"10.0.0.1:81\"\n";
--- a/test/failure/UpstreamConnectionsFailureTest.cpp
+++ b/test/failure/UpstreamConnectionsFailureTest.cpp
@@ -40,6 +40,9 @@
     CPPUNIT_TEST(connections_endWhileAsManyRequestsWaitAsAreAllowed_waitingOnesAreSent);
     CPPUNIT_TEST(connections_cancelledWhileWaiting_requestNotSent);
     CPPUNIT_TEST(connections_upstreamPausedWhileWaiting_requestNotSent);
+    CPPUNIT_TEST(connections_urgentRequestArrivesLast_goesBeforeLessUrgentOnes);
+    CPPUNIT_TEST(connections_deadlineOfOneBehindAnUrgentOne_endsInTime);
+    CPPUNIT_TEST(connections_postedRequests_countForRoom);
     CPPUNIT_TEST(connections_upstreamEndsBeforeRequestIsTaken_requestNotSent);
     CPPUNIT_TEST(connections_addressChangesWhileWaiting_requestEndsAtItsDeadline);
     CPPUNIT_TEST(connections_cancelIfNotSentWhileRunning_exchangeCompletes);
@@ -96,6 +99,11 @@
 
     UpstreamConnections::Handle send(const UpstreamTarget &to, const std::string &id, UpstreamConnections::Done done,
                                      size_t bodyBytes = 0)
+    {
+        return m_connections.send(to, makeRequest(id, bodyBytes), std::move(done));
+    }
+
+    ExchangeRequest makeRequest(const std::string &id, size_t bodyBytes = 0) const
     {
         ExchangeRequest request;
         request.encode = [id, bodyBytes](TimePoint) {
@@ -104,7 +112,7 @@
         request.requestId = id;
         request.deadline = monotonicNow() + 5s;
         request.mayStart = [this] { return m_mayStart; };
-        return m_connections.send(to, std::move(request), std::move(done));
+        return request;
     }
 
     void awaitRequest(Upstream &upstream)
@@ -587,6 +595,69 @@
         CPPUNIT_ASSERT_EQUAL(size_t(0), upstream.socket.available());
     }
 
+    // Guards against urgent requests that wait behind all less urgent ones, and against another order than that of
+    // arrival among equal ones.
+    void connections_urgentRequestArrivesLast_goesBeforeLessUrgentOnes()
+    {
+        Upstream upstream(m_context);
+        UpstreamTarget to = target(upstream, "u");
+        to.connections = 1;
+        std::vector<std::string> order;
+        const auto sendWith = [&](const std::string &id, int priority) {
+            ExchangeRequest request = makeRequest(id);
+            request.priority = priority;
+            m_connections.send(to, std::move(request), [&order, id](const ExchangeResult &) { order.push_back(id); });
+        };
+        sendWith("running", 2);
+        awaitRequest(upstream);
+        for (const auto &[id, priority] : std::vector<std::pair<std::string, int>>{
+                 {"search1", 1}, {"single", 2}, {"search2", 1}, {"lookup1", 0}, {"lookup2", 0}})
+            sendWith(id, priority);
+        m_context.poll();
+        const std::vector<std::string> expected{"running", "lookup1", "lookup2", "search1", "search2", "single"};
+        for (const std::string &id : expected) {
+            if (id != "running")
+                awaitRequest(upstream);
+            reply(upstream, answer(id));
+            runUntil(m_context, [&] { return !order.empty() && order.back() == id; });
+        }
+        CPPUNIT_ASSERT(order == expected);
+    }
+
+    // Guards against a request that is kept past its deadline because a more urgent one stands before it.
+    void connections_deadlineOfOneBehindAnUrgentOne_endsInTime()
+    {
+        Upstream upstream(m_context);
+        UpstreamTarget to = target(upstream, "u");
+        to.connections = 1;
+        send(to, "running", [](const ExchangeResult &) {});
+        awaitRequest(upstream);
+        send(to, "urgent", [](const ExchangeResult &) {});
+        ExchangeRequest request = makeRequest("search");
+        request.priority = 1;
+        request.deadline = monotonicNow() + 1s;
+        std::optional<AttemptOutcome> outcome;
+        m_connections.send(to, std::move(request), [&](const ExchangeResult &ended) { outcome = ended.outcome; });
+        m_context.poll();
+        m_connections.tick(monotonicNow() + 1s);
+        CPPUNIT_ASSERT(outcome == AttemptOutcome::NotSent);
+    }
+
+    // Guards against admitting more requests in one turn of the loop than have room, since their sub-requests are
+    // only posted.
+    void connections_postedRequests_countForRoom()
+    {
+        Upstream upstream(m_context);
+        const UpstreamTarget to = target(upstream, "u");
+        CPPUNIT_ASSERT(m_connections.hasRoomBesidesPosted(to.id));
+        send(to, "r1", [](const ExchangeResult &) {});
+        CPPUNIT_ASSERT(m_connections.hasRoomBesidesPosted(to.id));
+        send(to, "r2", [](const ExchangeResult &) {});
+        CPPUNIT_ASSERT(!m_connections.hasRoomBesidesPosted(to.id));
+        m_context.poll();
+        CPPUNIT_ASSERT(!m_connections.hasRoomBesidesPosted(to.id));
+    }
+
     // Guards against requests that reach an upstream after it has asked for none, since they had waited for a
     // connection.
     void connections_upstreamPausedWhileWaiting_requestNotSent()
--- a/test/fakes/EntryWorld.h
+++ b/test/fakes/EntryWorld.h
@@ -76,9 +76,11 @@
         upstreams.push_back(announcement);
     }
 
-    std::unique_ptr<EntryTraffic> startEntry(const std::string &ip, const std::string &dataCentre) const
+    std::unique_ptr<EntryTraffic> startEntry(const std::string &ip, const std::string &dataCentre,
+                                             AdmissionMode admission = AdmissionMode::Arrival) const
     {
         TrafficConfig config;
+        config.admission = admission;
         config.dataCentre = DataCentreName(dataCentre);
         config.internalAddress = {ip, internalPort};
         config.seed = hash(ip);
--- a/test/performance/Overload.cpp
+++ b/test/performance/Overload.cpp
@@ -1,6 +1,10 @@
 // Measures goodput at 0.7, 1, 2 and 5 times the capacity of the upstreams, with and without admission
 // control. Simulates Admission, FanOut and UpstreamQueue in virtual time. Goodput counts the complete
 // answers within the deadline.
+//
+// A second table compares the orders in which the entries of many can start requests of three kinds while half of the
+// replicas are six times slower, see docs/design/admission.md.
+#include "fakes/OverloadModel.h"
 #include "fakes/VirtualTime.h"
 #include "hickoryspur/connection/UpstreamQueue.h"
 #include "hickoryspur/request/Admission.h"
@@ -224,6 +228,47 @@
     uint64_t m_extra = 0;
 };
 
+void compareOrders()
+{
+    using namespace overload;
+    constexpr double kSlowFactor = 6;
+    constexpr uint64_t kSeeds = 5;
+    std::printf("\n| Order | Load | Look-ups in target | Searches in target | Singles in target | Refused early | "
+                "Refused late | Failed |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n");
+    for (const Policy policy :
+         {Policy::Arrival, Policy::StrictPriority, Policy::EarliestDeadline, Policy::WeightedFair, Policy::Cost}) {
+        for (const double load : {1.0, 2.0, 3.0, 5.0}) {
+            KindResult sum;
+            std::printf("| %s | %.0fx |", nameOf(policy), load);
+            std::vector<KindResult> kinds(3);
+            for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+                OverloadSettings settings;
+                settings.policy = policy;
+                settings.load = load;
+                settings.slowFactor = load > 1 ? kSlowFactor : 1;
+                settings.seed = seed;
+                const std::vector<KindResult> results = runOverload(settings);
+                for (size_t kind = 0; kind < kinds.size(); ++kind) {
+                    kinds[kind].asked += results[kind].asked;
+                    kinds[kind].inTarget += results[kind].inTarget;
+                    sum.asked += results[kind].asked;
+                    sum.refusedEarly += results[kind].refusedEarly;
+                    sum.refusedLate += results[kind].refusedLate;
+                    sum.failed += results[kind].failed;
+                }
+            }
+            const auto percent = [](uint64_t part, uint64_t whole) {
+                return 100.0 * static_cast<double>(part) / static_cast<double>(whole);
+            };
+            for (const KindResult &kind : kinds)
+                std::printf(" %.0f (%.0f%%) |", static_cast<double>(kind.inTarget) / kSeeds,
+                            percent(kind.inTarget, kind.asked));
+            std::printf(" %.1f%% | %.1f%% | %.1f%% |\n", percent(sum.refusedEarly, sum.asked),
+                        percent(sum.refusedLate, sum.asked), percent(sum.failed, sum.asked));
+        }
+    }
+}
+
 } // namespace
 
 int main()
@@ -235,4 +280,5 @@
         for (const bool admits : {false, true})
             Model(load, admits).run(load);
     }
+    compareOrders();
 }
