--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -75,6 +75,7 @@
     GroupLost = 1906,
     CallerFieldInvalid = 1907,
     RequestUnauthenticated = 1908,
+    RequestNotAdmitted = 1910,
 };
 
 /** Limit on log lines about single requests, for each thread; lines beyond it are dropped and counted. */
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -6,6 +6,7 @@
 #include "request/DelegatedServer.h"
 #include "request/GroupedRequest.h"
 #include "request/RemoteRequest.h"
+#include "request/RequestGate.h"
 #include "request/SignalReport.h"
 
 #include <algorithm>
@@ -77,6 +78,8 @@
                         return DelegatedServer(*this).serve(std::move(order), reply);
                     })
 {
+    if (m_config.admission == AdmissionMode::Cost)
+        m_gate = std::make_unique<RequestGate>(*this, m_config.seed + 6);
     m_admission.setEntryCount(monotonicNow(), m_connectionPlan.entryCount());
     m_admission.setGroupOf([this](const UpstreamId &id) {
         const KnownUpstream *known = m_registry.find(id);
@@ -87,6 +90,8 @@
     });
 }
 
+EntryTraffic::~EntryTraffic() = default;
+
 CallerAnswer EntryTraffic::makeRefusal(RefusalKind kind, Duration minDelay)
 {
     const Duration jitter(static_cast<int64_t>(randomFraction() * kRetryAfterJitter.count()));
@@ -341,7 +346,8 @@
 }
 
 std::optional<ReplicaChoice> EntryTraffic::chooseReplica(const ServiceName &service,
-                                                         const std::vector<UpstreamId> &tried, VersionGroup group)
+                                                         const std::vector<UpstreamId> &tried, VersionGroup group,
+                                                         int priority)
 {
     std::vector<ReplicaTracker::Candidate> all;
     std::vector<ReplicaTracker::Candidate> withRoom;
@@ -357,7 +363,7 @@
         candidate.cold = announcement.coldForMillis > 0;
         candidate.heartbeatAge = m_registry.heartbeatAge(*known);
         all.push_back(candidate);
-        if (keepsConnections(id, service) && m_connections.hasRoom(id))
+        if (keepsConnections(id, service) && m_connections.hasRoom(id) && (!m_gate || m_hasSharedRoom(id, priority)))
             withRoom.push_back(std::move(candidate));
     }
     const std::vector<ReplicaTracker::Candidate> &candidates = withRoom.empty() ? all : withRoom;
@@ -413,6 +419,11 @@
     return m_latencies.try_emplace(route.host + route.pathPrefix, quantile).first->second;
 }
 
+int EntryTraffic::waitingPriority(const Route &route, const ForwardedRequest &request) const
+{
+    return m_gate ? priorityOf(route, request) : 0;
+}
+
 std::optional<uint32_t> EntryTraffic::connectionLimit(const ServiceName &service) const
 {
     if (!m_routes)
@@ -477,6 +488,8 @@
     updateGroups();
     if (!m_routes->customers.empty())
         m_connections.withdrawUnusable();
+    if (m_gate)
+        m_gate->setRoutes(*m_routes);
 }
 
 void EntryTraffic::setDataCentresOut(std::vector<std::string> out)
@@ -613,6 +626,8 @@
     m_connections.withdrawUnusable();
     updateAdmission(now);
     m_quarantine.tick(now);
+    if (m_gate)
+        m_gate->tick(now);
     m_probes.tick(
         now, [this, now] { return aliveUpstreams(now); },
         [this](const UpstreamId &upstream) { return targetOf(upstream)->address; });
