Entries share the load of upstreams through the leading control host

An entry sees an upstream a few times a second, so in overload all entries together put far more requests on it than it has slots, and each learns for itself that a replica is slow. With the new setting admission: cost, entries report their running, overdue, waiting and refused requests and latencies to the leader in their statuses; the leader sums them (LoadTotals) and names the loaded, slow and shedding upstreams in its updates; entries (SharedLoad) weigh the shared latency in ReplicaTracker and prefer replicas that have shared room. EntryTraffic::hasSharedRoom is for admission. EntryUpdate gets clockMillis, which no host fills in yet. With admission: arrival nothing of it is sent or used.

--- a/include/hickoryspur/process/HostSettings.h
+++ b/include/hickoryspur/process/HostSettings.h
@@ -16,6 +16,10 @@
 
 enum class HostRole { Entry, Control };
 
+/** Arrival: requests are served as they come. Cost: by what a refusal costs callers, with the upstreams' load shared.
+ */
+enum class AdmissionMode { Arrival, Cost };
+
 struct HostSettings
 {
     std::string name;
@@ -48,6 +52,8 @@
     Duration upstreamDrainTime = 3s;
     /** Limit on the bytes that all connections hold together; see ByteBudget. */
     size_t connectionBytes = ByteBudget::kDefaultLimitBytes;
+    /** Entries only. */
+    AdmissionMode admission = AdmissionMode::Arrival;
     /** Upper bound of directoryValidity(). */
     Duration maxDirectoryValidity = 5s;
 
--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -52,6 +52,8 @@
     UpstreamPauseEnded = 1514,
     UpstreamsUnreachable = 1515,
     UpstreamsReachable = 1516,
+    UpstreamsLoaded = 1517,
+    UpstreamLoadNormal = 1518,
     ConnectionSilent = 1600,
     ReplyMismatch = 1601,
     ConnectionsReported = 1602,
--- a/include/hickoryspur/process/SessionMessage.h
+++ b/include/hickoryspur/process/SessionMessage.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "hickoryspur/connection/Announcement.h"
+#include "hickoryspur/connection/LoadReport.h"
 #include "hickoryspur/process/ControlState.h"
 #include "hickoryspur/process/EntryLocation.h"
 #include "hickoryspur/process/LogQuorum.h"
@@ -40,8 +41,10 @@
     std::vector<SuspectReport> suspects;
     /** The entry reaches no upstream; other entries serve its callers' requests. */
     bool cutOff = false;
+    /** What the entry sees of loaded upstreams; sent to the leader only, and only with AdmissionMode::Cost. */
+    std::vector<LoadRow> load;
     MSGPACK_DEFINE(entry, callerAddress, dataCentre, offered, needsState, routesNumber, subRequestsPerSecond,
-                   intervalMillis, readsCompressed, routesDigest, suspects, cutOff)
+                   intervalMillis, readsCompressed, routesDigest, suspects, cutOff, load)
 };
 
 /** From a control host to an entry: first its complete state, then the changes. */
@@ -80,9 +83,13 @@
     std::vector<SuspectReport> suspects;
     /** The data centre of each of `entries`; empty from a host of an earlier release. */
     std::vector<DataCentreName> entryDataCentres;
+    /** The sender's wall clock in Unix milliseconds; 0 from a host that does not send it. */
+    uint64_t clockMillis = 0;
+    /** From the confirmed leader: the load of upstreams over all entries; empty if there is no news of it. */
+    std::vector<SharedLoadReport> load;
     MSGPACK_DEFINE(confirmed, applied, routes, carriesState, dataCentresOut, upstreams, heartbeats, carriesHosts,
                    entries, controlHosts, logReport, moves, routesNumber, sessions, compressedRoutes, routesDigest,
-                   suspects, entryDataCentres)
+                   suspects, entryDataCentres, clockMillis, load)
 
     void setEntries(const std::vector<EntryLocation> &locations);
     std::vector<EntryLocation> entryLocations() const;
--- a/include/hickoryspur/request/ReplicaTracker.h
+++ b/include/hickoryspur/request/ReplicaTracker.h
@@ -51,6 +51,9 @@
         bool cold = false;
         /** Age of its last heartbeat, as UpstreamRegistry::heartbeatAge() returns it. */
         Duration heartbeatAge = Duration::zero();
+        /** Its latency as a multiple of the usual one as other entries see it (SharedLoad); one if that is not known.
+         */
+        double sharedLatencyRatio = 1;
     };
 
     void recordSent(const UpstreamId &id);
--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -190,6 +190,7 @@
     const TimePoint now = monotonicNow();
     const EntrySessions::StatusChange change = m_sessions.recordStatus(link, status);
     mergeSuspects(now, status.suspects);
+    recordLoad(now, link, status);
     // At the next tick, since many entries may change at the same time.
     if (change.offeredChanged && updateHosts())
         m_nextRefresh = now;
@@ -203,6 +204,27 @@
         m_sessions.sendRoutes(now, link, makeLogStateUpdate(now));
 }
 
+void ControlHost::recordLoad(TimePoint now, const std::shared_ptr<FrameLink> &link, const EntryStatus &status)
+{
+    if (!m_status.leads)
+        return;
+    m_load.record(now, link.get(), status.entry, status.load);
+    if (!m_load.isReportUrgent(now))
+        return;
+    EntryUpdate update = makeStateUpdate(now);
+    if (addLoad(now, update))
+        m_sessions.broadcast(update);
+}
+
+bool ControlHost::addLoad(TimePoint now, EntryUpdate &update)
+{
+    if (!m_status.leads || !update.confirmed)
+        return false;
+    if (std::optional<SharedLoadReport> load = m_load.report(now, m_status.term))
+        update.load.push_back(std::move(*load));
+    return !update.load.empty();
+}
+
 void ControlHost::sendAwaitedState()
 {
     m_stateSentInTick = true;
@@ -235,6 +257,7 @@
 void ControlHost::onLinkClosed(const std::shared_ptr<FrameLink> &link)
 {
     m_sessions.remove(link);
+    m_load.removeSession(link.get());
     std::erase(m_inbound, link);
 }
 
@@ -302,6 +325,8 @@
         m_sessions.setRoutes(monotonicNow(), status.routes);
     }
     const bool becameLeader = status.leads && !m_status.leads;
+    if (becameLeader)
+        m_load.clear();
     if (status.leads)
         m_confirmedAt = std::max(m_confirmedAt, status.at);
     m_status = std::move(status);
@@ -383,6 +408,7 @@
     EntryUpdate update = makeStateUpdate(now);
     update.heartbeats = std::move(m_heartbeats);
     m_heartbeats.clear();
+    addLoad(now, update);
     m_sessions.broadcast(update);
     sendMissingRoutes(now);
 }
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -10,6 +10,7 @@
 #include "hickoryspur/process/ActiveEntries.h"
 #include "hickoryspur/process/ControlHostDirectory.h"
 #include "hickoryspur/process/HostSettings.h"
+#include "hickoryspur/process/LoadTotals.h"
 #include "hickoryspur/process/SaveTracker.h"
 #include "hickoryspur/process/UpstreamCounts.h"
 #include "hickoryspur/version/MoveCoordinator.h"
@@ -48,6 +49,11 @@
     /** Sends the routes to the entries that lack them. */
     void sendMissingRoutes(TimePoint now);
     Duration refreshInterval() const;
+    /** On the leader: takes over what an entry reports of the load of upstreams. */
+    void recordLoad(TimePoint now, const std::shared_ptr<FrameLink> &link, const EntryStatus &status);
+    /** On the confirmed leader: adds the load of upstreams to an update for all entries; returns whether there is any.
+     */
+    bool addLoad(TimePoint now, EntryUpdate &update);
     void flushAnnouncements();
     /** An update with the confirmation and the applied index only. */
     EntryUpdate makeStateUpdate(TimePoint now) const;
@@ -117,6 +123,7 @@
     SaveTracker m_departures;
     UpstreamCounts m_upstreamCounts;
     ActiveEntries m_activeEntries;
+    LoadTotals m_load;
     /** What entries report of requests that end upstreams; passed on to all of them. */
     RequestQuarantine m_quarantine;
     /** Changed announcements, and unchanged heartbeats, that have not been sent to the entries yet. */
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -31,8 +31,13 @@
 
 TrafficConfig trafficConfig(const HostSettings &settings, uint64_t incarnation)
 {
-    return {settings.dataCentre,        settings.extraShare,      settings.extraSlack,
-            settings.upstreamDrainTime, settings.internalAddress, incarnation};
+    return {settings.dataCentre,
+            settings.extraShare,
+            settings.extraSlack,
+            settings.upstreamDrainTime,
+            settings.internalAddress,
+            incarnation,
+            settings.admission == AdmissionMode::Cost};
 }
 
 } // namespace
@@ -155,6 +160,8 @@
         m_leader = from;
         m_entries.recordConfirmation(now);
         m_traffic.versions().recordLeaderContact(now);
+        for (const SharedLoadReport &load : update.load)
+            m_traffic.sharedLoad().apply(now, load);
     }
     if (!update.logReport.empty() && !m_confirmed)
         recordLogReport(update.logReport.front());
@@ -235,7 +242,7 @@
     m_links->setHosts(m_hosts.hosts(monotonicNow()));
 }
 
-void EntryHost::sendStatus()
+EntryStatus EntryHost::makeStatus()
 {
     EntryStatus status;
     status.entry = NodeId(m_settings.name);
@@ -250,7 +257,29 @@
     status.suspects = m_traffic.suspects(monotonicNow());
     status.cutOff = m_traffic.isCutOff();
     status.intervalMillis = static_cast<uint32_t>(statusInterval() / 1ms);
-    m_links->sendToAll(PeerMessageType::EntryStatus, pack(status));
+    return status;
+}
+
+void EntryHost::sendStatus()
+{
+    EntryStatus status = makeStatus();
+    const std::string payload = pack(status);
+    if (!m_leader || !m_traffic.sharedLoad().isEnabled()) {
+        m_links->sendToAll(PeerMessageType::EntryStatus, payload);
+        return;
+    }
+    for (const auto &[host, link] : m_links->links())
+        if (host != *m_leader)
+            m_links->send(host, PeerMessageType::EntryStatus, payload);
+    sendStatusToLeader(std::move(status));
+}
+
+void EntryHost::sendStatusToLeader(EntryStatus status)
+{
+    if (!m_leader)
+        return;
+    status.load = m_traffic.takeLoadRows(monotonicNow());
+    m_links->send(*m_leader, PeerMessageType::EntryStatus, pack(status));
 }
 
 Duration EntryHost::statusInterval() const
@@ -309,6 +338,8 @@
         m_nextStatus = now + statusInterval();
         sendStatus();
         sendObservations();
+    } else if (m_traffic.sharedLoad().isReportUrgent(now)) {
+        sendStatusToLeader(makeStatus());
     }
     startTimer();
 }
--- a/src/app/EntryHost.h
+++ b/src/app/EntryHost.h
@@ -47,7 +47,10 @@
     void applyRoutes(const AcceptedRoutes &routes, StateOrigin origin);
     /** Applies the newest log state once a majority of its voters has reported. */
     void recordLogReport(const LogReport &report);
+    EntryStatus makeStatus();
     void sendStatus();
+    /** Sends a status with the load of upstreams, which the leading control host alone sums. */
+    void sendStatusToLeader(EntryStatus status);
     /** Time until the next status: shorter while this entry lacks the state, longer with more entries. */
     Duration statusInterval() const;
     /** Sends what was observed of versions between which a service moves to the leading control host. */
--- a/src/process/GroupThread.cpp
+++ b/src/process/GroupThread.cpp
@@ -198,6 +198,7 @@
         status.dataCentresOut.assign(state.dataCentresOut().begin(), state.dataCentresOut().end());
         status.moves = state.moves();
         status.controlHosts = node->knownHosts();
+        status.term = node->log().term().value();
     }
     status.leader = leader;
     status.leads = leads;
--- a/src/process/GroupThread.h
+++ b/src/process/GroupThread.h
@@ -35,6 +35,8 @@
     std::vector<NodeId> controlHosts;
     std::optional<NodeId> leader;
     bool leads = false;
+    /** Term of the replicated log. */
+    uint64_t term = 0;
     /** When leads was determined. */
     TimePoint at;
 };
--- a/src/process/HostSettings.cpp
+++ b/src/process/HostSettings.cpp
@@ -42,6 +42,14 @@
     return role == "control" ? HostRole::Control : HostRole::Entry;
 }
 
+AdmissionMode readAdmission(YamlSection &section)
+{
+    const std::string admission = section.text("admission", "arrival");
+    if (admission != "arrival" && admission != "cost")
+        section.error("admission", "must be arrival or cost");
+    return admission == "cost" ? AdmissionMode::Cost : AdmissionMode::Arrival;
+}
+
 std::vector<HostAddress> readSeeds(YamlSection &section)
 {
     std::vector<HostAddress> seeds;
@@ -111,6 +119,7 @@
     settings.extraShare = section.fraction("extra-share", settings.extraShare);
     settings.extraSlack = section.number("extra-slack", 0, kMaxExtraSlack, settings.extraSlack);
     settings.upstreamDrainTime = section.duration("upstream-drain", 100ms, kMaxGrace, settings.upstreamDrainTime);
+    settings.admission = readAdmission(section);
     settings.maxDirectoryValidity =
         section.duration("directory-validity", 100ms, kMaxGrace, settings.maxDirectoryValidity);
     const double megabytes = section.number("connection-memory-mb", kMinConnectionMegabytes, kMaxConnectionMegabytes,
--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -83,10 +83,13 @@
                           const std::vector<UpstreamId> &tried) -> std::optional<ReplicaChoice> {
         if (isStopped())
             return std::nullopt;
-        return m_traffic.chooseReplica(service, tried, versionGroup(service, !tried.empty()));
+        return m_traffic.chooseReplica(service, tried, versionGroup(service, !tried.empty()), m_route.priority);
     };
     hooks.tryConsumeBudget = [this](const ServiceName &service) { return m_traffic.tryConsumeBudget(service); };
-    hooks.reportOverdue = [this](const UpstreamId &upstream) { m_traffic.m_replicaTracker.recordOverdue(upstream); };
+    hooks.reportOverdue = [this](const UpstreamId &upstream) {
+        m_traffic.m_replicaTracker.recordOverdue(upstream);
+        m_traffic.m_sharedLoad.recordOverdue(upstream);
+    };
     hooks.tryWithdraw = [this](AttemptKey key) {
         const auto sent = m_runningAttempts.find(key);
         return sent != m_runningAttempts.end() && m_traffic.m_connections.cancelIfNotSent(sent->second.handle);
@@ -158,7 +161,8 @@
     const std::optional<UpstreamTarget> target = m_traffic.targetOf(attempt.upstream);
     ExchangeRequest request;
     // The time left is computed when the request is written, since a connection may have to be opened first.
-    request.encode = [self = shared_from_this(), upstream = attempt.upstream](TimePoint at) {
+    request.encode = [self = shared_from_this(), upstream = attempt.upstream, key = attempt.key](TimePoint at) {
+        self->noteWritten(at, key);
         const Duration timeout = self->m_request.timeout.value_or(self->m_route.timeout);
         return self->m_traffic.m_codec.encode(self->m_request, upstream, self->m_started + timeout - at);
     };
@@ -166,12 +170,13 @@
     request.deadline = m_deadline;
     request.fresh = !m_route.idempotent;
     m_traffic.m_replicaTracker.recordSent(attempt.upstream);
+    m_traffic.m_sharedLoad.recordChosen(now, attempt.upstream, m_route.priority);
     m_traffic.m_probes.reachability().recordSent(now, attempt.upstream);
     ++m_traffic.m_sentSubRequests;
     const Announcement &announcement = m_traffic.m_registry.find(attempt.upstream)->announcement;
     m_traffic.m_admission.recordSent(now, m_traffic.admissionQuery(announcement));
     SentAttempt &sent = m_runningAttempts[attempt.key];
-    sent = {attempt.upstream, announcement.incarnation, now, 0, attempt.isProbe};
+    sent = {attempt.upstream, announcement.incarnation, now, 0, attempt.isProbe, std::nullopt};
     request.mayStart = [self = shared_from_this(), sent] {
         return !self->isStopped() && self->m_traffic.mayStillSend(sent.at, sent.upstream, sent.incarnation);
     };
@@ -211,6 +216,7 @@
     const Duration median = latency.median.value();
     const double ratio = median > Duration::zero() ? static_cast<double>(took.count()) / median.count() : 1;
     m_traffic.m_replicaTracker.recordEnd(now, sent.upstream, outcome, ratio, m_scatter->wasOverdue(key));
+    recordLoad(now, key, sent, outcome, median);
     if (outcome == AttemptOutcome::Answered) {
         latency.median.add(took);
         latency.hedgeDelay.add(took);
@@ -236,6 +242,31 @@
     reportGroupIfDue(now);
 }
 
+void EntryTraffic::ActiveRequest::noteWritten(TimePoint now, AttemptKey key)
+{
+    const auto sent = m_runningAttempts.find(key);
+    if (sent == m_runningAttempts.end() || sent->second.writtenAt)
+        return;
+    sent->second.writtenAt = now;
+    m_traffic.m_sharedLoad.recordWritten(sent->second.upstream);
+}
+
+void EntryTraffic::ActiveRequest::recordLoad(TimePoint now, AttemptKey key, const SentAttempt &sent,
+                                             AttemptOutcome outcome, Duration median)
+{
+    SharedLoad::End end;
+    end.wasWritten = sent.writtenAt.has_value();
+    end.wasOverdue = m_scatter->wasOverdue(key);
+    end.wasShed = outcome == AttemptOutcome::Refused;
+    if (outcome == AttemptOutcome::Answered && sent.writtenAt) {
+        // Without the wait for a connection, which says nothing of the upstream.
+        end.took = now - *sent.writtenAt;
+        if (median > Duration::zero())
+            end.latencyRatio = static_cast<double>(end.took->count()) / static_cast<double>(median.count());
+    }
+    m_traffic.m_sharedLoad.recordEnd(now, sent.upstream, end);
+}
+
 void EntryTraffic::ActiveRequest::keep(ByteBudget::Share held)
 {
     held.pin();
--- a/src/request/ActiveRequest.h
+++ b/src/request/ActiveRequest.h
@@ -73,6 +73,8 @@
         TimePoint at;
         UpstreamConnections::Handle handle = 0;
         bool isProbe = false;
+        /** Unset while the request waits for a connection. */
+        std::optional<TimePoint> writtenAt;
     };
 
     void start(ScatterPlan plan);
@@ -84,6 +86,9 @@
     void execute(const ScatterActions &actions);
     void send(const SendAttempt &attempt);
     void onAttemptEnded(AttemptKey key, ExchangeResult result);
+    void noteWritten(TimePoint now, AttemptKey key);
+    /** Counts a finished attempt in what entries share of the load of upstreams. */
+    void recordLoad(TimePoint now, AttemptKey key, const SentAttempt &sent, AttemptOutcome outcome, Duration median);
     /** Goes on counting the bytes of an answer that this request keeps. */
     void keep(ByteBudget::Share held);
     /** Notes whether an upstream has ended, or has not, while it ran the request. */
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -60,6 +60,7 @@
     , m_config(std::move(config))
     , m_codec(std::move(codec))
     , m_replicaTracker(m_config.seed)
+    , m_sharedLoad(m_config.sharesLoad, m_config.seed + 6)
     , m_versions(m_config.seed + 3)
     , m_probes(context, m_config.seed + 5)
     , m_connections(context, m_codec.belongsTo, m_config.seed + 2,
@@ -313,10 +314,12 @@
 }
 
 std::optional<ReplicaChoice> EntryTraffic::chooseReplica(const ServiceName &service,
-                                                         const std::vector<UpstreamId> &tried, VersionGroup group)
+                                                         const std::vector<UpstreamId> &tried, VersionGroup group,
+                                                         int priority)
 {
     std::vector<ReplicaTracker::Candidate> all;
     std::vector<ReplicaTracker::Candidate> withRoom;
+    std::vector<ReplicaTracker::Candidate> withSharedRoom;
     const TimePoint now = monotonicNow();
     for (const KnownUpstream *known : usableReplicas(now, service, group)) {
         const Announcement &announcement = known->announcement;
@@ -328,17 +331,36 @@
         candidate.sameDataCentre = announcement.dataCentre == m_config.dataCentre;
         candidate.cold = announcement.coldForMillis > 0;
         candidate.heartbeatAge = m_registry.heartbeatAge(*known);
+        candidate.sharedLatencyRatio = m_sharedLoad.latencyRatio(now, id);
         all.push_back(candidate);
-        if (keepsConnections(id, service) && m_connections.hasRoom(id))
-            withRoom.push_back(std::move(candidate));
+        if (!keepsConnections(id, service) || !m_connections.hasRoom(id))
+            continue;
+        if (m_sharedLoad.isEnabled() && hasSharedRoom(now, id, priority))
+            withSharedRoom.push_back(candidate);
+        withRoom.push_back(std::move(candidate));
     }
-    const std::vector<ReplicaTracker::Candidate> &candidates = withRoom.empty() ? all : withRoom;
+    const std::vector<ReplicaTracker::Candidate> &open = withRoom.empty() ? all : withRoom;
+    const std::vector<ReplicaTracker::Candidate> &candidates = withSharedRoom.empty() ? open : withSharedRoom;
     if (candidates.empty())
         return std::nullopt;
     const UpstreamId &best = candidates[m_replicaTracker.best(now, candidates)].id;
     return ReplicaChoice{best, m_replicaTracker.isDegraded(now, best)};
 }
 
+std::vector<LoadRow> EntryTraffic::takeLoadRows(TimePoint now)
+{
+    return m_sharedLoad.takeRows(now, [this](const UpstreamId &id) {
+        const KnownUpstream *known = m_registry.find(id);
+        return known ? known->announcement.slots : 0;
+    });
+}
+
+bool EntryTraffic::hasSharedRoom(TimePoint now, const UpstreamId &upstream, int priority)
+{
+    const KnownUpstream *known = m_registry.find(upstream);
+    return !known || m_sharedLoad.hasRoom(now, upstream, known->announcement.slots, priority);
+}
+
 void EntryTraffic::recordVersionSample(const Route &route, const UpstreamId &upstream, AttemptOutcome outcome,
                                        Duration latency)
 {
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -7,6 +7,7 @@
 #include "connection/ReachabilityProbes.h"
 #include "connection/UpstreamConnections.h"
 #include "hickoryspur/connection/ConnectionPlan.h"
+#include "hickoryspur/connection/SharedLoad.h"
 #include "hickoryspur/connection/UpstreamAdmission.h"
 #include "hickoryspur/connection/UpstreamRegistry.h"
 #include "hickoryspur/request/LatencyQuantile.h"
@@ -44,6 +45,8 @@
     HostAddress internalAddress;
     /** Seeds replica selection, route splits, reconnect backoff and retry jitter. */
     uint64_t seed = 0;
+    /** The entry shares what it sees of the upstreams' load with the other entries. */
+    bool sharesLoad = false;
 };
 
 /** Latency quantiles of one route's sub-requests. */
@@ -101,6 +104,12 @@
     std::vector<SuspectReport> suspects(TimePoint now) const { return m_quarantine.ownReports(now); }
     /** Called when suspects() has changed by what this entry has seen. */
     void setSuspectsChanged(std::function<void()> hook) { m_suspectsChanged = std::move(hook); }
+    /** What entries share of the load of upstreams. */
+    SharedLoad &sharedLoad() { return m_sharedLoad; }
+    /** The rows for this entry's next status. */
+    std::vector<LoadRow> takeLoadRows(TimePoint now);
+    /** Whether one more request may be sent to the upstream; always true unless entries share its load. */
+    bool hasSharedRoom(TimePoint now, const UpstreamId &upstream, int priority);
     /** Every request is answered by then; one that may take longer is turned away, while it can be sent elsewhere. */
     void setStopTime(TimePoint at) { m_stopTime = at; }
     void tick(TimePoint now);
@@ -141,7 +150,7 @@
     void updateGroups();
     ScatterPlan makePlan(TimePoint now, const Route &route, const ForwardedRequest &request);
     std::optional<ReplicaChoice> chooseReplica(const ServiceName &service, const std::vector<UpstreamId> &tried,
-                                               VersionGroup group);
+                                               VersionGroup group, int priority);
     /** The replicas of the group that may get a request, or of its fallback, or those that are leaving if none is left.
      */
     std::vector<const KnownUpstream *> usableReplicas(TimePoint now, const ServiceName &service,
@@ -193,6 +202,7 @@
     double m_subRequestsPerSecond = 0;
     UpstreamRegistry m_registry;
     ReplicaTracker m_replicaTracker;
+    SharedLoad m_sharedLoad;
     VersionSplit m_versions;
     ReachabilityProbes m_probes;
     UpstreamConnections m_connections;
--- a/src/request/ReplicaTracker.cpp
+++ b/src/request/ReplicaTracker.cpp
@@ -73,11 +73,11 @@
     extra += candidate.heartbeatAge > kStaleHeartbeatAge ? kStaleHeartbeatCost : 0;
     const auto found = m_scores.find(candidate.id);
     if (found == m_scores.end())
-        return 1 + extra;
+        return candidate.sharedLatencyRatio + extra;
     const Score &score = found->second;
     const double idleSeconds = std::chrono::duration<double>(now - score.lastEnd).count();
     const double weight = std::exp2(-idleSeconds / kHalfLifeSeconds);
-    const double ratio = 1 + (score.latencyRatio - 1) * weight;
+    const double ratio = std::max(1 + (score.latencyRatio - 1) * weight, candidate.sharedLatencyRatio);
     return ratio * (1 + kQueueCost * score.inFlight) + kOverdueCost * score.overdue
         + kFailureCost * score.failures * weight + (now < score.avoidUntil ? kUnreachableCost : 0) + extra;
 }
--- a/test/correctness/HostSettingsTest.cpp
+++ b/test/correctness/HostSettingsTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(settings_entryWithoutAddresses_reportsEachError);
     CPPUNIT_TEST(settings_seeds_getInternalPortInNodeIds);
     CPPUNIT_TEST(settings_slackWithFraction_isRead);
+    CPPUNIT_TEST(settings_admission_isArrivalUnlessCostIsSet);
     CPPUNIT_TEST(settings_numberOutOfRange_isRefused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -62,6 +63,13 @@
         CPPUNIT_ASSERT_EQUAL(62.2, settings->extraSlack);
     }
 
+    void settings_admission_isArrivalUnlessCostIsSet()
+    {
+        CPPUNIT_ASSERT(parseWith(kAddresses)->admission == AdmissionMode::Arrival);
+        CPPUNIT_ASSERT(parseWith(kAddresses + "admission: cost\n")->admission == AdmissionMode::Cost);
+        CPPUNIT_ASSERT(!parseWith(kAddresses + "admission: other\n"));
+    }
+
     void settings_numberOutOfRange_isRefused()
     {
         for (const char *line : {"extra-slack: -1", "extra-slack: .nan", "extra-slack: .inf", "extra-share: 1.5",
