Shared load: the test of choosing replicas sees the shared latency, too

The test passed with ReplicaTracker ignoring the shared latency ratio, since the replica also had no room from the report before. It fails now without either use. chooseReplica no longer looks up an announcement that it has.

--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -335,7 +335,7 @@
         all.push_back(candidate);
         if (!keepsConnections(id, service) || !m_connections.hasRoom(id))
             continue;
-        if (m_sharedLoad.isEnabled() && hasSharedRoom(now, id, priority))
+        if (m_sharedLoad.isEnabled() && m_sharedLoad.hasRoom(now, id, announcement.slots, priority))
             withSharedRoom.push_back(candidate);
         withRoom.push_back(std::move(candidate));
     }
--- a/test/failure/SharedLoadFailureTest.cpp
+++ b/test/failure/SharedLoadFailureTest.cpp
@@ -313,6 +313,7 @@
         CPPUNIT_ASSERT_EQUAL(UpstreamId("77"), rows.front().upstream);
         for (int entry = 0; entry < 20; ++entry) {
             std::vector<LoadRow> all;
+            all.reserve(100);
             for (int i = 0; i < 100; ++i)
                 all.push_back(row(std::to_string(100 * entry + i), 30));
             totals.record(m_start, nullptr, NodeId(std::to_string(entry)), all);
@@ -397,7 +398,9 @@
             ask();
             CPPUNIT_ASSERT_EQUAL(size_t(3), near + far);
             // Slow for others: the one in the other data centre costs less now.
-            entry.sharedLoad().apply(monotonicNow(), {1, {{nearId, 1, 1, 600}}});
+            entry.sharedLoad().apply(monotonicNow(), {1, {}});
+            entry.sharedLoad().apply(monotonicNow(), {1, {{nearId, 0, 1, 600}}});
+            CPPUNIT_ASSERT(entry.hasSharedRoom(monotonicNow(), nearId, kNormalPriority));
             far = 0;
             ask();
             CPPUNIT_ASSERT_EQUAL(size_t(1), far);
