Shared load: a new report no longer discards credit that has accrued

A report set the time of an entry's credit without adding what had accrued until then, so entries started less than their share.

--- a/include/hickoryspur/connection/SharedLoad.h
+++ b/include/hickoryspur/connection/SharedLoad.h
@@ -130,8 +130,9 @@
     LoadRow makeRow(TimePoint now, const UpstreamId &id, const Own &own) const;
     /** Corrects the credit by a new report. */
     static void correct(const Shared &shared, Credit &credit, uint32_t limit);
-    static bool hasCredit(TimePoint now, const Shared &shared, Credit &credit, uint32_t limit, const Own &own,
-                          Duration duration);
+    /** Adds the fraction of the share for the time since the last call; starts that are stopped add nothing. */
+    static void accrue(TimePoint now, const Shared &shared, Credit &credit, uint32_t limit, Duration duration);
+    static bool hasCredit(TimePoint now, const Shared &shared, const Credit &credit, uint32_t limit, const Own &own);
     void forgetUnused(TimePoint now);
 
     bool m_enabled;
--- a/src/connection/SharedLoad.cpp
+++ b/src/connection/SharedLoad.cpp
@@ -216,23 +216,23 @@
     Shared &shared = found->second;
     Own &own = m_own[id];
     const Duration duration = usualDuration(id);
-    if (shared.isNew) {
+    for (const bool isUrgent : {false, true}) {
+        Credit &credit = isUrgent ? shared.urgent : shared.normal;
+        const uint32_t limit = sharedLimit(slots, isUrgent);
+        accrue(now, shared, credit, limit, duration);
+        if (!shared.isNew)
+            continue;
+        correct(shared, credit, limit);
+        if (shared.row.running <= limit)
+            continue;
         // The excess is worked off by then: by Little's law, all that run end within one duration.
-        const auto pauseFor = [&shared, duration](uint32_t limit) {
-            const double excess = shared.row.running > limit ? shared.row.running - limit : 0;
-            return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * excess
-                                                 / std::max<uint32_t>(1, shared.row.running)));
-        };
-        for (const bool isUrgent : {false, true}) {
-            Credit &credit = isUrgent ? shared.urgent : shared.normal;
-            const uint32_t limit = sharedLimit(slots, isUrgent);
-            correct(shared, credit, limit);
-            credit.at = std::max(credit.at, shared.at + pauseFor(limit));
-        }
-        shared.isNew = false;
+        const double excess = static_cast<double>(shared.row.running - limit) / shared.row.running;
+        const Duration pause(static_cast<int64_t>(static_cast<double>(duration.count()) * excess));
+        credit.at = std::max(credit.at, shared.at + pause);
     }
+    shared.isNew = false;
     const bool isUrgent = priority == 0;
-    if (hasCredit(now, shared, isUrgent ? shared.urgent : shared.normal, sharedLimit(slots, isUrgent), own, duration))
+    if (hasCredit(now, shared, isUrgent ? shared.urgent : shared.normal, sharedLimit(slots, isUrgent), own))
         return true;
     own.deniedAt = now;
     own.usedAt = now;
@@ -248,19 +248,24 @@
     credit.value = std::min(1.0, credit.value + kCorrection * deficit / std::max<uint32_t>(1, shared.row.demand));
 }
 
-bool SharedLoad::hasCredit(TimePoint now, const Shared &shared, Credit &credit, uint32_t limit, const Own &own,
-                           Duration duration)
+void SharedLoad::accrue(TimePoint now, const Shared &shared, Credit &credit, uint32_t limit, Duration duration)
 {
-    // While starts are stopped, the time of the credit lies ahead.
-    if (now < credit.at)
-        return false;
+    if (now <= credit.at)
+        return;
     const double share = static_cast<double>(limit) / std::max<uint32_t>(1, shared.row.demand);
-    const double fraction = share - std::floor(share);
     const double durations =
         static_cast<double>((now - credit.at).count()) / static_cast<double>(std::max<Duration>(duration, 1ms).count());
-    credit.value = std::min(1.0, credit.value + fraction * durations);
+    credit.value = std::min(1.0, credit.value + (share - std::floor(share)) * durations);
     credit.at = now;
-    return own.running + own.waiting < std::floor(share) || credit.value >= 1;
+}
+
+bool SharedLoad::hasCredit(TimePoint now, const Shared &shared, const Credit &credit, uint32_t limit, const Own &own)
+{
+    // While starts are stopped, the time of the credit lies ahead.
+    if (now < credit.at)
+        return false;
+    const uint32_t wholeShare = limit / std::max<uint32_t>(1, shared.row.demand);
+    return own.running + own.waiting < wholeShare || credit.value >= 1;
 }
 
 } // namespace hickoryspur
