--- a/include/hickoryspur/process/HostSettings.h
+++ b/include/hickoryspur/process/HostSettings.h
@@ -20,7 +20,7 @@
 enum class AdmissionMode {
     /** Each starts on arrival. */
     Arrival,
-    /** By what their delay or refusal costs callers, see RequestAdmission. */
+    /** By what their delay or refusal costs callers, see RequestAdmission; entries share the load of upstreams. */
     Cost,
 };
 
@@ -56,6 +56,7 @@
     Duration upstreamDrainTime = 3s;
     /** Limit on the bytes that all connections hold together; see ByteBudget. */
     size_t connectionBytes = ByteBudget::kDefaultLimitBytes;
+    /** Entries only. */
     AdmissionMode admission = AdmissionMode::Arrival;
     /** Upper bound of directoryValidity(). */
     Duration maxDirectoryValidity = 5s;
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -62,6 +62,7 @@
     , m_codec(std::move(codec))
     , m_authenticator(m_codec.customerField)
     , m_replicaTracker(m_config.seed)
+    , m_sharedLoad(m_config.admission == AdmissionMode::Cost, m_config.seed + 6)
     , m_versions(m_config.seed + 3)
     , m_probes(context, m_config.seed + 5)
     , m_connections(context, m_codec.belongsTo, m_config.seed + 2,
@@ -79,7 +80,7 @@
                     })
 {
     if (m_config.admission == AdmissionMode::Cost)
-        m_gate = std::make_unique<RequestGate>(*this, m_config.seed + 6);
+        m_gate = std::make_unique<RequestGate>(*this, m_config.seed + 7);
     m_admission.setEntryCount(monotonicNow(), m_connectionPlan.entryCount());
     m_admission.setGroupOf([this](const UpstreamId &id) {
         const KnownUpstream *known = m_registry.find(id);
@@ -351,6 +352,7 @@
 {
     std::vector<ReplicaTracker::Candidate> all;
     std::vector<ReplicaTracker::Candidate> withRoom;
+    std::vector<ReplicaTracker::Candidate> withSharedRoom;
     const TimePoint now = monotonicNow();
     for (const KnownUpstream *known : usableReplicas(now, service, group)) {
         const Announcement &announcement = known->announcement;
@@ -362,17 +364,36 @@
         candidate.sameDataCentre = announcement.dataCentre == m_config.dataCentre;
         candidate.cold = announcement.coldForMillis > 0;
         candidate.heartbeatAge = m_registry.heartbeatAge(*known);
+        candidate.sharedLatencyRatio = m_sharedLoad.latencyRatio(now, id);
         all.push_back(candidate);
-        if (keepsConnections(id, service) && m_connections.hasRoom(id) && (!m_gate || m_hasSharedRoom(id, priority)))
-            withRoom.push_back(std::move(candidate));
+        if (!keepsConnections(id, service) || !m_connections.hasRoom(id))
+            continue;
+        if (m_sharedLoad.isEnabled() && m_sharedLoad.hasRoom(now, id, announcement.slots, priority))
+            withSharedRoom.push_back(candidate);
+        withRoom.push_back(std::move(candidate));
     }
-    const std::vector<ReplicaTracker::Candidate> &candidates = withRoom.empty() ? all : withRoom;
+    const std::vector<ReplicaTracker::Candidate> &open = withRoom.empty() ? all : withRoom;
+    const std::vector<ReplicaTracker::Candidate> &candidates = withSharedRoom.empty() ? open : withSharedRoom;
     if (candidates.empty())
         return std::nullopt;
     const UpstreamId &best = candidates[m_replicaTracker.best(now, candidates)].id;
     return ReplicaChoice{best, m_replicaTracker.isDegraded(now, best)};
 }
 
+std::vector<LoadRow> EntryTraffic::takeLoadRows(TimePoint now)
+{
+    return m_sharedLoad.takeRows(now, [this](const UpstreamId &id) {
+        const KnownUpstream *known = m_registry.find(id);
+        return known ? known->announcement.slots : 0;
+    });
+}
+
+bool EntryTraffic::hasSharedRoom(TimePoint now, const UpstreamId &upstream, int priority)
+{
+    const KnownUpstream *known = m_registry.find(upstream);
+    return !known || m_sharedLoad.hasRoom(now, upstream, known->announcement.slots, priority);
+}
+
 void EntryTraffic::recordVersionSample(const Route &route, const UpstreamId &upstream, AttemptOutcome outcome,
                                        Duration latency)
 {
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -7,6 +7,7 @@
 #include "connection/ReachabilityProbes.h"
 #include "connection/UpstreamConnections.h"
 #include "hickoryspur/connection/ConnectionPlan.h"
+#include "hickoryspur/connection/SharedLoad.h"
 #include "hickoryspur/connection/UpstreamAdmission.h"
 #include "hickoryspur/connection/UpstreamRegistry.h"
 #include "hickoryspur/process/HostSettings.h"
@@ -44,6 +45,7 @@
     Duration upstreamDrainTime = 3s;
     /** Where this entry accepts requests that other entries delegate to it. */
     HostAddress internalAddress;
+    /** With Cost, this entry also shares what it sees of the upstreams' load with the other entries. */
     AdmissionMode admission = AdmissionMode::Arrival;
     /** Seeds replica selection, route splits, reconnect backoff and retry jitter. */
     uint64_t seed = 0;
@@ -107,14 +109,12 @@
     std::vector<SuspectReport> suspects(TimePoint now) const { return m_quarantine.ownReports(now); }
     /** Called when suspects() has changed by what this entry has seen. */
     void setSuspectsChanged(std::function<void()> hook) { m_suspectsChanged = std::move(hook); }
-    /**
-     * Sets whether an upstream has room for a request of this priority besides those of other entries; asked only with
-     * AdmissionMode::Cost, for each replica of each shard of a request.
-     */
-    void setSharedRoom(std::function<bool(const UpstreamId &, int priority)> hook)
-    {
-        m_hasSharedRoom = std::move(hook);
-    }
+    /** What entries share of the load of upstreams. */
+    SharedLoad &sharedLoad() { return m_sharedLoad; }
+    /** The rows for this entry's next status. */
+    std::vector<LoadRow> takeLoadRows(TimePoint now);
+    /** Whether one more request may be sent to the upstream; always true unless entries share its load. */
+    bool hasSharedRoom(TimePoint now, const UpstreamId &upstream, int priority);
     /** Every request is answered by then; one that may take longer is turned away, while it can be sent elsewhere. */
     void setStopTime(TimePoint at) { m_stopTime = at; }
     void tick(TimePoint now);
@@ -220,6 +220,7 @@
     double m_subRequestsPerSecond = 0;
     UpstreamRegistry m_registry;
     ReplicaTracker m_replicaTracker;
+    SharedLoad m_sharedLoad;
     VersionSplit m_versions;
     ReachabilityProbes m_probes;
     UpstreamConnections m_connections;
@@ -240,9 +241,6 @@
     TimePoint m_nextServiceCheck;
     TimePoint m_nextAdvanceOpening;
     std::mt19937_64 m_random;
-    std::function<bool(const UpstreamId &, int priority)> m_hasSharedRoom = [](const UpstreamId &, int) {
-        return true;
-    };
     /** Null with AdmissionMode::Arrival. */
     std::unique_ptr<RequestGate> m_gate;
     Delegations m_delegations;
--- a/src/request/RequestGate.cpp
+++ b/src/request/RequestGate.cpp
@@ -232,7 +232,7 @@
     const auto withRoom = std::count_if(usable.begin(), usable.end(), [&](const KnownUpstream *known) {
         const UpstreamId &id = known->announcement.id;
         return m_traffic.m_connections.hasRoomBesidesPosted(id) && !m_traffic.m_replicaTracker.isDegraded(now, id)
-            && m_traffic.m_hasSharedRoom(id, priority);
+            && m_traffic.hasSharedRoom(now, id, priority);
     });
     return static_cast<size_t>(withRoom) >= std::clamp<size_t>(usable.size(), 1, 1 + spare);
 }
