Count the requests that customers began, on entries, and sum them on control hosts

Cause: a deployment with customers reports, for each of them and each window of 5 s, how many requests upstreams began to run. Nothing counted them, and the wall clocks that windows need are wrong by seconds on some machines.

Change: RequestUsage decides when a caller's request has begun and for which time; ActiveRequest, GroupedRequest and RemoteRequest tell it what is written, refused and lost, and GroupReport::begunMicrosAgo carries the same from an entry that serves a part for another one. ClockOffset is the median of the control hosts' clocks, which EntryUpdate and UpstreamCountReport carry as their last field. EntryUsage sends the rows that changed (UsageCounts = 32) to control hosts that name a clock, UsageCollector on a control host keeps them in UsageTotals.

The wiring of EntryHost and ControlHost is not covered by a fixture; no deployment was played with customers, since their keys are not read yet.

--- a/include/hickoryspur/process/Ids.h
+++ b/include/hickoryspur/process/Ids.h
@@ -45,6 +45,8 @@
 using UpstreamId = StrongId<struct UpstreamTag, std::string>;
 using ServiceName = StrongId<struct ServiceTag, std::string>;
 using DataCentreName = StrongId<struct DataCentreTag, std::string>;
+/** A customer of the deployment, as the configuration names it; empty for a request that belongs to none. */
+using CustomerName = StrongId<struct CustomerTag, std::string>;
 using CallerName = StrongId<struct CallerTag, std::string>;
 /** The version of an upstream's software. */
 using VersionName = StrongId<struct VersionTag, std::string>;
--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -66,6 +66,7 @@
     RoutesApplied = 1804,
     RoutesUnreadable = 1805,
     StateFromLogs = 1806,
+    UsageRowsDropped = 1850,
     RequestFailed = 1900,
     RequestPartial = 1901,
     RequestRefused = 1902,
--- a/include/hickoryspur/process/PeerMessage.h
+++ b/include/hickoryspur/process/PeerMessage.h
@@ -36,6 +36,8 @@
     CallCancel = 24,
     EntryStatus = 30,
     EntryUpdate = 31,
+    /** From an entry to control hosts: a UsageReport. */
+    UsageCounts = 32,
 };
 
 struct PeerMessage
--- a/include/hickoryspur/process/SessionMessage.h
+++ b/include/hickoryspur/process/SessionMessage.h
@@ -80,9 +80,11 @@
     std::vector<SuspectReport> suspects;
     /** The data centre of each of `entries`; empty from a host of an earlier release. */
     std::vector<DataCentreName> entryDataCentres;
+    /** The sender's wall clock in milliseconds since 1970; 0 from a host of an earlier release. */
+    int64_t clockMillis = 0;
     MSGPACK_DEFINE(confirmed, applied, routes, carriesState, dataCentresOut, upstreams, heartbeats, carriesHosts,
                    entries, controlHosts, logReport, moves, routesNumber, sessions, compressedRoutes, routesDigest,
-                   suspects, entryDataCentres)
+                   suspects, entryDataCentres, clockMillis)
 
     void setEntries(const std::vector<EntryLocation> &locations);
     std::vector<EntryLocation> entryLocations() const;
--- a/include/hickoryspur/process/Time.h
+++ b/include/hickoryspur/process/Time.h
@@ -27,6 +27,13 @@
         .count();
 }
 
+/** Wall-clock milliseconds since 1970; one clock may be wrong by seconds, see ClockOffset. */
+inline int64_t wallClockMillis()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 inline double toMilliseconds(Duration duration)
 {
     return static_cast<double>(duration.count()) / 1000.0;
--- a/include/hickoryspur/process/UpstreamCounts.h
+++ b/include/hickoryspur/process/UpstreamCounts.h
@@ -20,7 +20,9 @@
 struct UpstreamCountReport
 {
     std::map<DataCentreName, uint32_t> upstreams;
-    MSGPACK_DEFINE(upstreams)
+    /** The sender's wall clock in milliseconds since 1970; 0 from a host of an earlier release. */
+    int64_t clockMillis = 0;
+    MSGPACK_DEFINE(upstreams, clockMillis)
 };
 
 class UpstreamCounts
--- a/include/hickoryspur/request/Delegation.h
+++ b/include/hickoryspur/request/Delegation.h
@@ -5,6 +5,7 @@
 
 #include "hickoryspur/request/RequestCodec.h"
 #include "hickoryspur/request/RequestQuarantine.h"
+#include "hickoryspur/request/RequestUsage.h"
 
 #include <cstdint>
 #include <string>
@@ -33,6 +34,11 @@
 /** The parts of a group that have come since the last report. */
 struct GroupReport
 {
+    /** begunMicrosAgo of an entry of an earlier release, which does not report it. */
+    static constexpr int64_t kBeginUnknown = -1;
+    /** begunMicrosAgo if no sub-request that was written has run, as far as is known. */
+    static constexpr int64_t kNotBegun = 0;
+
     /** One for each part. */
     std::vector<std::string> signatures;
     /** The greatest records of these parts. */
@@ -43,18 +49,25 @@
     bool mayHaveRun = false;
     /** The upstreams that have ended while they ran the request; only in the last report. */
     std::vector<UpstreamLoss> losses;
-    MSGPACK_DEFINE(signatures, records, ended, mayHaveRun, losses)
+    /** Microseconds, at least one, since the first sub-request that ran or may have run was written. */
+    int64_t begunMicrosAgo = kBeginUnknown;
+    MSGPACK_DEFINE(signatures, records, ended, mayHaveRun, losses, begunMicrosAgo)
 };
 
 struct DelegatedReply
 {
     /** The request has not run here and will not run; nothing else is set. */
     bool refused = false;
-    /** For a group of shards. */
+    /** For a group of shards; for a whole request only begunMicrosAgo is set. */
     GroupReport group;
     /** For a whole request: its one answer. */
     std::vector<CallerAnswer> answer;
     MSGPACK_DEFINE(refused, group, answer)
 };
 
+/** GroupReport::begunMicrosAgo of a request that this entry serves for another one. */
+int64_t begunMicrosAgo(TimePoint now, const RequestUsage &usage);
+/** Notes what another entry reports on a part that this one, which accepted the request, has handed to it. */
+void noteReportedUsage(TimePoint now, RequestUsage::RunId run, const GroupReport &report, RequestUsage &usage);
+
 } // namespace hickoryspur
--- a/include/hickoryspur/request/RequestCodec.h
+++ b/include/hickoryspur/request/RequestCodec.h
@@ -34,6 +34,8 @@
     std::string id;
     /** How long the caller waits, if the request states it. It is not packed, since it has to be reduced by a hop. */
     std::optional<Duration> timeout;
+    /** Whose request it is; empty if it is nobody's. */
+    CustomerName customer;
     MSGPACK_DEFINE(method, target, path, host, fields, body, id)
 };
 
--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -166,11 +166,16 @@
             broadcastAnnouncement(*announcement);
         return;
     case PeerMessageType::UpstreamCounts:
-        if (std::optional<UpstreamCountReport> report = unpack<UpstreamCountReport>(message.payload))
+        if (std::optional<UpstreamCountReport> report = unpack<UpstreamCountReport>(message.payload)) {
+            m_usage.recordClock(monotonicNow(), message.from, report->clockMillis);
             m_upstreamCounts.recordReport(monotonicNow(), message.from, std::move(*report));
-        else
+        } else {
             HS_LOG(WARNING, LogEvent::MessageUndecodable)
                 << "a count of upstreams from " << message.from << " cannot be decoded; dropped";
+        }
+        return;
+    case PeerMessageType::UsageCounts:
+        m_usage.receive(monotonicNow(), message);
         return;
     case PeerMessageType::Observations:
         if (const std::optional<ObservationBatch> batch = unpack<ObservationBatch>(message.payload); !batch)
@@ -251,6 +256,7 @@
     update.routesNumber = m_sessions.routes().number;
     update.routesDigest = m_sessions.routes().digest;
     update.sessions = static_cast<uint32_t>(m_sessions.size());
+    update.clockMillis = wallClockMillis();
     return update;
 }
 
@@ -262,6 +268,7 @@
 UpstreamCountReport ControlHost::countUpstreams() const
 {
     UpstreamCountReport report;
+    report.clockMillis = wallClockMillis();
     for (const auto &[id, known] : m_registry.all())
         if (known.takesWork())
             ++report.upstreams[known.announcement.dataCentre];
@@ -332,6 +339,7 @@
     m_links->tick(now);
     m_registry.removeExpired(now);
     m_quarantine.tick(now);
+    m_usage.tick(now, wallClockMillis());
     saveNotesIfDue(now);
     advanceMoves(now);
     flushAnnouncements();
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -6,6 +6,7 @@
 #include "app/EntrySessions.h"
 #include "app/HostCodec.h"
 #include "app/HostNotes.h"
+#include "app/UsageCollector.h"
 #include "hickoryspur/connection/UpstreamRegistry.h"
 #include "hickoryspur/process/ActiveEntries.h"
 #include "hickoryspur/process/ControlHostDirectory.h"
@@ -32,6 +33,10 @@
     void reload(const HostSettings &settings);
     void setClosing();
     size_t openRequests() const;
+    /** The time of day by the clocks of the other control hosts, in milliseconds since 1970. */
+    int64_t trueMillis(TimePoint at) const { return m_usage.trueMillis(at); }
+    /** The requests of each customer that upstreams began to run in the window, as far as entries have told. */
+    std::map<CustomerName, uint64_t> usageCounts(uint64_t window) const { return m_usage.counts(window); }
 
 private:
     void onMessage(const std::shared_ptr<FrameLink> &link, const PeerMessage &message);
@@ -116,6 +121,7 @@
     /** Upstreams that leave, until the notes on the disk say so. */
     SaveTracker m_departures;
     UpstreamCounts m_upstreamCounts;
+    UsageCollector m_usage;
     ActiveEntries m_activeEntries;
     /** What entries report of requests that end upstreams; passed on to all of them. */
     RequestQuarantine m_quarantine;
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -43,6 +43,10 @@
     , m_codec(std::move(codec))
     , m_timer(context)
     , m_traffic(context, trafficConfig(m_settings, incarnation), m_codec.traffic)
+    , m_usage(NodeId(m_settings.name), Incarnation(incarnation),
+              [this](const NodeId &host, std::string payload) {
+                  m_links->send(host, PeerMessageType::UsageCounts, std::move(payload));
+              })
     , m_random(incarnation)
     , m_stateRequestInterval(kFirstStateRequestInterval)
 {
@@ -52,8 +56,14 @@
 {
     OutgoingLinks::Hooks hooks;
     hooks.receive = [this](const NodeId &from, const PeerMessage &message) { onMessage(from, message); };
-    hooks.opened = [this](const NodeId &) { m_nextStatus = TimePoint(); };
-    hooks.lost = [this](const NodeId &host) { m_hosts.removeSource(host); };
+    hooks.opened = [this](const NodeId &host) {
+        m_nextStatus = TimePoint();
+        m_usage.resetSession(host);
+    };
+    hooks.lost = [this](const NodeId &host) {
+        m_hosts.removeSource(host);
+        m_usage.resetSession(host);
+    };
     m_links = std::make_unique<OutgoingLinks>(m_context, m_settings.id(), std::move(hooks));
     m_hosts.setSeeds(m_settings.seedIds());
     dialControlHosts();
@@ -81,6 +91,8 @@
     }
     // At once: the caller may already be trying another entry.
     m_traffic.setSuspectsChanged([this] { asio::post(m_context, [this] { sendStatus(); }); });
+    m_traffic.setUsageCounted(
+        [this](const CustomerName &customer, TimePoint beganAt) { m_usage.count(customer, beganAt); });
     onTimer();
     return {};
 }
@@ -164,6 +176,7 @@
         m_traffic.recordHeartbeat(now, upstream);
     m_traffic.mergeSuspects(now, update.suspects);
     m_entries.recordHeartbeat(now, from);
+    m_usage.recordClock(now, from, update.clockMillis);
     if (update.carriesHosts) {
         m_entries.update(now, from, update.entryLocations());
         m_traffic.setEntries(now, m_settings.callerAddress->text(), m_entries.mostCompleteList(now));
@@ -297,6 +310,10 @@
     const TimePoint now = monotonicNow();
     m_links->tick(now);
     m_traffic.tick(now);
+    m_usage.recordOwnClock(now, wallClockMillis());
+    // The process may end as soon as its last request has been answered.
+    if (m_closing)
+        m_usage.send(now);
     if (m_traffic.isCutOff() != m_wasCutOff) {
         m_wasCutOff = m_traffic.isCutOff();
         m_nextStatus = now;
@@ -309,6 +326,7 @@
         m_nextStatus = now + statusInterval();
         sendStatus();
         sendObservations();
+        m_usage.send(now);
     }
     startTimer();
 }
--- a/src/app/EntryHost.h
+++ b/src/app/EntryHost.h
@@ -5,6 +5,7 @@
 // and continues to use them if it loses all control hosts.
 #pragma once
 
+#include "app/EntryUsage.h"
 #include "app/HostCodec.h"
 #include "hickoryspur/process/AppliedState.h"
 #include "hickoryspur/process/ControlHostDirectory.h"
@@ -69,6 +70,7 @@
     ControlHostDirectory m_hosts;
     EntryDirectory m_entries;
     LogQuorum m_logs;
+    EntryUsage m_usage;
     std::mt19937_64 m_random;
     AppliedState m_applied;
     /** The control host that last sent a confirmed update. */
--- a/src/connection/UpstreamExchange.h
+++ b/src/connection/UpstreamExchange.h
@@ -25,7 +25,10 @@
 
 struct ExchangeRequest
 {
-    /** Encodes the request at the time of sending, which may be later than send() if it waits for a connection. */
+    /**
+     * Encodes the request at the time of sending, which may be later than send() if it waits for a connection. Called
+     * at most once, right before the first byte is written.
+     */
     std::function<std::string(TimePoint)> encode;
     std::string requestId;
     /** An exchange without an answer ends then: NoResponse if it was sent, NotSent otherwise. */
--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -158,7 +158,8 @@
     const std::optional<UpstreamTarget> target = m_traffic.targetOf(attempt.upstream);
     ExchangeRequest request;
     // The time left is computed when the request is written, since a connection may have to be opened first.
-    request.encode = [self = shared_from_this(), upstream = attempt.upstream](TimePoint at) {
+    request.encode = [self = shared_from_this(), upstream = attempt.upstream, key = attempt.key](TimePoint at) {
+        self->noteWritten(at, key);
         const Duration timeout = self->m_request.timeout.value_or(self->m_route.timeout);
         return self->m_traffic.m_codec.encode(self->m_request, upstream, self->m_started + timeout - at);
     };
@@ -171,7 +172,7 @@
     const Announcement &announcement = m_traffic.m_registry.find(attempt.upstream)->announcement;
     m_traffic.m_admission.recordSent(now, m_traffic.admissionQuery(announcement));
     SentAttempt &sent = m_runningAttempts[attempt.key];
-    sent = {attempt.upstream, announcement.incarnation, now, 0, attempt.isProbe};
+    sent = {attempt.upstream, announcement.incarnation, now, 0, attempt.isProbe, std::nullopt};
     request.mayStart = [self = shared_from_this(), sent] {
         return !self->isStopped() && self->m_traffic.mayStillSend(sent.at, sent.upstream, sent.incarnation);
     };
@@ -205,6 +206,7 @@
     if (verdict.signals)
         m_traffic.recordSignals(now, sent.upstream, sent.incarnation, *verdict.signals);
     const AttemptOutcome outcome = classifyOutcome(result, verdict);
+    noteUsage(sent, outcome);
     noteSurvival(sent, outcome, result.outcome == AttemptOutcome::Answered && !verdict.notRun);
     RouteLatency &latency = m_traffic.latencyOf(m_route);
     const Duration took = now - sent.at;
@@ -236,6 +238,21 @@
     reportGroupIfDue(now);
 }
 
+void EntryTraffic::ActiveRequest::noteWritten(TimePoint at, AttemptKey key)
+{
+    m_runningAttempts.at(key).run = m_usage->begin(at);
+}
+
+void EntryTraffic::ActiveRequest::noteUsage(const SentAttempt &sent, AttemptOutcome outcome)
+{
+    if (!sent.run)
+        return;
+    if (outcome == AttemptOutcome::Refused)
+        m_usage->endNotRun(*sent.run);
+    else
+        m_usage->endRun(*sent.run);
+}
+
 void EntryTraffic::ActiveRequest::keep(ByteBudget::Share held)
 {
     held.pin();
@@ -334,6 +351,8 @@
 void EntryTraffic::ActiveRequest::finish(ScatterOutcome outcome)
 {
     m_finished = true;
+    for (const auto &[key, sent] : m_runningAttempts)
+        noteUsage(sent, AttemptOutcome::NoResponse);
     if (outcome != ScatterOutcome::Complete)
         logOutcome(outcome);
     if (m_group) {
@@ -360,6 +379,7 @@
     report.records = mergeTopRecords(parts, m_route.topRecords);
     report.ended = ended;
     report.mayHaveRun = !m_scatter->provablyNotRun();
+    report.begunMicrosAgo = begunMicrosAgo(monotonicNow(), *m_usage);
     if (ended)
         report.losses = m_losses;
     m_group->report(std::move(report));
--- a/src/request/ActiveRequest.h
+++ b/src/request/ActiveRequest.h
@@ -46,13 +46,14 @@
 {
 public:
     ActiveRequest(EntryTraffic &traffic, std::shared_ptr<const RouteTable> routes, const Route &route,
-                  ForwardedRequest request, bool isProbe, std::function<bool()> isCallerGone)
+                  ForwardedRequest request, bool isProbe, std::function<bool()> isCallerGone, Usage usage)
         : m_traffic(traffic)
         , m_routes(std::move(routes))
         , m_route(route)
         , m_request(std::move(request))
         , m_isProbe(isProbe)
         , m_isCallerGone(std::move(isCallerGone))
+        , m_usage(std::move(usage))
         , m_timer(traffic.m_context)
         , m_started(monotonicNow())
     {
@@ -73,6 +74,8 @@
         TimePoint at;
         UpstreamConnections::Handle handle = 0;
         bool isProbe = false;
+        /** Set once the request is written. */
+        std::optional<RequestUsage::RunId> run;
     };
 
     void start(ScatterPlan plan);
@@ -84,6 +87,9 @@
     void execute(const ScatterActions &actions);
     void send(const SendAttempt &attempt);
     void onAttemptEnded(AttemptKey key, ExchangeResult result);
+    void noteWritten(TimePoint at, AttemptKey key);
+    /** Notes whether an attempt that was written has run. */
+    void noteUsage(const SentAttempt &sent, AttemptOutcome outcome);
     /** Goes on counting the bytes of an answer that this request keeps. */
     void keep(ByteBudget::Share held);
     /** Notes whether an upstream has ended, or has not, while it ran the request. */
@@ -118,6 +124,7 @@
     /** The upstreams that closed the connection while they ran the request. */
     std::vector<UpstreamLoss> m_losses;
     std::function<bool()> m_isCallerGone;
+    Usage m_usage;
     boost::asio::steady_timer m_timer;
     TimePoint m_started;
     TimePoint m_deadline;
--- a/src/request/DelegatedServer.cpp
+++ b/src/request/DelegatedServer.cpp
@@ -36,8 +36,9 @@
                                                                                 const Reply &reply)
 {
     const TimePoint now = monotonicNow();
-    auto active = std::make_shared<ActiveRequest>(m_traffic, routes, route, std::move(order.request), false,
-                                                  [] { return false; });
+    auto active = std::make_shared<ActiveRequest>(
+        m_traffic, routes, route, std::move(order.request), false, [] { return false; },
+        std::make_shared<RequestUsage>());
     GroupOrder group;
     group.shards = std::move(order.shards);
     group.maxSkipped = order.maxSkipped;
@@ -63,7 +64,10 @@
     auto cancelled = std::make_shared<bool>(false);
     boost::fibers::fiber([&traffic = m_traffic, routes, &route, request = std::move(request), reply, cancelled] {
         DelegatedReply message;
-        message.answer.push_back(traffic.serveHere(routes, route, request, [cancelled] { return *cancelled; }));
+        const auto usage = std::make_shared<RequestUsage>();
+        message.answer.push_back(traffic.serveHere(
+            routes, route, request, [cancelled] { return *cancelled; }, usage));
+        message.group.begunMicrosAgo = begunMicrosAgo(monotonicNow(), *usage);
         reply(std::move(message));
     }).detach();
     return [cancelled] { *cancelled = true; };
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -106,9 +106,19 @@
     if (isCutOff()) {
         std::vector<std::string> others = shuffledEntries();
         if (!others.empty())
-            return std::make_shared<RemoteRequest>(*this, *route, request, std::move(others), isCallerGone)->serve();
+            return std::make_shared<RemoteRequest>(*this, *route, request, std::move(others), isCallerGone,
+                                                   makeUsage(request))
+                ->serve();
     }
-    return serveHere(routes, *route, request, isCallerGone);
+    return serveHere(routes, *route, request, isCallerGone, makeUsage(request));
+}
+
+EntryTraffic::Usage EntryTraffic::makeUsage(const ForwardedRequest &request) const
+{
+    if (request.customer.value().empty())
+        return std::make_shared<RequestUsage>();
+    return std::make_shared<RequestUsage>(
+        [hook = m_usageCounted, customer = request.customer](TimePoint at) { hook(customer, at); });
 }
 
 std::vector<std::string> EntryTraffic::shuffledEntries()
@@ -119,7 +129,8 @@
 }
 
 CallerAnswer EntryTraffic::serveHere(const std::shared_ptr<const RouteTable> &routes, const Route &route,
-                                     const ForwardedRequest &request, const std::function<bool()> &isCallerGone)
+                                     const ForwardedRequest &request, const std::function<bool()> &isCallerGone,
+                                     const Usage &usage)
 {
     const QuarantineVerdict verdict = admit(monotonicNow(), request);
     if (verdict.decision == QuarantineDecision::Reject)
@@ -128,8 +139,8 @@
     // A probe goes to one upstream first, so it is not divided.
     const RouteGroups::Groups groups = isProbe ? nullptr : m_routeGroups.groupsOf(route);
     if (groups)
-        return std::make_shared<GroupedRequest>(*this, routes, route, request, groups, isCallerGone)->serve();
-    return std::make_shared<ActiveRequest>(*this, routes, route, request, isProbe, isCallerGone)->serve();
+        return std::make_shared<GroupedRequest>(*this, routes, route, request, groups, isCallerGone, usage)->serve();
+    return std::make_shared<ActiveRequest>(*this, routes, route, request, isProbe, isCallerGone, usage)->serve();
 }
 
 bool EntryTraffic::canFinish(TimePoint now, const Route &route, const ForwardedRequest &request) const
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -13,6 +13,7 @@
 #include "hickoryspur/request/ReplicaTracker.h"
 #include "hickoryspur/request/RequestCodec.h"
 #include "hickoryspur/request/RequestQuarantine.h"
+#include "hickoryspur/request/RequestUsage.h"
 #include "hickoryspur/request/RetryBudget.h"
 #include "hickoryspur/request/RouteGroups.h"
 #include "hickoryspur/request/ScatterGather.h"
@@ -101,6 +102,11 @@
     std::vector<SuspectReport> suspects(TimePoint now) const { return m_quarantine.ownReports(now); }
     /** Called when suspects() has changed by what this entry has seen. */
     void setSuspectsChanged(std::function<void()> hook) { m_suspectsChanged = std::move(hook); }
+    /** Called for each customer's request that this entry accepted, with the time at which it began to run. */
+    void setUsageCounted(std::function<void(const CustomerName &, TimePoint)> hook)
+    {
+        m_usageCounted = std::move(hook);
+    }
     /** Every request is answered by then; one that may take longer is turned away, while it can be sent elsewhere. */
     void setStopTime(TimePoint at) { m_stopTime = at; }
     void tick(TimePoint now);
@@ -119,9 +125,15 @@
     class DelegatedServer;
     friend class DelegatedServer;
 
+    /** Shared with the attempts of a request, which may outlive it. */
+    using Usage = std::shared_ptr<RequestUsage>;
+
     /** Serves a request over this entry's connections, with the help of others if it is divided. */
     CallerAnswer serveHere(const std::shared_ptr<const RouteTable> &routes, const Route &route,
-                           const ForwardedRequest &request, const std::function<bool()> &isCallerGone);
+                           const ForwardedRequest &request, const std::function<bool()> &isCallerGone,
+                           const Usage &usage);
+    /** Counts a request that a caller has sent to this entry. */
+    Usage makeUsage(const ForwardedRequest &request) const;
     /** The other entries that callers are sent to, in random order. */
     std::vector<std::string> shuffledEntries();
     /** The upstreams that still send heartbeats. */
@@ -204,6 +216,7 @@
     UpstreamAdmission m_admission;
     RequestQuarantine m_quarantine;
     std::function<void()> m_suspectsChanged = [] {};
+    std::function<void(const CustomerName &, TimePoint)> m_usageCounted = [](const CustomerName &, TimePoint) {};
     std::map<ServiceName, RetryBudget> m_budgets;
     std::map<std::string, RouteLatency> m_latencies;
     /** Services that had an upstream at the last check. */
--- a/src/request/GroupedRequest.cpp
+++ b/src/request/GroupedRequest.cpp
@@ -21,13 +21,14 @@
 EntryTraffic::GroupedRequest::GroupedRequest(EntryTraffic &traffic, std::shared_ptr<const RouteTable> routes,
                                              const Route &route, ForwardedRequest request,
                                              std::shared_ptr<const std::vector<ShardGroup>> groups,
-                                             std::function<bool()> isCallerGone)
+                                             std::function<bool()> isCallerGone, Usage usage)
     : m_traffic(traffic)
     , m_routes(std::move(routes))
     , m_route(route)
     , m_request(std::move(request))
     , m_groups(std::move(groups))
     , m_isCallerGone(std::move(isCallerGone))
+    , m_usage(std::move(usage))
     , m_timer(traffic.m_context)
     , m_started(monotonicNow())
     , m_plan(traffic.makePlan(m_started, route, m_request))
@@ -100,12 +101,15 @@
     Delegations::Hooks hooks;
     hooks.reply = [self = shared_from_this(), group](DelegatedReply reply) { self->onReply(group, std::move(reply)); };
     hooks.lost = [self = shared_from_this(), group](bool sent) { self->onLost(group, sent); };
+    m_dispatches[group].run = m_usage->begin(now);
     m_dispatches[group].call = m_traffic.m_delegations.send(now, m_dispatches[group].entry, order, std::move(hooks));
 }
 
 void EntryTraffic::GroupedRequest::serveHere(size_t group)
 {
-    auto own = std::make_shared<ActiveRequest>(m_traffic, m_routes, m_route, m_request, false, [] { return false; });
+    auto own = std::make_shared<ActiveRequest>(
+        m_traffic, m_routes, m_route, m_request, false, [] { return false; }, m_usage);
+    m_dispatches[group].run.reset();
     m_dispatches[group].own = own;
     GroupOrder order;
     order.shards = (*m_groups)[group].shards;
@@ -128,12 +132,15 @@
         return onReport(group, std::move(reply.group));
     refused.add();
     m_dispatches[group].call.reset();
+    m_usage->endNotRun(*m_dispatches[group].run);
     if (!m_finished)
         execute(m_gather->groupRefused(monotonicNow(), group));
 }
 
 void EntryTraffic::GroupedRequest::onReport(size_t group, GroupReport report)
 {
+    if (const std::optional<RequestUsage::RunId> run = m_dispatches[group].run)
+        noteReportedUsage(monotonicNow(), *run, report, *m_usage);
     if (report.ended) {
         m_dispatches[group].call.reset();
         m_losses.insert(m_losses.end(), report.losses.begin(), report.losses.end());
@@ -154,6 +161,10 @@
     lost.add();
     const TimePoint now = monotonicNow();
     m_dispatches[group].call.reset();
+    if (sent)
+        m_usage->endRun(*m_dispatches[group].run);
+    else
+        m_usage->endNotRun(*m_dispatches[group].run);
     HS_LOG_REQUEST(LogEvent::GroupLost) << "request=" << m_request.id << " group=" << (*m_groups)[group].dataCentre
                                         << " entry=" << m_dispatches[group].entry << " sent=" << sent
                                         << " ms=" << toMilliseconds(now - m_dispatches[group].at);
@@ -180,6 +191,7 @@
         return;
     if (m_isCallerGone()) {
         m_finished = true;
+        m_usage->endRequest();
         m_promise.set_value(m_traffic.m_codec.refusal(RefusalKind::TimedOut, Duration::zero()));
         return cancelGroups();
     }
@@ -203,6 +215,7 @@
 void EntryTraffic::GroupedRequest::finish(ScatterOutcome outcome)
 {
     m_finished = true;
+    m_usage->endRequest();
     m_timer.cancel();
     countRequest(monotonicNow() - m_started, outcome);
     if (outcome != ScatterOutcome::Complete)
--- a/src/request/GroupedRequest.h
+++ b/src/request/GroupedRequest.h
@@ -22,7 +22,7 @@
 public:
     GroupedRequest(EntryTraffic &traffic, std::shared_ptr<const RouteTable> routes, const Route &route,
                    ForwardedRequest request, std::shared_ptr<const std::vector<ShardGroup>> groups,
-                   std::function<bool()> isCallerGone);
+                   std::function<bool()> isCallerGone, Usage usage);
 
     /** Must be called on a fiber; blocks it until the final answer. */
     CallerAnswer serve();
@@ -36,6 +36,8 @@
         std::string entry;
         std::optional<Delegations::CallId> call;
         std::weak_ptr<ActiveRequest> own;
+        /** Of the entry that has the group; not set if this one has it. */
+        std::optional<RequestUsage::RunId> run;
         /** The entries that have had it before. */
         std::set<std::string> tried;
     };
@@ -66,6 +68,8 @@
     ForwardedRequest m_request;
     std::shared_ptr<const std::vector<ShardGroup>> m_groups;
     std::function<bool()> m_isCallerGone;
+    /** Also that of the groups whose shards this entry asks itself. */
+    Usage m_usage;
     boost::asio::steady_timer m_timer;
     TimePoint m_started;
     ScatterPlan m_plan;
--- a/src/request/RemoteRequest.cpp
+++ b/src/request/RemoteRequest.cpp
@@ -15,11 +15,13 @@
 } // namespace
 
 EntryTraffic::RemoteRequest::RemoteRequest(EntryTraffic &traffic, const Route &route, ForwardedRequest request,
-                                           std::vector<std::string> entries, std::function<bool()> isCallerGone)
+                                           std::vector<std::string> entries, std::function<bool()> isCallerGone,
+                                           Usage usage)
     : m_traffic(traffic)
     , m_request(std::move(request))
     , m_entries(std::move(entries))
     , m_isCallerGone(std::move(isCallerGone))
+    , m_usage(std::move(usage))
     , m_timer(traffic.m_context)
 {
     std::reverse(m_entries.begin(), m_entries.end());
@@ -56,6 +58,7 @@
     Delegations::Hooks hooks;
     hooks.reply = [self = shared_from_this()](DelegatedReply reply) { self->onReply(std::move(reply)); };
     hooks.lost = [self = shared_from_this()](bool sent) { self->onLost(sent); };
+    m_run = m_usage->begin(now);
     m_call = m_traffic.m_delegations.send(now, m_entry, order, std::move(hooks));
 }
 
@@ -64,6 +67,13 @@
     m_call.reset();
     if (m_finished)
         return;
+    if (reply.refused) {
+        m_usage->endNotRun(m_run);
+    } else {
+        // An entry of an earlier release does not tell whether the request has run.
+        reply.group.ended = reply.group.mayHaveRun = true;
+        noteReportedUsage(monotonicNow(), m_run, reply.group, *m_usage);
+    }
     if (!reply.answer.empty() && m_traffic.m_codec.mayRelay(reply.answer.front()))
         return finish(std::move(reply.answer.front()));
     if (reply.refused)
@@ -80,6 +90,7 @@
         return;
     if (sent)
         return finish(m_traffic.makeRefusal(RefusalKind::UpstreamFailed));
+    m_usage->endNotRun(m_run);
     sendToNext();
 }
 
@@ -108,6 +119,7 @@
 void EntryTraffic::RemoteRequest::finish(CallerAnswer answer)
 {
     m_finished = true;
+    m_usage->endRequest();
     if (m_call)
         m_traffic.m_delegations.cancel(*m_call);
     m_call.reset();
--- a/src/request/RemoteRequest.h
+++ b/src/request/RemoteRequest.h
@@ -23,7 +23,7 @@
 
     /** @param entries Where to send it, in this order. */
     RemoteRequest(EntryTraffic &traffic, const Route &route, ForwardedRequest request, std::vector<std::string> entries,
-                  std::function<bool()> isCallerGone);
+                  std::function<bool()> isCallerGone, Usage usage);
 
     /** Must be called on a fiber; blocks it until the final answer. */
     CallerAnswer serve();
@@ -43,6 +43,9 @@
     std::vector<std::string> m_entries;
     size_t m_asked = 0;
     std::function<bool()> m_isCallerGone;
+    Usage m_usage;
+    /** Of the entry that is being asked. */
+    RequestUsage::RunId m_run = 0;
     boost::asio::steady_timer m_timer;
     TimePoint m_deadline;
     std::string m_entry;
--- a/test/failure/ParserFuzzTest.cpp
+++ b/test/failure/ParserFuzzTest.cpp
@@ -9,6 +9,7 @@
 #include "hickoryspur/process/MessageCodec.h"
 #include "hickoryspur/process/PeerMessage.h"
 #include "hickoryspur/process/SessionMessage.h"
+#include "hickoryspur/process/UsageCounter.h"
 #include "hickoryspur/request/Delegation.h"
 #include "hickoryspur/version/Document.h"
 #include "process/BoundedParser.h"
@@ -248,7 +249,8 @@
         reply.answer.push_back({200, {{"a", "b"}}, "body"});
         PeerMessage message;
         message.payload = pack(order);
-        fuzz({pack(order), pack(reply), pack(message), pack(LogMessage()), pack(EntryStatus()), pack(EntryUpdate())},
+        fuzz({pack(order), pack(reply), pack(message), pack(LogMessage()), pack(EntryStatus()), pack(EntryUpdate()),
+              pack(UsageReport{NodeId("e"), Incarnation(1), {{1, CustomerName("c"), 2}}})},
              [](const std::string &bytes) {
                  static_cast<void>(unpack<PeerMessage>(bytes));
                  static_cast<void>(unpack<DelegatedRequest>(bytes));
@@ -256,6 +258,7 @@
                  static_cast<void>(unpack<LogMessage>(bytes));
                  static_cast<void>(unpack<EntryStatus>(bytes));
                  static_cast<void>(unpack<EntryUpdate>(bytes));
+                 static_cast<void>(unpack<UsageReport>(bytes));
              });
     }
 
