--- a/include/hickoryspur/process/SessionMessage.h
+++ b/include/hickoryspur/process/SessionMessage.h
@@ -83,8 +83,8 @@
     std::vector<SuspectReport> suspects;
     /** The data centre of each of `entries`; empty from a host of an earlier release. */
     std::vector<DataCentreName> entryDataCentres;
-    /** The sender's wall clock in Unix milliseconds; 0 from a host that does not send it. */
-    uint64_t clockMillis = 0;
+    /** The sender's wall clock in milliseconds since 1970; 0 from a host of an earlier release. */
+    int64_t clockMillis = 0;
     /** From the confirmed leader: the load of upstreams over all entries; empty if there is no news of it. */
     std::vector<SharedLoadReport> load;
     MSGPACK_DEFINE(confirmed, applied, routes, carriesState, dataCentresOut, upstreams, heartbeats, carriesHosts,
--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -253,6 +253,7 @@
     if (verdict.signals)
         m_traffic.recordSignals(now, sent.upstream, sent.incarnation, *verdict.signals);
     const AttemptOutcome outcome = classifyOutcome(result, verdict);
+    noteUsage(sent, outcome);
     noteSurvival(sent, outcome, result.outcome == AttemptOutcome::Answered && !verdict.notRun);
     RouteLatency &latency = m_traffic.latencyOf(m_route);
     const Duration took = now - sent.at;
@@ -293,6 +294,7 @@
     if (sent == m_runningAttempts.end() || sent->second.writtenAt)
         return;
     sent->second.writtenAt = now;
+    sent->second.run = m_usage->begin(now);
     m_traffic.m_sharedLoad.recordWritten(sent->second.upstream);
 }
 
@@ -312,6 +314,16 @@
     m_traffic.m_sharedLoad.recordEnd(now, sent.upstream, end);
 }
 
+void EntryTraffic::ActiveRequest::noteUsage(const SentAttempt &sent, AttemptOutcome outcome)
+{
+    if (!sent.run)
+        return;
+    if (outcome == AttemptOutcome::Refused)
+        m_usage->endNotRun(*sent.run);
+    else
+        m_usage->endRun(*sent.run);
+}
+
 void EntryTraffic::ActiveRequest::keep(ByteBudget::Share held)
 {
     held.pin();
@@ -410,6 +422,8 @@
 void EntryTraffic::ActiveRequest::finish(ScatterOutcome outcome)
 {
     m_finished = true;
+    for (const auto &[key, sent] : m_runningAttempts)
+        noteUsage(sent, AttemptOutcome::NoResponse);
     if (outcome != ScatterOutcome::Complete)
         logOutcome(outcome);
     if (m_group) {
@@ -436,6 +450,7 @@
     report.records = mergeTopRecords(parts, m_route.topRecords);
     report.ended = ended;
     report.mayHaveRun = !m_scatter->provablyNotRun();
+    report.begunMicrosAgo = begunMicrosAgo(monotonicNow(), *m_usage);
     if (ended)
         report.losses = m_losses;
     m_group->report(std::move(report));
--- a/src/request/ActiveRequest.h
+++ b/src/request/ActiveRequest.h
@@ -47,13 +47,14 @@
 {
 public:
     ActiveRequest(EntryTraffic &traffic, std::shared_ptr<const RouteTable> routes, const Route &route,
-                  ForwardedRequest request, bool isProbe, std::function<bool()> isCallerGone)
+                  ForwardedRequest request, bool isProbe, std::function<bool()> isCallerGone, Usage usage)
         : m_traffic(traffic)
         , m_routes(std::move(routes))
         , m_route(route)
         , m_request(std::move(request))
         , m_isProbe(isProbe)
         , m_isCallerGone(std::move(isCallerGone))
+        , m_usage(std::move(usage))
         , m_timer(traffic.m_context)
         , m_started(monotonicNow())
         , m_begun(m_started)
@@ -77,6 +78,8 @@
         bool isProbe = false;
         /** Unset while the request waits for a connection. */
         std::optional<TimePoint> writtenAt;
+        /** Set once the request is written. */
+        std::optional<RequestUsage::RunId> run;
     };
 
     void start(ScatterPlan plan);
@@ -97,6 +100,8 @@
     void noteWritten(TimePoint now, AttemptKey key);
     /** Counts a finished attempt in what entries share of the load of upstreams. */
     void recordLoad(TimePoint now, AttemptKey key, const SentAttempt &sent, AttemptOutcome outcome, Duration median);
+    /** Notes whether an attempt that was written has run. */
+    void noteUsage(const SentAttempt &sent, AttemptOutcome outcome);
     /** Goes on counting the bytes of an answer that this request keeps. */
     void keep(ByteBudget::Share held);
     /** Notes whether an upstream has ended, or has not, while it ran the request. */
@@ -131,6 +136,7 @@
     /** The upstreams that closed the connection while they ran the request. */
     std::vector<UpstreamLoss> m_losses;
     std::function<bool()> m_isCallerGone;
+    Usage m_usage;
     boost::asio::steady_timer m_timer;
     TimePoint m_started;
     /** When its first attempts were sent; later than m_started if it had to wait for that. */
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -16,6 +16,7 @@
 #include "hickoryspur/request/ReplicaTracker.h"
 #include "hickoryspur/request/RequestCodec.h"
 #include "hickoryspur/request/RequestQuarantine.h"
+#include "hickoryspur/request/RequestUsage.h"
 #include "hickoryspur/request/RetryBudget.h"
 #include "hickoryspur/request/RouteGroups.h"
 #include "hickoryspur/request/ScatterGather.h"
@@ -115,6 +116,11 @@
     std::vector<LoadRow> takeLoadRows(TimePoint now);
     /** Whether one more request may be sent to the upstream; always true unless entries share its load. */
     bool hasSharedRoom(TimePoint now, const UpstreamId &upstream, int priority);
+    /** Called for each customer's request that this entry accepted, with the time at which it began to run. */
+    void setUsageCounted(std::function<void(const CustomerName &, TimePoint)> hook)
+    {
+        m_usageCounted = std::move(hook);
+    }
     /** Every request is answered by then; one that may take longer is turned away, while it can be sent elsewhere. */
     void setStopTime(TimePoint at) { m_stopTime = at; }
     void tick(TimePoint now);
@@ -135,9 +141,15 @@
     class RequestGate;
     friend class RequestGate;
 
+    /** Shared with the attempts of a request, which may outlive it. */
+    using Usage = std::shared_ptr<RequestUsage>;
+
     /** Serves a request over this entry's connections, with the help of others if it is divided. */
     CallerAnswer serveHere(const std::shared_ptr<const RouteTable> &routes, const Route &route,
-                           const ForwardedRequest &request, const std::function<bool()> &isCallerGone);
+                           const ForwardedRequest &request, const std::function<bool()> &isCallerGone,
+                           const Usage &usage);
+    /** Counts a request that a caller has sent to this entry. */
+    Usage makeUsage(const ForwardedRequest &request) const;
     /** Logs why the request is not authenticated. */
     static void logUnauthenticated(const ForwardedRequest &request, const Route &route,
                                    const AuthenticationFailure &failure);
@@ -232,6 +244,7 @@
     UpstreamAdmission m_admission;
     RequestQuarantine m_quarantine;
     std::function<void()> m_suspectsChanged = [] {};
+    std::function<void(const CustomerName &, TimePoint)> m_usageCounted = [](const CustomerName &, TimePoint) {};
     std::map<ServiceName, RetryBudget> m_budgets;
     std::map<std::string, RouteLatency> m_latencies;
     /** Services that had an upstream at the last check. */
--- a/test/failure/SharedLoadFailureTest.cpp
+++ b/test/failure/SharedLoadFailureTest.cpp
@@ -354,7 +354,7 @@
         CPPUNIT_ASSERT(olderStatus && olderStatus->cutOff && olderStatus->load.empty());
         const auto olderUpdate = unpack<EntryUpdate>(packOlder(pack(update), 2));
         CPPUNIT_ASSERT(olderUpdate && olderUpdate->entryDataCentres.size() == 1 && olderUpdate->load.empty());
-        CPPUNIT_ASSERT_EQUAL(uint64_t(0), olderUpdate->clockMillis);
+        CPPUNIT_ASSERT_EQUAL(int64_t(0), olderUpdate->clockMillis);
     }
 
     void request_noReplicaHasSharedRoom_isServed()
