A duty with one holder, and the usage report

Exactly one control host at a time holds a duty under a fencing token of the replicated log, and as the first user of this it reports usage windows to a service outside the deployment. What is reported for a window is stored in the log before it is sent, so every repetition has the same bytes. Only with the setting usage-address.

Hosts of an earlier build skip the new commands: the duty is not acquired for the first time while one of them is heard, and the token is the log index of the acquisition, so that it cannot be given twice by a host that lacks earlier ones.

--- a/include/hickoryspur/process/ControlState.h
+++ b/include/hickoryspur/process/ControlState.h
@@ -1,7 +1,7 @@
 // The durable state of a deployment: documents, outcomes of operators' requests, data centres that are
-// out, shard maps, at-most-once claims, traffic moves and the audit trail. It is built by applying the
-// commands of the replicated log. Applying the same commands in the same order gives the same state on
-// every host, so apply() reads no clock and draws no random number.
+// out, shard maps, at-most-once claims, traffic moves, duties with one holder, usage that is not reported
+// yet and the audit trail. It is built by applying the commands of the replicated log. Applying the same commands in
+// the same order gives the same state on every host, so apply() reads no clock and draws no random number.
 #pragma once
 
 #include "hickoryspur/process/Ids.h"
@@ -37,8 +37,17 @@
     EntryUp,
     EntryDown,
     ReplaceRoutes,
+    /** Makes operatorName the holder of the duty `subject` under a new fencing token; number: Unix milliseconds. */
+    AcquireDuty,
+    /** Fixes what is reported for the usage window `number`: text; count is the fencing token of duty `subject`. */
+    DecideUsage,
+    /** The usage window `number` has been delivered. */
+    UsageSent,
 };
 
+/** Number of command types that this build applies; a host of an earlier build skips the others. */
+constexpr uint8_t kCommandTypes = static_cast<uint8_t>(CommandType::UsageSent) + 1;
+
 /** One command. Its type decides which fields are used. New fields go at the end. */
 struct Command
 {
@@ -135,9 +144,35 @@
     MSGPACK_DEFINE(index, wallSeconds, operatorName, action, code)
 };
 
+/** A duty that one host holds at a time. */
+struct Duty
+{
+    /** Grows with every acquisition and is never given twice; 0 before the first one. */
+    uint64_t token = 0;
+    /** Name of the host that acquired the duty last. */
+    std::string holder;
+    /** True time of the first acquisition, in Unix milliseconds. */
+    int64_t sinceMillis = 0;
+    MSGPACK_DEFINE(token, holder, sinceMillis)
+};
+
+/** What has been decided to be reported, by window. */
+struct UsageLedger
+{
+    /** Number of the newest window that has been decided; 0 before the first one. */
+    uint64_t lastDecided = 0;
+    /** The packed counts of windows that have been decided and not yet delivered. */
+    std::map<uint64_t, std::string> undelivered;
+    MSGPACK_DEFINE(lastDecided, undelivered)
+};
+
 class ControlState
 {
 public:
+    /** Undelivered usage windows that are kept: twenty minutes of windows of 5 s. */
+    static constexpr size_t kMaxUndeliveredWindows = 240;
+    /** Limit on the bytes of the undelivered windows, since every checkpoint contains them. */
+    static constexpr size_t kMaxUndeliveredBytes = 8UL * 1024 * 1024;
     /** How long the key of a claim is kept after it was claimed, in seconds. */
     static constexpr int64_t kClaimRetentionSeconds = 24LL * 3600;
 
@@ -165,13 +200,21 @@
     /** Log index of the last change to entries() or dataCentresOut(); acts as the fencing token of homes. */
     LogIndex homeEpoch() const { return LogIndex(m_homeEpoch); }
     const std::deque<AuditRecord> &audit() const { return m_audit; }
+    /** Has token 0 until some host has acquired the duty. */
+    const Duty &duty(const std::string &name) const;
+    const UsageLedger &usage() const { return m_usage; }
+    /**
+     * Takes over the duties and the usage of `previous` if this state has none. A host of an earlier build writes
+     * checkpoints without them; another host that installs such a checkpoint would otherwise lose what is decided.
+     */
+    void keepDutiesOf(const ControlState &previous);
 
     std::string serialize() const;
     static std::optional<ControlState> deserialize(const std::string &bytes);
 
     MSGPACK_DEFINE(m_index, m_wallSeconds, m_documents, m_outcomes, m_outcomeOrder, m_dataCentresOut, m_maps, m_claims,
                    m_claimExpiry, m_moves, m_entries, m_homeEpoch, m_audit, m_previousEntries, m_previousDataCentresOut,
-                   m_routes)
+                   m_routes, m_duties, m_usage)
 
 private:
     ApplyOutcome applyOnce(const Command &command);
@@ -188,6 +231,10 @@
     ApplyOutcome setEntry(const Command &command, bool up);
     ApplyOutcome markTried(const Command &command);
     ApplyOutcome replaceRoutes(const Command &command);
+    ApplyOutcome acquireDuty(const Command &command);
+    ApplyOutcome decideUsage(const Command &command);
+    /** Returns how many windows were dropped to keep within the limits. */
+    uint64_t dropOldestUsage();
     void startHomeEpoch();
     void expireClaims();
     void storeOutcome(const Command &command, const ApplyOutcome &outcome);
@@ -209,6 +256,8 @@
     std::map<std::string, uint64_t> m_previousEntries;
     std::set<std::string> m_previousDataCentresOut;
     AcceptedRoutes m_routes;
+    std::map<std::string, Duty> m_duties;
+    UsageLedger m_usage;
 };
 
 } // namespace hickoryspur
--- a/include/hickoryspur/process/HostSettings.h
+++ b/include/hickoryspur/process/HostSettings.h
@@ -50,6 +50,16 @@
     size_t connectionBytes = ByteBudget::kDefaultLimitBytes;
     /** Upper bound of directoryValidity(). */
     Duration maxDirectoryValidity = 5s;
+    /** Control hosts only: the service that usage is reported to; if unset, nothing is reported. */
+    std::optional<HostAddress> usageAddress;
+    /** Length of a usage window; window k begins k times this after the start of 1970. */
+    Duration usageWindow = 5s;
+    /** Time from the end of a usage window until its report is due. */
+    Duration usageDue = 10s;
+    /** How long a host has to lead before it acquires a duty that another host holds. */
+    Duration dutyLease = 3s;
+    /** Calls a second to the service of usageAddress, by all hosts together. */
+    double dutyRate = 50;
 
     /**
      * How long a caller may cache the addresses of the entries. Derived from the grace period, so that a stopping
--- a/include/hickoryspur/process/Ids.h
+++ b/include/hickoryspur/process/Ids.h
@@ -46,6 +46,8 @@
 using ServiceName = StrongId<struct ServiceTag, std::string>;
 using DataCentreName = StrongId<struct DataCentreTag, std::string>;
 using CallerName = StrongId<struct CallerTag, std::string>;
+/** A customer of the deployment, as the configuration names it. */
+using CustomerName = StrongId<struct CustomerTag, std::string>;
 /** The version of an upstream's software. */
 using VersionName = StrongId<struct VersionTag, std::string>;
 /** Position of a shard in a shard map, from zero. */
--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -74,6 +74,12 @@
     RequestCleared = 1905,
     GroupLost = 1906,
     CallerFieldInvalid = 1907,
+    DutyAcquired = 2000,
+    DutyNotAcquired = 2001,
+    DutyTokenRefused = 2002,
+    UsageReportFailed = 2003,
+    UsageWindowsDropped = 2004,
+    UsageNotStored = 2005,
 };
 
 /** Limit on log lines about single requests, for each thread; lines beyond it are dropped and counted. */
--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -98,6 +98,7 @@
         asio::post(m_context, [this, bytes = std::move(bytes)] { restoreNotes(bytes); });
     };
     m_group = std::make_unique<GroupThread>(std::move(config), std::move(hooks));
+    startUsageReports();
 
     const ControlApi api = makeApi();
     auto control =
@@ -110,6 +111,18 @@
     return {};
 }
 
+void ControlHost::startUsageReports()
+{
+    if (!m_settings.usageAddress)
+        return;
+    UsageReports::Hooks hooks;
+    hooks.submit = [this](Command command, GroupThread::DoneCallback done) {
+        m_group->submit(std::move(command), std::move(done));
+    };
+    hooks.read = [this](GroupThread::ReadCallback callback) { m_group->read(std::move(callback)); };
+    m_usage = std::make_unique<UsageReports>(m_context, m_settings, m_codec, std::move(hooks), m_incarnation);
+}
+
 void ControlHost::reload(const HostSettings &settings)
 {
     m_settings.seeds = settings.seeds;
@@ -141,6 +154,8 @@
         pong.type = static_cast<uint8_t>(PeerMessageType::Pong);
         pong.from = m_settings.id();
         link->send(pong);
+        if (m_usage)
+            m_usage->recordPing(monotonicNow(), message);
         return;
     }
     case PeerMessageType::Log:
@@ -333,6 +348,8 @@
     m_registry.removeExpired(now);
     m_quarantine.tick(now);
     saveNotesIfDue(now);
+    if (m_usage)
+        m_usage->tick(now, m_status.controlHosts);
     advanceMoves(now);
     flushAnnouncements();
     m_stateSentInTick = false;
@@ -340,7 +357,7 @@
         sendAwaitedState();
     if (now >= m_nextRefresh) {
         m_nextRefresh = now + refreshInterval();
-        m_links->sendToAll(PeerMessageType::Ping, "");
+        m_links->sendToAll(PeerMessageType::Ping, UsageReports::makePingPayload());
         m_links->sendToAll(PeerMessageType::UpstreamCounts, pack(countUpstreams()));
         requestConfirmation();
         refreshSessions(now);
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -6,6 +6,7 @@
 #include "app/EntrySessions.h"
 #include "app/HostCodec.h"
 #include "app/HostNotes.h"
+#include "app/UsageReports.h"
 #include "hickoryspur/connection/UpstreamRegistry.h"
 #include "hickoryspur/process/ActiveEntries.h"
 #include "hickoryspur/process/ControlHostDirectory.h"
@@ -61,6 +62,8 @@
     UpstreamCountReport countUpstreams() const;
     bool isConfirmed(TimePoint now) const;
     void dialControlHosts();
+    /** Creates the usage reports if the settings ask for them. */
+    void startUsageReports();
 
     ControlApi makeApi();
     Result<void> announce(const Announcement &announcement);
@@ -97,6 +100,8 @@
     uint64_t m_incarnation;
     boost::asio::steady_timer m_timer;
     std::unique_ptr<GroupThread> m_group;
+    /** Null without an address to report to. */
+    std::unique_ptr<UsageReports> m_usage;
     std::unique_ptr<FrameListener> m_listener;
     std::unique_ptr<OutgoingLinks> m_links;
     std::unique_ptr<HttpCallerServer> m_controlServer;
--- a/src/app/HostCodec.h
+++ b/src/app/HostCodec.h
@@ -6,6 +6,7 @@
 #include "hickoryspur/connection/Announcement.h"
 #include "hickoryspur/process/ControlState.h"
 #include "hickoryspur/process/Settings.h"
+#include "hickoryspur/process/UsageReporter.h"
 #include "hickoryspur/request/RequestCodec.h"
 #include "hickoryspur/version/RouteTable.h"
 #include "hickoryspur/version/TrafficMove.h"
@@ -64,6 +65,10 @@
     std::function<CallerResponse(const CallerRequest &, const std::optional<EntryAddresses> &)> directory;
     /** Answers a check of whether an entry is ready to serve. */
     std::function<CallerResponse(const CallerRequest &, bool ready)> readiness;
+    /** Encodes the report of a usage window; the same call gives the same bytes. */
+    std::function<CallerRequest(const UsageCall &)> usageCall;
+    /** Decodes the answer to a usageCall. */
+    std::function<UsageOutcome(const CallerResponse &)> usageOutcome;
 };
 
 } // namespace hickoryspur
--- a/src/process/ControlState.cpp
+++ b/src/process/ControlState.cpp
@@ -117,6 +117,13 @@
         return setEntry(command, false);
     case CommandType::ReplaceRoutes:
         return replaceRoutes(command);
+    case CommandType::AcquireDuty:
+        return acquireDuty(command);
+    case CommandType::DecideUsage:
+        return decideUsage(command);
+    case CommandType::UsageSent:
+        m_usage.undelivered.erase(command.number);
+        return {};
     }
     // A command type of a newer release. Every host of this release skips it, so states stay equal.
     return refuse(ResultCode::MalformedRequest, "unknown command type " + std::to_string(command.type));
@@ -294,6 +301,45 @@
     return {};
 }
 
+ApplyOutcome ControlState::acquireDuty(const Command &command)
+{
+    Duty &duty = m_duties[command.subject];
+    // The log index is the token: it grows, and it stays equal on all hosts even if one of them lacks earlier
+    // acquisitions because it ran an earlier build, which skips them.
+    HS_INVARIANT(VersionNeverLower, m_index > duty.token) << "token " << m_index << " after " << duty.token;
+    if (duty.token == 0)
+        duty.sinceMillis = static_cast<int64_t>(command.number);
+    duty.token = m_index;
+    duty.holder = command.operatorName;
+    return {0, "accepted", duty.token, ""};
+}
+
+ApplyOutcome ControlState::decideUsage(const Command &command)
+{
+    if (command.count != duty(command.subject).token)
+        return refuse(ResultCode::PredecessorMismatch, "the fencing token is outdated");
+    if (command.number <= m_usage.lastDecided)
+        return {0, "already decided", 0, ""};
+    m_usage.lastDecided = command.number;
+    m_usage.undelivered[command.number] = command.text;
+    return {0, "accepted", dropOldestUsage(), ""};
+}
+
+uint64_t ControlState::dropOldestUsage()
+{
+    size_t bytes = 0;
+    for (const auto &[window, counts] : m_usage.undelivered)
+        bytes += counts.size();
+    uint64_t dropped = 0;
+    while (m_usage.undelivered.size() > kMaxUndeliveredWindows
+           || (bytes > kMaxUndeliveredBytes && m_usage.undelivered.size() > 1)) {
+        bytes -= m_usage.undelivered.begin()->second.size();
+        m_usage.undelivered.erase(m_usage.undelivered.begin());
+        ++dropped;
+    }
+    return dropped;
+}
+
 void ControlState::startHomeEpoch()
 {
     m_previousEntries = m_entries;
@@ -348,6 +394,21 @@
     return found == m_claims.end() ? nullptr : &found->second;
 }
 
+const Duty &ControlState::duty(const std::string &name) const
+{
+    static const Duty none;
+    const auto found = m_duties.find(name);
+    return found == m_duties.end() ? none : found->second;
+}
+
+void ControlState::keepDutiesOf(const ControlState &previous)
+{
+    if (!m_duties.empty())
+        return;
+    m_duties = previous.m_duties;
+    m_usage = previous.m_usage;
+}
+
 std::string ControlState::serialize() const
 {
     return pack(*this);
--- a/src/process/GroupNode.cpp
+++ b/src/process/GroupNode.cpp
@@ -173,7 +173,9 @@
 void GroupNode::processLogActions(LogActions actions, GroupActions &result)
 {
     if (actions.installCheckpoint) {
-        m_state = ControlState::deserialize(actions.installCheckpoint->state).value_or(ControlState());
+        ControlState installed = ControlState::deserialize(actions.installCheckpoint->state).value_or(ControlState());
+        installed.keepDutiesOf(m_state);
+        m_state = std::move(installed);
         m_lastCheckpoint = actions.installCheckpoint->index;
         m_bytesSinceCheckpoint = 0;
         result.stateChanged = true;
--- a/src/process/HostSettings.cpp
+++ b/src/process/HostSettings.cpp
@@ -19,6 +19,10 @@
 /** One answer of the greatest size that is accepted has to fit. */
 constexpr double kMinConnectionMegabytes = 16;
 constexpr double kMaxConnectionMegabytes = 65536;
+constexpr Duration kMaxUsageTime = 1h;
+constexpr Duration kMinUsageWindow = 100ms;
+constexpr double kMinDutyRate = 0.01;
+constexpr double kMaxDutyRate = 10000;
 constexpr Duration kMinDirectoryValidity = 200ms;
 /** Time until every entry's directory has stopped listing a stopping entry. */
 constexpr Duration kLeavePropagationTime = 100ms;
@@ -55,6 +59,15 @@
     return seeds;
 }
 
+void readUsage(YamlSection &section, HostSettings &settings)
+{
+    settings.usageAddress = readOptionalAddress(section, "usage-address");
+    settings.usageWindow = section.duration("usage-window", kMinUsageWindow, kMaxUsageTime, settings.usageWindow);
+    settings.usageDue = section.duration("usage-due", Duration::zero(), kMaxUsageTime, settings.usageDue);
+    settings.dutyLease = section.duration("duty-lease", kMinUsageWindow, kMaxUsageTime, settings.dutyLease);
+    settings.dutyRate = section.number("duty-rate", kMinDutyRate, kMaxDutyRate, settings.dutyRate);
+}
+
 void checkRole(YamlSection &section, const HostSettings &settings)
 {
     if (settings.role == HostRole::Entry && (!settings.callerAddress || !settings.readinessAddress))
@@ -116,6 +129,7 @@
     const double megabytes = section.number("connection-memory-mb", kMinConnectionMegabytes, kMaxConnectionMegabytes,
                                             static_cast<double>(settings.connectionBytes) / kBytesPerMegabyte);
     settings.connectionBytes = static_cast<size_t>(megabytes * kBytesPerMegabyte);
+    readUsage(section, settings);
     checkRole(section, settings);
     section.finish();
     if (!errors.empty())
--- a/src/request/HttpCallerClient.h
+++ b/src/request/HttpCallerClient.h
@@ -1,11 +1,21 @@
-// HTTP client for this project's tools: one connection that is kept open between requests, used from a
-// fiber. It is implemented in HttpCallerServer.cpp, so that Beast is compiled only once for both.
+// HTTP client for this project's tools and for calls of control hosts to services of the deployment, used from
+// a fiber: one connection that is kept open between requests, or one connection for each. It is implemented in
+// HttpCallerServer.cpp, so that Beast is compiled only once for both.
 #pragma once
 
 #include "request/HttpCallerServer.h"
 
 namespace hickoryspur {
 
+/** Limits of one call to a service that is not part of the deployment's own hosts. */
+struct CallLimits
+{
+    /** For connecting, writing and reading together. */
+    std::chrono::milliseconds timeout{1000};
+    uint32_t headerBytes = 16U * 1024;
+    uint64_t bodyBytes = 64ULL * 1024;
+};
+
 class HttpCallerClient
 {
 public:
@@ -20,6 +30,14 @@
      */
     Result<CallerResponse> exchange(const CallerRequest &request, std::chrono::milliseconds timeout);
 
+    /**
+     * Makes one exchange on a connection of its own; must be called on a fiber, and blocks only that one. `mayWrite` is
+     * asked once the connection is open, right before the request is written. The Failure has notRun set if nothing was
+     * written.
+     */
+    Result<CallerResponse> exchangeOnce(const CallerRequest &request, const CallLimits &limits,
+                                        const std::function<bool()> &mayWrite);
+
 private:
     struct State;
     std::unique_ptr<State> m_state;
--- a/src/request/HttpCallerServer.cpp
+++ b/src/request/HttpCallerServer.cpp
@@ -363,6 +363,16 @@
     return message;
 }
 
+CallerResponse toCallerResponse(http::response<http::string_body> &&answer)
+{
+    CallerResponse response;
+    response.status = answer.result_int();
+    response.body = std::move(answer.body());
+    for (const auto &field : answer)
+        response.headers[toLower(std::string(field.name_string()))] = std::string(field.value());
+    return response;
+}
+
 } // namespace
 
 struct HttpCallerClient::State
@@ -373,6 +383,8 @@
     std::unique_ptr<beast::tcp_stream> stream;
 
     error_code connect(std::chrono::milliseconds timeout);
+    /** Writes the request and reads the answer, within the timeout that is set on the stream. */
+    error_code transfer(const http::request<http::string_body> &message, AnswerParser &parser);
 };
 
 HttpCallerClient::HttpCallerClient(asio::io_context &context, const HostAddress &address)
@@ -394,6 +406,13 @@
     return error;
 }
 
+error_code HttpCallerClient::State::transfer(const http::request<http::string_body> &message, AnswerParser &parser)
+{
+    if (const error_code error = await([&](auto done) { http::async_write(*stream, message, std::move(done)); }))
+        return error;
+    return await([&](auto done) { http::async_read(*stream, buffer, parser, std::move(done)); });
+}
+
 Result<CallerResponse> HttpCallerClient::exchange(const CallerRequest &request, std::chrono::milliseconds timeout)
 {
     error_code error = m_state->stream ? error_code() : m_state->connect(timeout);
@@ -401,21 +420,33 @@
     AnswerParser parser((ParserLimits()));
     if (!error) {
         m_state->stream->expires_after(timeout);
-        error = await([&](auto done) { http::async_write(*m_state->stream, message, std::move(done)); });
+        error = m_state->transfer(message, parser);
     }
-    if (!error)
-        error = await([&](auto done) { http::async_read(*m_state->stream, m_state->buffer, parser, std::move(done)); });
     if (error || !parser.keep_alive())
         m_state->stream.reset();
     if (error)
         return failure(ResultCode::ConnectionFailed, m_state->address.text() + ": " + error.message());
-    http::response<http::string_body> answer = parser.release();
-    CallerResponse response;
-    response.status = answer.result_int();
-    response.body = std::move(answer.body());
-    for (const auto &field : answer)
-        response.headers[toLower(std::string(field.name_string()))] = std::string(field.value());
-    return response;
+    return toCallerResponse(parser.release());
+}
+
+Result<CallerResponse> HttpCallerClient::exchangeOnce(const CallerRequest &request, const CallLimits &limits,
+                                                      const std::function<bool()> &mayWrite)
+{
+    const auto deadline = std::chrono::steady_clock::now() + limits.timeout;
+    const std::string address = m_state->address.text();
+    if (const error_code error = m_state->connect(limits.timeout))
+        return failure(ResultCode::ConnectionFailed, address + ": " + error.message(), true);
+    http::request<http::string_body> message = toHttpRequest(m_state->address, request);
+    message.keep_alive(false);
+    AnswerParser parser({limits.headerBytes, limits.bodyBytes});
+    m_state->stream->expires_at(deadline);
+    if (!mayWrite())
+        return failure(ResultCode::NoLeader, "this host may no longer call " + address, true);
+    const error_code error = m_state->transfer(message, parser);
+    m_state->stream.reset();
+    if (error)
+        return failure(ResultCode::ConnectionFailed, address + ": " + error.message());
+    return toCallerResponse(parser.release());
 }
 
 Result<CallerResponse> httpExchange(const HostAddress &address, const CallerRequest &request,
--- a/test/correctness/HostSettingsTest.cpp
+++ b/test/correctness/HostSettingsTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(settings_seeds_getInternalPortInNodeIds);
     CPPUNIT_TEST(settings_slackWithFraction_isRead);
     CPPUNIT_TEST(settings_numberOutOfRange_isRefused);
+    CPPUNIT_TEST(settings_usage_isReadAndOptional);
     CPPUNIT_TEST_SUITE_END();
 
     /** Parses the settings of an entry, followed by the lines in `rest`. */
@@ -69,6 +70,19 @@
             CPPUNIT_ASSERT_MESSAGE(line, !parseWith(kAddresses + line + "\n"));
     }
 
+    void settings_usage_isReadAndOptional()
+    {
+        CPPUNIT_ASSERT(!parseWith(kAddresses)->usageAddress);
+        const Result<HostSettings> settings =
+            parseWith(kAddresses + "usage-address: \"10.0.0.9:8700\"\nusage-window: \"2.5s\"\nusage-due: \"7s\"\n"
+                      + "duty-lease: \"2500ms\"\nduty-rate: 12.5\n");
+        CPPUNIT_ASSERT(settings);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.9:8700"), settings->usageAddress->text());
+        CPPUNIT_ASSERT(settings->usageWindow == 2500ms && settings->usageDue == 7s && settings->dutyLease == 2500ms);
+        CPPUNIT_ASSERT_EQUAL(12.5, settings->dutyRate);
+        CPPUNIT_ASSERT(!parseWith(kAddresses + "usage-address: nowhere\n"));
+    }
+
 private:
     static inline const std::string kAddresses =
         "seeds: [\"10.0.0.2:8224\"]\ncaller-address: \"10.0.0.1:80\"\nreadiness-address: \"10.0.0.1:81\"\n";
