--- a/include/hickoryspur/process/LogEvent.h
+++ b/include/hickoryspur/process/LogEvent.h
@@ -79,6 +79,12 @@
     CallerFieldInvalid = 1907,
     RequestUnauthenticated = 1908,
     RequestNotAdmitted = 1910,
+    DutyAcquired = 2000,
+    DutyNotAcquired = 2001,
+    DutyTokenRefused = 2002,
+    UsageReportFailed = 2003,
+    UsageWindowsDropped = 2004,
+    UsageNotStored = 2005,
 };
 
 /** Limit on log lines about single requests, for each thread; lines beyond it are dropped and counted. */
--- a/src/app/ControlHost.h
+++ b/src/app/ControlHost.h
@@ -7,6 +7,7 @@
 #include "app/HostCodec.h"
 #include "app/HostNotes.h"
 #include "app/UsageCollector.h"
+#include "app/UsageReports.h"
 #include "hickoryspur/connection/UpstreamRegistry.h"
 #include "hickoryspur/process/ActiveEntries.h"
 #include "hickoryspur/process/ControlHostDirectory.h"
@@ -34,10 +35,6 @@
     void reload(const HostSettings &settings);
     void setClosing();
     size_t openRequests() const;
-    /** The time of day by the clocks of the other control hosts, in milliseconds since 1970. */
-    int64_t trueMillis(TimePoint at) const { return m_usage.trueMillis(at); }
-    /** The requests of each customer that upstreams began to run in the window, as far as entries have told. */
-    std::map<CustomerName, uint64_t> usageCounts(uint64_t window) const { return m_usage.counts(window); }
 
 private:
     void onMessage(const std::shared_ptr<FrameLink> &link, const PeerMessage &message);
@@ -72,6 +69,8 @@
     UpstreamCountReport countUpstreams() const;
     bool isConfirmed(TimePoint now) const;
     void dialControlHosts();
+    /** Creates the usage reports if the settings ask for them. */
+    void startUsageReports();
 
     ControlApi makeApi();
     Result<void> announce(const Announcement &announcement);
@@ -108,6 +107,8 @@
     uint64_t m_incarnation;
     boost::asio::steady_timer m_timer;
     std::unique_ptr<GroupThread> m_group;
+    /** Null without an address to report to. */
+    std::unique_ptr<UsageReports> m_usageReports;
     std::unique_ptr<FrameListener> m_listener;
     std::unique_ptr<OutgoingLinks> m_links;
     std::unique_ptr<HttpCallerServer> m_controlServer;
--- a/src/app/EntryHost.cpp
+++ b/src/app/EntryHost.cpp
@@ -43,10 +43,12 @@
     , m_codec(std::move(codec))
     , m_timer(context)
     , m_traffic(context, trafficConfig(m_settings, incarnation), m_codec.traffic)
-    , m_usage(NodeId(m_settings.name), Incarnation(incarnation),
-              [this](const NodeId &host, std::string payload) {
-                  m_links->send(host, PeerMessageType::UsageCounts, std::move(payload));
-              })
+    , m_usage(
+          NodeId(m_settings.name), Incarnation(incarnation),
+          [this](const NodeId &host, std::string payload) {
+              m_links->send(host, PeerMessageType::UsageCounts, std::move(payload));
+          },
+          m_settings.usageWindow)
     , m_random(incarnation)
     , m_stateRequestInterval(kFirstStateRequestInterval)
 {
--- a/test/correctness/HostSettingsTest.cpp
+++ b/test/correctness/HostSettingsTest.cpp
@@ -15,7 +15,7 @@
     CPPUNIT_TEST(settings_slackWithFraction_isRead);
     CPPUNIT_TEST(settings_admission_isArrivalUnlessCostIsSet);
     CPPUNIT_TEST(settings_numberOutOfRange_isRefused);
-    CPPUNIT_TEST(settings_admission_isArrivalUnlessCostIsSet);
+    CPPUNIT_TEST(settings_usage_isReadAndOptional);
     CPPUNIT_TEST_SUITE_END();
 
     /** Parses the settings of an entry, followed by the lines in `rest`. */
@@ -64,11 +64,15 @@
         CPPUNIT_ASSERT_EQUAL(62.2, settings->extraSlack);
     }
 
+    // Guards against a host that admits by cost, or does not, against its settings.
     void settings_admission_isArrivalUnlessCostIsSet()
     {
         CPPUNIT_ASSERT(parseWith(kAddresses)->admission == AdmissionMode::Arrival);
+        CPPUNIT_ASSERT(parseWith(kAddresses + "admission: arrival\n")->admission == AdmissionMode::Arrival);
         CPPUNIT_ASSERT(parseWith(kAddresses + "admission: cost\n")->admission == AdmissionMode::Cost);
+        CPPUNIT_ASSERT(parseWith(kAddresses + "admission: \"cost\"\n")->admission == AdmissionMode::Cost);
         CPPUNIT_ASSERT(!parseWith(kAddresses + "admission: other\n"));
+        CPPUNIT_ASSERT(!parseWith(kAddresses + "admission: costs\n"));
     }
 
     void settings_numberOutOfRange_isRefused()
@@ -78,13 +82,17 @@
             CPPUNIT_ASSERT_MESSAGE(line, !parseWith(kAddresses + line + "\n"));
     }
 
-    // Guards against a host that admits by cost, or does not, against its settings.
-    void settings_admission_isArrivalUnlessCostIsSet()
+    void settings_usage_isReadAndOptional()
     {
-        CPPUNIT_ASSERT(parseWith(kAddresses)->admission == AdmissionMode::Arrival);
-        CPPUNIT_ASSERT(parseWith(kAddresses + "admission: arrival\n")->admission == AdmissionMode::Arrival);
-        CPPUNIT_ASSERT(parseWith(kAddresses + "admission: \"cost\"\n")->admission == AdmissionMode::Cost);
-        CPPUNIT_ASSERT(!parseWith(kAddresses + "admission: costs\n"));
+        CPPUNIT_ASSERT(!parseWith(kAddresses)->usageAddress);
+        const Result<HostSettings> settings =
+            parseWith(kAddresses + "usage-address: \"10.0.0.9:8700\"\nusage-window: \"2.5s\"\nusage-due: \"7s\"\n"
+                      + "duty-lease: \"2500ms\"\nduty-rate: 12.5\n");
+        CPPUNIT_ASSERT(settings);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.9:8700"), settings->usageAddress->text());
+        CPPUNIT_ASSERT(settings->usageWindow == 2500ms && settings->usageDue == 7s && settings->dutyLease == 2500ms);
+        CPPUNIT_ASSERT_EQUAL(12.5, settings->dutyRate);
+        CPPUNIT_ASSERT(!parseWith(kAddresses + "usage-address: nowhere\n"));
     }
 
 private:
