E2001 for an earlier build says what it skips

The line also appears after a first acquisition, when a control host goes back to an earlier build. DutyFailureTest with 5,000 orders of failures: passed. All fixtures: 442 passed.

--- a/src/app/UsageReports.cpp
+++ b/src/app/UsageReports.cpp
@@ -102,8 +102,8 @@
     const std::optional<NodeId> earlier = m_holder.earlierBuild(now, controlHosts);
     if (earlier && !m_earlierBuildLogged)
         HS_LOG(INFO, LogEvent::DutyNotAcquired)
-            << "control host " << *earlier << " runs an earlier build; the duty " << kUsageDuty
-            << " is not acquired for the first time until it has been replaced";
+            << "control host " << *earlier << " runs an earlier build, which skips the commands of the duty "
+            << kUsageDuty << "; the duty is not acquired for the first time until it has been replaced";
     m_earlierBuildLogged = earlier.has_value();
     refresh();
 }
