--- a/include/hickoryspur/process/UsageReporter.h
+++ b/include/hickoryspur/process/UsageReporter.h
@@ -16,13 +16,13 @@
 namespace hickoryspur {
 
 /** Requests that upstreams began to run in a window, by customer. */
-using UsageCounts = std::map<CustomerName, uint64_t>;
+using CustomerCounts = std::map<CustomerName, uint64_t>;
 
 /** One report to the service. */
 struct UsageCall
 {
     uint64_t window = 0;
-    UsageCounts counts;
+    CustomerCounts counts;
     /** Name of the host that holds the duty. */
     std::string holder;
     uint64_t token = 0;
--- a/src/app/UsageReports.cpp
+++ b/src/app/UsageReports.cpp
@@ -228,10 +228,10 @@
     call.window = window;
     call.holder = m_name;
     call.token = token;
-    std::optional<UsageCounts> unpacked = unpack<UsageCounts>(counts);
+    std::optional<CustomerCounts> unpacked = unpack<CustomerCounts>(counts);
     if (!unpacked)
         HS_LOG(ERROR, LogEvent::UsageNotStored) << "the stored counts of window " << window << " cannot be decoded";
-    call.counts = std::move(unpacked).value_or(UsageCounts());
+    call.counts = std::move(unpacked).value_or(CustomerCounts());
     if (m_lastCalled == window)
         repeated.add();
     m_lastCalled = window;
--- a/src/app/UsageReports.h
+++ b/src/app/UsageReports.h
@@ -29,7 +29,7 @@
         std::function<void(Command, GroupThread::DoneCallback)> submit;
         std::function<void(GroupThread::ReadCallback)> read;
         /** The counts of a window that is to be decided now. */
-        std::function<UsageCounts(uint64_t window)> counts = [](uint64_t) { return UsageCounts(); };
+        std::function<CustomerCounts(uint64_t window)> counts = [](uint64_t) { return CustomerCounts(); };
         /** True time in Unix milliseconds; by default this host's wall clock. */
         std::function<int64_t(TimePoint)> trueMillis = wallClockMillis;
     };
--- a/test/failure/DutyFailureTest.cpp
+++ b/test/failure/DutyFailureTest.cpp
@@ -167,13 +167,13 @@
         if (actions.decide) {
             // Each count differs, so that a window that is decided twice has two contents.
             host.proposed.push_back(makeCommand(CommandType::DecideUsage, *actions.decide));
-            host.proposed.back().text = pack(UsageCounts{{CustomerName("c"), ++seed}});
+            host.proposed.back().text = pack(CustomerCounts{{CustomerName("c"), ++seed}});
             host.proposed.back().count = *token;
         }
         if (actions.recordSent)
             host.proposed.push_back(makeCommand(CommandType::UsageSent, *actions.recordSent));
         if (actions.send)
-            host.call = UsageCall{*actions.send, *unpack<UsageCounts>(waiting.begin()->second), name(i), *token};
+            host.call = UsageCall{*actions.send, *unpack<CustomerCounts>(waiting.begin()->second), name(i), *token};
     }
 
     static void finish(Process &host, const Command &command, const ApplyOutcome &outcome)
@@ -253,7 +253,7 @@
     TimePoint lastWrite;
     TimePoint pausedUntil;
     std::string pausedHolder;
-    std::map<uint64_t, UsageCounts> contents;
+    std::map<uint64_t, CustomerCounts> contents;
     std::map<uint64_t, std::string> holders;
     uint64_t highestToken = 0;
     std::set<uint64_t> accepted;
--- a/test/failure/UsageReportsFailureTest.cpp
+++ b/test/failure/UsageReportsFailureTest.cpp
@@ -119,7 +119,7 @@
                 done(log.apply(LogIndex(++index), command));
             };
             hooks.read = [&](const GroupThread::ReadCallback &callback) { callback(true, log, std::nullopt); };
-            hooks.counts = [&](uint64_t) { return UsageCounts{{CustomerName("kami"), ++counted}}; };
+            hooks.counts = [&](uint64_t) { return CustomerCounts{{CustomerName("kami"), ++counted}}; };
             const HostCodec codec = platform::makePlatformCodec();
             UsageReports reports(*context, settings, codec, std::move(hooks), 1);
             const TimePoint end = monotonicNow() + 20s;
