--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -219,7 +219,7 @@
     const Announcement &announcement = m_traffic.m_registry.find(attempt.upstream)->announcement;
     m_traffic.m_admission.recordSent(now, m_traffic.admissionQuery(announcement));
     SentAttempt &sent = m_runningAttempts[attempt.key];
-    sent = {attempt.upstream, announcement.incarnation, now, 0, attempt.isProbe, std::nullopt};
+    sent = {attempt.upstream, announcement.incarnation, now, 0, attempt.isProbe, std::nullopt, std::nullopt};
     request.mayStart = [self = shared_from_this(), sent] {
         return !self->isStopped() && self->m_traffic.mayStillSend(sent.at, sent.upstream, sent.incarnation);
     };
--- a/test/failure/RequestGateFailureTest.cpp
+++ b/test/failure/RequestGateFailureTest.cpp
@@ -188,7 +188,10 @@
             announce(world, *entry, false);
             entry->setRoutes(table(world));
             entry->setEntryCount(1);
-            entry->setSharedRoom([hasRoom](const UpstreamId &, int) { return hasRoom; });
+            constexpr uint32_t kRunningOfOthers = 62;
+            if (!hasRoom)
+                entry->sharedLoad().apply(monotonicNow(),
+                                          {1, {{world.upstreams.front().id, kRunningOfOthers, kRunningOfOthers, 0}}});
             for (size_t i = 0; i < 2; ++i)
                 boost::fibers::fiber([&] {
                     statuses.push_back(entry->serve(request("/label/1"), neverGone).status);
@@ -198,8 +201,8 @@
         return statuses;
     }
 
-    // Guards against a hook for the load of other entries that is not asked. One request starts whatever room there is,
-    // since nothing else would show that there is room again.
+    // Guards against admission that does not ask for the load of other entries. One request starts whatever room there
+    // is, since nothing else would show that there is room again.
     void request_upstreamsAreFullOfOthersRequests_isRefusedThoughConnectionsAreFree()
     {
         CPPUNIT_ASSERT((statusesWithSharedRoom(true) == std::vector<unsigned>{200, 200}));
