--- a/include/hickoryspur/request/RequestAdmission.h
+++ b/include/hickoryspur/request/RequestAdmission.h
@@ -36,7 +36,7 @@
     /** Requests of the same group share upstreams; they wait for each other. */
     std::string group;
     std::string customer;
-    /** Share of the starts that the customer gets while others of the same priority wait. */
+    /** Share of the starts that the customer gets while others of the same priority wait; configurations name none. */
     uint32_t weight = 1;
     /** 0 is the most urgent. */
     int priority = 0;
@@ -130,8 +130,8 @@
     struct Waiting
     {
         AdmissionDemand demand;
-        /** It has been compared with those before it on arrival. */
-        bool isKnown = false;
+        /** Whether its expected wait has been checked, which is done once, on arrival. */
+        bool isChecked = false;
     };
     struct Group
     {
@@ -163,7 +163,10 @@
         TimePoint nextDecrease;
     };
 
-    /** The order in which requests of one group start. */
+    /**
+     * The order in which requests of one group start: priority, whether it misses its target time, the customer's
+     * starts by weight, target time, number.
+     */
     using Place = std::tuple<int, bool, double, TimePoint, AdmissionNumber>;
 
     Place placeOf(TimePoint now, const Group &group, const AdmissionDemand &demand) const;
--- a/src/app/ControlHost.cpp
+++ b/src/app/ControlHost.cpp
@@ -384,7 +384,8 @@
     m_quarantine.tick(now);
     m_usage.tick(now, wallClockMillis());
     saveNotesIfDue(now);
-    if (m_usageReports)
+    // Windows are decided for good, so a single clock, which may be wrong, is not enough.
+    if (m_usageReports && m_usage.clockSources() * 2 >= m_status.controlHosts.size())
         m_usageReports->tick(now, m_status.controlHosts);
     advanceMoves(now);
     flushAnnouncements();
--- a/src/app/UsageCollector.h
+++ b/src/app/UsageCollector.h
@@ -29,6 +29,8 @@
     /** @param wallMillis This host's own clock, in milliseconds since 1970. */
     void tick(TimePoint now, int64_t wallMillis);
 
+    /** Other control hosts whose clocks are known. */
+    size_t clockSources() const { return m_clock.sources(); }
     /** The time of day at a point of the steady clock, in milliseconds since 1970. */
     int64_t trueMillis(TimePoint at) const { return m_clock.trueMillis(at); }
     /** The requests of each customer that upstreams began to run in the window, as far as is known. */
--- a/src/app/UsageReports.cpp
+++ b/src/app/UsageReports.cpp
@@ -229,9 +229,11 @@
     call.holder = m_name;
     call.token = token;
     std::optional<CustomerCounts> unpacked = unpack<CustomerCounts>(counts);
-    if (!unpacked)
+    if (!unpacked) {
         HS_LOG(ERROR, LogEvent::UsageNotStored) << "the stored counts of window " << window << " cannot be decoded";
-    call.counts = std::move(unpacked).value_or(CustomerCounts());
+        return m_reporter.endSend(now, window, {UsageVerdict::NoAnswer, Duration::zero()});
+    }
+    call.counts = std::move(*unpacked);
     if (m_lastCalled == window)
         repeated.add();
     m_lastCalled = window;
@@ -240,7 +242,7 @@
         boost::fibers::fiber([this, call] {
             UsageOutcome outcome;
             static_cast<void>(runGuarded("usage", [&] { outcome = exchange(call); }));
-            onAnswer(call, outcome);
+            static_cast<void>(runGuarded("usage", [&] { onAnswer(call, outcome); }));
         }).detach();
     });
     if (!started)
--- a/src/connection/SharedLoad.cpp
+++ b/src/connection/SharedLoad.cpp
@@ -118,17 +118,17 @@
         m_isUrgent && m_urgentReports > 0 ? m_urgentReports - 1 : std::min(m_urgentReports + 1, kMaxUrgentReports);
     m_isUrgent = false;
     m_reportedAt = now;
+    const auto loadOf = [](const LoadRow &row) { return row.running + row.waiting + row.overdue + row.shed; };
     std::vector<LoadRow> rows;
     std::vector<LoadRow> latencyRows;
     for (auto &[id, own] : m_own) {
         LoadRow row = makeRow(now, id, own);
-        const uint32_t load = row.running + row.overdue + row.waiting + row.shed;
+        const uint32_t load = loadOf(row);
         if (load > 0 || row.latencyPercent > 0)
             (load > 0 ? rows : latencyRows).push_back(std::move(row));
         own.latencyPercent = 0;
         own.shed = 0;
     }
-    const auto loadOf = [](const LoadRow &row) { return row.running + row.waiting + row.overdue + row.shed; };
     std::sort(rows.begin(), rows.end(),
               [loadOf](const LoadRow &left, const LoadRow &right) { return loadOf(left) > loadOf(right); });
     std::sample(latencyRows.begin(), latencyRows.end(), std::back_inserter(rows), kMaxLatencyRows, m_random);
--- a/src/connection/UpstreamConnections.cpp
+++ b/src/connection/UpstreamConnections.cpp
@@ -85,7 +85,6 @@
     const Handle handle = m_state->nextHandle++;
     const std::shared_ptr<ConnectionPool> pool = m_state->pool(target);
     m_state->running[handle] = pool;
-    pool->expect();
     State *state = m_state.get();
     // Posted, so that an immediate failure does not call done from within send().
     boost::asio::post(state->context,
@@ -98,6 +97,7 @@
                                           done(std::move(result));
                                       }});
                       });
+    pool->expect();
     return handle;
 }
 
--- a/src/process/HostSettings.cpp
+++ b/src/process/HostSettings.cpp
@@ -132,7 +132,6 @@
     settings.extraShare = section.fraction("extra-share", settings.extraShare);
     settings.extraSlack = section.number("extra-slack", 0, kMaxExtraSlack, settings.extraSlack);
     settings.upstreamDrainTime = section.duration("upstream-drain", 100ms, kMaxGrace, settings.upstreamDrainTime);
-    settings.admission = readAdmission(section);
     settings.maxDirectoryValidity =
         section.duration("directory-validity", 100ms, kMaxGrace, settings.maxDirectoryValidity);
     const double megabytes = section.number("connection-memory-mb", kMinConnectionMegabytes, kMaxConnectionMegabytes,
--- a/src/process/LoadTotals.cpp
+++ b/src/process/LoadTotals.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/** Weight of the newest sum in the average; reports are 200 ms apart. */
+/** Weight of the newest sum in the average. Regular reports are 200 ms apart; urgent ones count alike. */
 constexpr double kRunningWeight = 0.3;
 /** Part of the slots from which on an upstream is loaded. */
 constexpr double kLoadedShare = 0.5;
--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -4,6 +4,7 @@
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/Metrics.h"
 #include "hickoryspur/request/TopRecords.h"
+#include "process/ConnectionGuard.h"
 #include "request/RequestGate.h"
 
 #include <algorithm>
@@ -137,14 +138,19 @@
     RequestGate::Waiter waiter;
     waiter.plan = &*m_waitingPlan;
     waiter.start = [self = shared_from_this()] {
-        self->m_begun = monotonicNow();
-        self->start(std::move(*self->m_waitingPlan));
+        // It may run from a handler of the loop, where nothing catches; a part of the request may have been sent.
+        const bool started = runGuarded("admission", [&self] {
+            self->m_begun = monotonicNow();
+            self->start(std::move(*self->m_waitingPlan));
+        });
+        if (!started)
+            self->abandon();
     };
     waiter.refuse = [self = shared_from_this()](Duration retryAfter) {
         self->endUnsent(self->m_traffic.m_codec.refusal(RefusalKind::NotRunTryLater, retryAfter));
     };
     waiter.endIfUnwanted = [self = shared_from_this()] { return self->endIfUnwanted(); };
-    return m_traffic.m_gate->enter(m_started, m_route, m_request, m_started, std::move(waiter));
+    return m_traffic.m_gate->enter(m_started, m_route, m_request, std::move(waiter));
 }
 
 void EntryTraffic::ActiveRequest::endUnsent(CallerAnswer answer)
--- a/src/request/ActiveRequest.h
+++ b/src/request/ActiveRequest.h
@@ -141,7 +141,7 @@
     TimePoint m_started;
     /** When its first attempts were sent; later than m_started if it had to wait for that. */
     TimePoint m_begun;
-    /** Set while it waits to start. */
+    /** What start() is given once the request is admitted; moved from after that. */
     std::optional<ScatterPlan> m_waitingPlan;
     TimePoint m_deadline;
     /** When the attempts that still run after the caller has disconnected are cancelled; max() if they are not. */
--- a/src/request/GroupedRequest.cpp
+++ b/src/request/GroupedRequest.cpp
@@ -3,6 +3,7 @@
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/Metrics.h"
 #include "hickoryspur/request/TopRecords.h"
+#include "process/ConnectionGuard.h"
 #include "request/RequestGate.h"
 
 #include <boost/asio/post.hpp>
@@ -70,12 +71,19 @@
 {
     RequestGate::Waiter waiter;
     waiter.plan = &m_plan;
-    waiter.start = [self = shared_from_this()] { self->start(); };
+    waiter.start = [self = shared_from_this()] {
+        // Another entry's configuration may still have a key that has been withdrawn here.
+        if (self->endIfUnwanted())
+            return;
+        // It may run from a handler of the loop, where nothing catches; a part of the request may have been sent.
+        if (!runGuarded("admission", [&self] { self->start(); }))
+            self->abandon();
+    };
     waiter.refuse = [self = shared_from_this()](Duration retryAfter) {
         self->endUnsent(self->m_traffic.m_codec.refusal(RefusalKind::NotRunTryLater, retryAfter));
     };
     waiter.endIfUnwanted = [self = shared_from_this()] { return self->endIfUnwanted(); };
-    return m_traffic.m_gate->enter(m_started, m_route, m_request, m_started, std::move(waiter));
+    return m_traffic.m_gate->enter(m_started, m_route, m_request, std::move(waiter));
 }
 
 void EntryTraffic::GroupedRequest::endUnsent(CallerAnswer answer)
@@ -234,18 +242,24 @@
 {
     if (m_finished)
         return;
-    if (m_isCallerGone()) {
-        m_finished = true;
-        m_usage->endRequest();
-        m_promise.set_value(m_traffic.m_codec.refusal(RefusalKind::TimedOut, Duration::zero()));
-        return cancelGroups();
-    }
+    if (m_isCallerGone())
+        return abandon();
     const TimePoint now = monotonicNow();
     // An answer, whichever it is, is worth more to the caller than a connection that ends without one.
     execute(m_gather->tick(now >= m_traffic.m_stopTime ? std::max(now, m_plan.deadline) : now));
     scheduleTimer();
 }
 
+void EntryTraffic::GroupedRequest::abandon()
+{
+    if (m_finished)
+        return;
+    m_finished = true;
+    m_usage->endRequest();
+    m_promise.set_value(m_traffic.m_codec.refusal(RefusalKind::TimedOut, Duration::zero()));
+    cancelGroups();
+}
+
 void EntryTraffic::GroupedRequest::cancelGroups()
 {
     for (Dispatch &dispatch : m_dispatches) {
--- a/src/request/GroupedRequest.h
+++ b/src/request/GroupedRequest.h
@@ -63,6 +63,8 @@
     void scheduleTimer();
     void onTimer();
     /** Ends the work on groups that have not ended. */
+    /** Ends the request without an answer: the caller has gone, or it cannot go on. */
+    void abandon();
     void cancelGroups();
     void finish(ScatterOutcome outcome);
     CallerAnswer answer(ScatterOutcome outcome) const;
--- a/src/request/ReplicaTracker.cpp
+++ b/src/request/ReplicaTracker.cpp
@@ -77,7 +77,9 @@
     const Score &score = found->second;
     const double idleSeconds = std::chrono::duration<double>(now - score.lastEnd).count();
     const double weight = std::exp2(-idleSeconds / kHalfLifeSeconds);
-    const double ratio = std::max(1 + (score.latencyRatio - 1) * weight, candidate.sharedLatencyRatio);
+    const double own = 1 + (score.latencyRatio - 1) * weight;
+    // One means that nothing is known from other entries; it must not hide a replica that is faster than usual.
+    const double ratio = candidate.sharedLatencyRatio > 1 ? std::max(own, candidate.sharedLatencyRatio) : own;
     return ratio * (1 + kQueueCost * score.inFlight) + kOverdueCost * score.overdue
         + kFailureCost * score.failures * weight + (now < score.avoidUntil ? kUnreachableCost : 0) + extra;
 }
--- a/src/request/RequestAdmission.cpp
+++ b/src/request/RequestAdmission.cpp
@@ -263,11 +263,11 @@
     std::vector<AdmissionNumber> late;
     for (Waiting &request : group.waiting) {
         if (now >= lastTryOf(request.demand) || isTooLate(now, request)
-            || (!request.isKnown && willBeTooLate(now, group, request))) {
+            || (!request.isChecked && willBeTooLate(now, group, request))) {
             late.push_back(request.demand.number);
             decisions.refuse.push_back(refusal(now, group, request, AdmissionRefusal::Late));
         }
-        request.isKnown = true;
+        request.isChecked = true;
     }
     if (late.empty())
         return;
--- a/src/request/RequestGate.cpp
+++ b/src/request/RequestGate.cpp
@@ -88,17 +88,17 @@
     return demand;
 }
 
-AdmissionNumber EntryTraffic::RequestGate::enter(TimePoint now, const Route &route, const ForwardedRequest &request,
-                                                 TimePoint arrived, Waiter waiter)
+AdmissionNumber EntryTraffic::RequestGate::enter(TimePoint arrived, const Route &route, const ForwardedRequest &request,
+                                                 Waiter waiter)
 {
     const AdmissionNumber number = ++m_lastNumber;
     AdmissionDemand demand = makeDemand(route, request, arrived, waiter);
     const int priority = demand.priority;
     m_pending[number] = {std::move(waiter), request.id, route.name, priority};
-    execute(m_admission.submit(now, std::move(demand)));
+    execute(m_admission.submit(arrived, std::move(demand)));
     if (m_pending.contains(number))
         countDecision("waited", priority);
-    scheduleWake(now);
+    scheduleWake(arrived);
     return number;
 }
 
@@ -210,7 +210,11 @@
     // Mostly the same shards are full again, and nothing else has to be looked at.
     std::vector<ServiceName> &full = m_fullShards[demand.scope];
     const auto hasNone = [&](const ServiceName &shard) { return !hasRoomAt(now, shard, demand.priority, spare); };
-    if (full.size() > mayLack && std::all_of(full.begin(), full.end(), hasNone))
+    // The list may be of a request that was accepted under an earlier configuration, with other shards.
+    const auto isStillFull = [&](const ServiceName &shard) {
+        return std::find(plan.shards.begin(), plan.shards.end(), shard) != plan.shards.end() && hasNone(shard);
+    };
+    if (full.size() > mayLack && std::all_of(full.begin(), full.end(), isStillFull))
         return false;
     full.clear();
     for (const ServiceName &shard : plan.shards) {
--- a/src/request/RequestGate.h
+++ b/src/request/RequestGate.h
@@ -35,9 +35,11 @@
 
     RequestGate(EntryTraffic &traffic, uint64_t seed);
 
-    /** Starts the request, now or later, or refuses it. Returns its number for leave(). */
-    AdmissionNumber enter(TimePoint now, const Route &route, const ForwardedRequest &request, TimePoint arrived,
-                          Waiter waiter);
+    /**
+     * Starts the request, now or later, or refuses it. Returns its number for leave().
+     * @param arrived When the request came in, which is now.
+     */
+    AdmissionNumber enter(TimePoint arrived, const Route &route, const ForwardedRequest &request, Waiter waiter);
     /** The request has ended, started or not. */
     void leave(AdmissionNumber number);
     /** A connection may have become free. */
@@ -71,7 +73,8 @@
     bool m_updatePosted = false;
     AdmissionNumber m_lastNumber = 0;
     std::map<AdmissionNumber, Pending> m_pending;
-    /** Services that share requests of some route, by the name of one of them. */
+    /** The admission group of each shard: routes that have a shard in common are in one group, named after one of them.
+     */
     std::unordered_map<ServiceName, std::string> m_groups;
     /** For each scope the shards that had no room when it was last full; they are looked at first. */
     std::unordered_map<std::string, std::vector<ServiceName>> m_fullShards;
--- a/test/failure/SharedLoadFailureTest.cpp
+++ b/test/failure/SharedLoadFailureTest.cpp
@@ -199,6 +199,7 @@
     CPPUNIT_TEST(reports_withoutLeaderOrOfAnEarlierOne_areNotUsed);
     CPPUNIT_TEST(messages_ofOtherRelease_areReadBothWays);
     CPPUNIT_TEST(request_noReplicaHasSharedRoom_isServed);
+    CPPUNIT_TEST(replica_fasterThanUsual_costsLessWithoutNewsOfOthers);
     CPPUNIT_TEST_SUITE_END();
 
     const TimePoint m_start{1000s};
@@ -357,6 +358,23 @@
         CPPUNIT_ASSERT_EQUAL(int64_t(0), olderUpdate->clockMillis);
     }
 
+    // Guards against a lack of news from other entries that counts as the news that all replicas are alike.
+    void replica_fasterThanUsual_costsLessWithoutNewsOfOthers()
+    {
+        ReplicaTracker tracker{1};
+        ReplicaTracker::Candidate fast;
+        fast.id = UpstreamId("fast");
+        ReplicaTracker::Candidate usual;
+        usual.id = UpstreamId("usual");
+        for (const auto &[candidate, ratio] : {std::pair(fast, 0.5), std::pair(usual, 1.0)}) {
+            tracker.recordSent(candidate.id);
+            tracker.recordEnd(m_start, candidate.id, AttemptOutcome::Answered, ratio, false);
+        }
+        CPPUNIT_ASSERT(tracker.cost(m_start, fast) < tracker.cost(m_start, usual));
+        fast.sharedLatencyRatio = 6;
+        CPPUNIT_ASSERT(tracker.cost(m_start, fast) > tracker.cost(m_start, usual));
+    }
+
     void request_noReplicaHasSharedRoom_isServed()
     {
         entryworld::onFibers([](entryworld::World &world) {
