Admission lowers its limit only when more are late than pauses explain

Cause: one late answer lowered the limit of a route to one or two requests at a time, so an entry refused requests in usual load. Change: the limit falls when more than a fifth of the latest requests were late.

--- a/include/hickoryspur/request/RequestAdmission.h
+++ b/include/hickoryspur/request/RequestAdmission.h
@@ -159,6 +159,8 @@
         size_t running = 0;
         /** How many of them run at a time so that they meet their target times. */
         double limit = kMaxLimit;
+        /** Average share of the requests that ended after their target time. */
+        double lateShare = 0;
         /** The limit is not decreased again before this time. */
         TimePoint nextDecrease;
     };
--- a/src/request/RequestAdmission.cpp
+++ b/src/request/RequestAdmission.cpp
@@ -14,6 +14,8 @@
 /** A late request decreases the limit on its kind by this factor, and one in time increases it by a part of this. */
 constexpr double kDecreaseFactor = 0.8;
 constexpr double kLimitIncrease = 0.25;
+/** Replicas that pause make about this share of the requests late also while there is room. */
+constexpr double kUsualLateShare = 0.2;
 /** So long after an urgent request had to wait, less urgent ones leave room for the next one. */
 constexpr Duration kReserveTime = 500ms;
 /** A caller that is refused within its target latency divided by this has time for another try. */
@@ -91,9 +93,11 @@
     Scope &scope = m_scopes[running.scope];
     scope.time.add(now, took);
     --scope.running;
+    const double late = now <= running.targetTime ? 0 : 1;
+    scope.lateShare += (late - scope.lateShare) / kAverageDivisor;
     if (now <= running.targetTime) {
         scope.limit = std::min(kMaxLimit, scope.limit + kLimitIncrease / scope.limit);
-    } else if (now >= scope.nextDecrease) {
+    } else if (now >= scope.nextDecrease && scope.lateShare > kUsualLateShare) {
         // From what runs rather than from a limit that has not been reached.
         scope.limit = std::max(1.0, kDecreaseFactor * std::min(scope.limit, static_cast<double>(scope.running + 1)));
         scope.nextDecrease = now + took;
--- a/test/failure/RequestAdmissionFailureTest.cpp
+++ b/test/failure/RequestAdmissionFailureTest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(request_waitsForAQuarterOfItsTarget_isRefusedThen);
     CPPUNIT_TEST(request_estimateIsStale_isNotRefusedForIt);
     CPPUNIT_TEST(request_ticksAreLate_countsAsWait);
+    CPPUNIT_TEST(requests_oneOfManyIsLate_stillRunSideBySide);
     CPPUNIT_TEST(customers_waitWithDifferentWeights_startByWeight);
     CPPUNIT_TEST(queue_isFull_cheapestIsRefused);
     CPPUNIT_TEST(refusal_retryAfter_isBoundedSpreadAndShorterForUrgentOnes);
@@ -248,6 +249,17 @@
         CPPUNIT_ASSERT_EQUAL(size_t{1}, submit(demand()).refuse.size());
     }
 
+    // Guards against refusals in usual load, since one request met a replica that paused.
+    void requests_oneOfManyIsLate_stillRunSideBySide()
+    {
+        for (int i = 0; i < 10; ++i) {
+            const AdmissionNumber number = begin().front();
+            m_now += i == 9 ? 2 * kTarget : kUsualTime;
+            m_admission.ended(m_now, number);
+        }
+        CPPUNIT_ASSERT_EQUAL(size_t{3}, begin(3).size());
+    }
+
     // Guards against a customer with many requests that keeps the others from being served.
     void customers_waitWithDifferentWeights_startByWeight()
     {
