check-routes reviews a configuration of routes before it is sent

Operators learned of mistakes in a configuration only from its refusal, and of accepted mistakes not at all: a host that no request has, a timeout below the target latency, a minimum coverage that one lost shard breaks.

Keys appear as numbers and short digests. The command check-routes reads the files, prints the findings and ends with 0, 90 (the new result code 410, warnings only) or 80 (errors). HostCodec::readRoutes decodes without validating.

--- a/include/hickoryspur/process/ResultCode.h
+++ b/include/hickoryspur/process/ResultCode.h
@@ -48,6 +48,7 @@
     MemberChangePending = 407,
     MemberUnknown = 408,
     LastDataCentre = 409,
+    DocumentQuestionable = 410,
     // 5xx: this process cannot continue.
     SettingsInvalid = 500,
     LogCorrupt = 501,
--- a/include/hickoryspur/version/CustomerTable.h
+++ b/include/hickoryspur/version/CustomerTable.h
@@ -49,6 +49,10 @@
     bool empty() const { return m_customers.empty(); }
     /** The customer that has the key with this digest; null if none has. */
     const Customer *find(const KeyDigest &digest) const;
+    /** In the order of the configuration. */
+    const std::vector<Customer> &customers() const { return m_customers; }
+    /** Sorted digests of the keys of the customer at this position; takes time in proportion to all keys. */
+    std::vector<KeyDigest> digestsOf(size_t customer) const;
     /** One message for each error; it names the customers and contains no key. */
     const std::vector<std::string> &errors() const { return m_errors; }
 
--- a/src/app/HostCodec.h
+++ b/src/app/HostCodec.h
@@ -69,6 +69,8 @@
     std::function<CallerRequest(const UsageCall &)> usageCall;
     /** Decodes the answer to a usageCall. */
     std::function<UsageOutcome(const CallerResponse &)> usageOutcome;
+    /** Decodes a text of routes without validating it; a failure contains no key. */
+    std::function<Result<RouteTable>(const std::string &)> readRoutes;
 };
 
 } // namespace hickoryspur
--- a/src/app/OperatorCommands.cpp
+++ b/src/app/OperatorCommands.cpp
@@ -27,7 +27,7 @@
     const char *name;
     const char *summary;
     void (*addOptions)(options::options_description &);
-    Result<std::string> (*run)(const options::variables_map &);
+    std::function<Result<std::string>(const options::variables_map &)> run;
 };
 
 std::string text(const options::variables_map &values, const char *name)
@@ -391,10 +391,33 @@
     });
 }
 
-const std::vector<OperatorCommand> &commands()
+void addCheckRoutesOptions(options::options_description &description)
 {
-    static const std::vector<OperatorCommand> all = {
+    description.add_options()("file", options::value<std::string>()->required(), "configuration of routes")(
+        "against", options::value<std::string>(),
+        "configuration that it is to replace; differences are listed")("json", "print the findings as JSON");
+}
+
+Result<std::string> runCheckRoutes(const options::variables_map &values, const ReadRoutes &readRoutes)
+{
+    return checkRoutes(text(values, "file"), text(values, "against"), readRoutes)
+        .and_then([&](const std::vector<Finding> &findings) -> Result<std::string> {
+            const std::string printed = printFindings(findings, values.count("json") > 0);
+            const ResultCode code = resultOfFindings(findings);
+            if (code == ResultCode::Ok)
+                return printed;
+            // Scripts read the findings from the standard output, whatever the result.
+            std::cout << printed << '\n';
+            return failure(code, text(values, "file") + ": " + countFindings(findings));
+        });
+}
+
+std::vector<OperatorCommand> commands(const ReadRoutes &readRoutes)
+{
+    return {
         {"check", "check a settings file, document or token file", addCheckOptions, runCheck},
+        {"check-routes", "check a configuration of routes before it is sent", addCheckRoutesOptions,
+         [readRoutes](const options::variables_map &values) { return runCheckRoutes(values, readRoutes); }},
         {"format", "initialise the data folder of one of the first control hosts", addFormatOptions, runFormat},
         {"submit", "submit a document to trial", addSubmitOptions, runSubmit},
         {"promote", "promote a document from trial to production", addPromoteOptions, runPromote},
@@ -407,7 +430,6 @@
         {"replay", "replay a recorded move and compare it with an expected outcome", addReplayOptions, runReplay},
         {"data-centre", "take a data centre out or back in", addDataCentreOptions, runDataCentre},
     };
-    return all;
 }
 
 options::positional_options_description positionsFor(const std::string &name)
@@ -457,15 +479,15 @@
 std::string operatorCommandList()
 {
     std::string list;
-    for (const OperatorCommand &command : commands())
+    for (const OperatorCommand &command : commands({}))
         list += std::string("  ") + command.name + std::string(14 - std::string(command.name).size(), ' ')
             + command.summary + '\n';
     return list;
 }
 
-int runOperatorCommand(const std::string &name, const std::vector<std::string> &arguments)
+int runOperatorCommand(const std::string &name, const std::vector<std::string> &arguments, const ReadRoutes &readRoutes)
 {
-    for (const OperatorCommand &command : commands())
+    for (const OperatorCommand &command : commands(readRoutes))
         if (name == command.name)
             return run(command, arguments);
     return printFailure({ResultCode::UsageError, "there is no command " + name + "; see hickoryspur --help", true});
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -76,5 +76,6 @@
         return runServe(rest);
     if (arguments.front() == "host")
         return runHost(rest);
-    return hickoryspur::runOperatorCommand(arguments.front(), rest);
+    return hickoryspur::runOperatorCommand(arguments.front(), rest,
+                                           hickoryspur::platform::makePlatformCodec().readRoutes);
 }
--- a/src/process/ResultCode.cpp
+++ b/src/process/ResultCode.cpp
@@ -71,6 +71,8 @@
         return "member-unknown";
     case ResultCode::LastDataCentre:
         return "last-data-centre";
+    case ResultCode::DocumentQuestionable:
+        return "document-questionable";
     case ResultCode::SettingsInvalid:
         return "settings-invalid";
     case ResultCode::LogCorrupt:
--- a/src/version/CustomerTable.cpp
+++ b/src/version/CustomerTable.cpp
@@ -76,6 +76,15 @@
     return found == m_keys.end() || found->digest != digest ? nullptr : &m_customers[found->customer];
 }
 
+std::vector<KeyDigest> CustomerTable::digestsOf(size_t customer) const
+{
+    std::vector<KeyDigest> digests;
+    for (const Key &key : m_keys)
+        if (key.customer == customer)
+            digests.push_back(key.digest);
+    return digests;
+}
+
 void CustomerTable::checkNames()
 {
     std::unordered_map<CustomerName, size_t> firstWithName;
