Peers that do not read are counted, cut off and sent no more than they can hold

A request that its upstream did not read was not counted in ByteBudget and kept its connection up to its deadline; a write to a caller had one deadline for all of it, which cut off callers that read slowly but steadily, and kept the request's bytes pinned in the budget until the answer was taken. What an upstream held of requests was bounded in number only.

Requests that are not written whole count in ByteBudget. A write ends when nothing is taken for a named time (10 s for callers, 4 s for upstreams). The bodies that an upstream holds stay within 256 KiB a connection; more go to a replica with room, or wait.

connections_answeredBeforeRequestIsWritten_connectionIsNotReused sends a request as large as the whole default budget, which would be given up now; the test raises the limit for itself and asserts the same as before.

--- a/src/connection/ConnectionPool.cpp
+++ b/src/connection/ConnectionPool.cpp
@@ -15,6 +15,11 @@
 /** A request that must not be sent twice uses only a connection that has been idle for less than this. */
 constexpr Duration kMaxFreshIdleTime = 1s;
 
+bool isCounted(size_t bodyBytes)
+{
+    return bodyBytes > ConnectionPool::kUncountedBodyBytes;
+}
+
 void withhold(const Exchange &exchange)
 {
     static Counter &withheld = Metrics::counter("hickoryspur_sub_requests_withheld_total");
@@ -62,6 +67,44 @@
     return load() < m_target.connections;
 }
 
+size_t ConnectionPool::heldBytes() const
+{
+    size_t bytes = 0;
+    for (const std::shared_ptr<UpstreamConnection> &connection : m_connections)
+        bytes += isCounted(connection->heldBytes()) ? connection->heldBytes() : 0;
+    return bytes;
+}
+
+bool ConnectionPool::hasRoomFor(size_t bodyBytes) const
+{
+    if (!isCounted(bodyBytes))
+        return true;
+    const size_t held = heldBytes();
+    return held == 0 || held + bodyBytes <= m_target.connections * kHeldBytesPerConnection;
+}
+
+bool ConnectionPool::mustWaitForBytes(size_t bodyBytes) const
+{
+    // Not ahead of others that wait for the same.
+    return isCounted(bodyBytes)
+        && (!hasRoomFor(bodyBytes) || std::any_of(m_waiting.begin(), m_waiting.end(), [](const Exchange &exchange) {
+               return isCounted(exchange.request.bodyBytes);
+           }));
+}
+
+std::vector<ExchangeHandle> ConnectionPool::sendable() const
+{
+    std::vector<ExchangeHandle> result;
+    bool isBlocked = false;
+    for (const Exchange &exchange : m_waiting) {
+        // Smaller requests do not pass a counted one without room, which could otherwise wait forever.
+        isBlocked = isBlocked || !hasRoomFor(exchange.request.bodyBytes);
+        if (!isBlocked || !isCounted(exchange.request.bodyBytes))
+            result.push_back(exchange.handle);
+    }
+    return result;
+}
+
 bool ConnectionPool::hasRoomBesidesExpected() const
 {
     return load() + m_expected < m_target.connections;
@@ -78,17 +121,21 @@
 
 void ConnectionPool::send(Exchange exchange)
 {
+    static Counter &waits = Metrics::counter("hickoryspur_upstream_held_bytes_waits_total");
     --m_expected;
     if (!exchange.request.mayStart())
         return withhold(exchange);
     const TimePoint now = monotonicNow();
     const bool fresh = exchange.request.fresh;
-    if (const std::shared_ptr<UpstreamConnection> connection = findIdle(now, fresh)) {
+    const bool waitsForBytes = mustWaitForBytes(exchange.request.bodyBytes);
+    if (!hasRoomFor(exchange.request.bodyBytes))
+        waits.add();
+    if (const std::shared_ptr<UpstreamConnection> connection = waitsForBytes ? nullptr : findIdle(now, fresh)) {
         countConnectionEvent(ConnectionEvent::Reused);
         connection->run(std::move(exchange));
         return;
     }
-    if (fresh)
+    if (fresh && !waitsForBytes)
         closeIdle();
     addWaiting(std::move(exchange));
     openForWaiting();
@@ -98,7 +145,7 @@
 {
     const auto opening = std::count_if(m_connections.begin(), m_connections.end(),
                                        [](const auto &connection) { return connection->isOpening(); });
-    if (static_cast<size_t>(opening) < m_waiting.size())
+    if (static_cast<size_t>(opening) < sendable().size())
         open(ConnectionEvent::OpenedForRequest);
 }
 
@@ -138,13 +185,14 @@
 void ConnectionPool::startWaiting()
 {
     withdrawUnusable();
-    while (!m_waiting.empty()) {
-        const std::shared_ptr<UpstreamConnection> connection =
-            findIdle(monotonicNow(), m_waiting.front().request.fresh);
+    for (std::vector<ExchangeHandle> next = sendable(); !next.empty(); next = sendable()) {
+        const auto first = std::find_if(m_waiting.begin(), m_waiting.end(),
+                                        [&next](const Exchange &exchange) { return exchange.handle == next.front(); });
+        const std::shared_ptr<UpstreamConnection> connection = findIdle(monotonicNow(), first->request.fresh);
         if (!connection)
             break;
-        Exchange exchange = std::move(m_waiting.front());
-        m_waiting.pop_front();
+        Exchange exchange = std::move(*first);
+        m_waiting.erase(first);
         connection->run(std::move(exchange));
     }
     // An upstream that has just refused a connection is at its limit.
@@ -207,6 +255,7 @@
 
 void ConnectionPool::tick(TimePoint now)
 {
+    static Counter &stalled = Metrics::counter("hickoryspur_upstream_writes_stalled_total");
     dropClosed();
     const std::vector<std::shared_ptr<UpstreamConnection>> connections = m_connections;
     for (const std::shared_ptr<UpstreamConnection> &connection : connections) {
@@ -217,6 +266,9 @@
             onConnectFailure("connect timed out");
         } else if (connection->isBusy() && now >= connection->deadline()) {
             connection->finish({AttemptOutcome::NoResponse, {}, "no answer before the deadline"}, false);
+        } else if (connection->isWriteStalled(now)) {
+            stalled.add();
+            connection->finish({AttemptOutcome::NoResponse, {}, "the upstream does not read the request"}, false);
         }
     }
     endOverdue(now);
--- a/src/connection/ConnectionPool.h
+++ b/src/connection/ConnectionPool.h
@@ -18,6 +18,16 @@
 class ConnectionPool : public std::enable_shared_from_this<ConnectionPool>
 {
 public:
+    /**
+     * Body bytes that the upstream holds for each connection, on average: requests that are written, or being written,
+     * and not answered. It is the default limit of a body, so that usual requests never wait for it. One request that
+     * is larger than the whole bound is sent while the upstream holds no other counted one. All entries share the
+     * upstream's connections, which makes this a bound for all of them.
+     */
+    static constexpr size_t kHeldBytesPerConnection = 256UL * 1024;
+    /** Bodies up to this size are not counted, as in ByteBudget: the number of connections bounds them. */
+    static constexpr size_t kUncountedBodyBytes = ByteBudget::kUncountedBytes;
+
     /** Whether the answer is the one to the request with this id. */
     using BelongsTo = std::function<bool(const UpstreamAnswer &, const std::string &)>;
 
@@ -53,6 +63,8 @@
     void tick(TimePoint now);
     void closeIdle();
     bool hasRoom() const;
+    /** Whether the upstream may be sent a body of this size besides what it holds; see kHeldBytesPerConnection. */
+    bool hasRoomFor(size_t bodyBytes) const;
     /** Like hasRoom(), but also counts the exchanges that are about to be sent here; see expect(). */
     bool hasRoomBesidesExpected() const;
     /** An exchange has been posted for send(). */
@@ -77,6 +89,12 @@
     void addWaiting(Exchange exchange);
     /** Busy and opening connections, and the exchanges that wait for one. */
     size_t load() const;
+    /** Counted body bytes of the running requests. */
+    size_t heldBytes() const;
+    /** Whether a request with this body may not be sent yet, though there may be a connection. */
+    bool mustWaitForBytes(size_t bodyBytes) const;
+    /** The waiting exchanges that may be sent once there is a connection. */
+    std::vector<ExchangeHandle> sendable() const;
     /** Opens a connection, within the limit, if more requests wait than connections are being opened. */
     void openForWaiting();
     void dropClosed();
--- a/src/connection/UpstreamConnection.cpp
+++ b/src/connection/UpstreamConnection.cpp
@@ -5,7 +5,6 @@
 #include "hickoryspur/process/Metrics.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -110,6 +109,7 @@
     pool->reportConnected(true);
     error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
+    limitUnsentBytes(m_socket);
     m_socket.non_blocking(true, ignored);
     m_state = State::Confirming;
     startRead();
@@ -164,7 +164,7 @@
 void UpstreamConnection::giveUp(ExchangeHandle handle)
 {
     if (m_exchange && m_exchange->handle == handle)
-        finish({AttemptOutcome::Failed, {}, "given up: the answers need too much memory"}, false);
+        finish({AttemptOutcome::Failed, {}, "given up: requests and answers need too much memory"}, false);
 }
 
 void UpstreamConnection::onException()
@@ -204,8 +204,9 @@
 void UpstreamConnection::write()
 {
     error_code error;
-    const size_t written = m_socket.write_some(asio::buffer(m_requestBytes), error);
-    m_isWriting = error || written < m_requestBytes.size();
+    m_writtenBytes = m_socket.write_some(asio::buffer(m_requestBytes), error);
+    m_writeProgressAt = monotonicNow();
+    m_isWriting = error || m_writtenBytes < m_requestBytes.size();
     if (!m_isWriting)
         return onWritten();
     if (error && error != asio::error::would_block) {
@@ -213,12 +214,31 @@
         asio::post(m_socket.get_executor(), [self = shared_from_this(), error] { self->onWriteFailed(error); });
         return;
     }
-    asio::async_write(m_socket, asio::buffer(m_requestBytes) + written,
-                      [self = shared_from_this()](error_code failure, size_t) {
-                          if (failure)
-                              return self->onWriteFailed(failure);
-                          self->onWritten();
-                      });
+    m_requestHeld = countBytes("upstream-request");
+    // Too large a request is given up by the hook, which is posted.
+    static_cast<void>(m_requestHeld.resize(m_requestBytes.capacity()));
+    writeRest();
+}
+
+void UpstreamConnection::writeRest()
+{
+    m_socket.async_write_some(asio::buffer(m_requestBytes) + m_writtenBytes,
+                              [self = shared_from_this()](error_code failure, size_t bytes) {
+                                  if (failure)
+                                      return self->onWriteFailed(failure);
+                                  self->m_writtenBytes += bytes;
+                                  self->m_writeProgressAt = monotonicNow();
+                                  if (self->m_writtenBytes < self->m_requestBytes.size())
+                                      self->writeRest();
+                                  else
+                                      self->onWritten();
+                              });
+}
+
+bool UpstreamConnection::isWriteStalled(TimePoint now) const
+{
+    // An upstream that has begun to answer may leave the rest of the request unread.
+    return m_exchange && m_isWriting && !m_parser->got_some() && now - m_writeProgressAt >= kWriteStallTime;
 }
 
 void UpstreamConnection::onWritten()
@@ -227,6 +247,7 @@
     // An idle connection keeps no long request.
     if (m_requestBytes.capacity() > ByteBudget::kUncountedBytes)
         m_requestBytes = {};
+    m_requestHeld = {};
 }
 
 void UpstreamConnection::onWriteFailed(error_code error)
@@ -235,13 +256,18 @@
         finish({AttemptOutcome::Lost, {}, "write failed: " + error.message()}, false);
 }
 
-void UpstreamConnection::startAnswer()
+ByteBudget::Share UpstreamConnection::countBytes(const char *reader)
 {
     auto giveUp = [weak = weak_from_this(), handle = m_exchange->handle] {
         if (const std::shared_ptr<UpstreamConnection> self = weak.lock())
             asio::post(self->m_socket.get_executor(), [self, handle] { self->giveUp(handle); });
     };
-    m_parser.emplace(ParserLimits(), ByteBudget::Share(connectionBytes(), "upstream", std::move(giveUp)));
+    return {connectionBytes(), reader, std::move(giveUp)};
+}
+
+void UpstreamConnection::startAnswer()
+{
+    m_parser.emplace(ParserLimits(), countBytes("upstream"));
     m_parser->eager(true);
 }
 
--- a/src/connection/UpstreamConnection.h
+++ b/src/connection/UpstreamConnection.h
@@ -23,6 +23,12 @@
 
 class ConnectionPool;
 
+/**
+ * A write ends if the upstream takes nothing for so long. Upstreams pause for a quarter of a second, and TCP repeats
+ * lost segments after 0.2, 0.6, 1.4 and 3 s, so an upstream and a path that work make progress in this time.
+ */
+constexpr Duration kWriteStallTime = 4s;
+
 /** One connection. Pending handlers keep it alive, also after its pool has been destroyed. */
 class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection>
 {
@@ -40,6 +46,10 @@
     ExchangeHandle handle() const { return m_exchange ? m_exchange->handle : 0; }
     TimePoint deadline() const { return m_exchange ? m_exchange->request.deadline : TimePoint::max(); }
     TimePoint stateSince() const { return m_stateSince; }
+    /** Body bytes of the request that the upstream holds or is being sent; 0 if none runs. */
+    size_t heldBytes() const { return m_exchange ? m_exchange->request.bodyBytes : 0; }
+    /** The upstream has taken nothing of the running request for kWriteStallTime. */
+    bool isWriteStalled(TimePoint now) const;
     /** Idle for so long that the upstream may be closing it. */
     bool isNearIdleTimeout(TimePoint now) const;
 
@@ -58,12 +68,15 @@
     /** Handles a read that ended while no request runs. */
     void onUnexpectedRead(boost::system::error_code error);
     void write();
+    void writeRest();
     void onWritten();
     void onWriteFailed(boost::system::error_code error);
     /** Parses what has been read; ends the exchange once its answer is complete. */
     void parse(boost::system::error_code readError);
     void onAnswer();
     void startAnswer();
+    /** Counts bytes of the running exchange, which ends if they have to be given up. */
+    ByteBudget::Share countBytes(const char *reader);
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_confirmTimer;
@@ -77,6 +90,10 @@
     std::string m_requestBytes;
     /** The request is not written whole: its write goes on or has failed. The connection carries no other one then. */
     bool m_isWriting = false;
+    size_t m_writtenBytes = 0;
+    TimePoint m_writeProgressAt;
+    /** Counts the request while the upstream has not taken all of it. */
+    ByteBudget::Share m_requestHeld;
     /** Parses the answer to the running exchange. */
     std::optional<AnswerParser> m_parser;
     boost::beast::flat_buffer m_buffer{kMaxUnparsedAnswerBytes};
--- a/src/connection/UpstreamConnections.cpp
+++ b/src/connection/UpstreamConnections.cpp
@@ -130,10 +130,10 @@
     m_state->pool(target)->warm();
 }
 
-bool UpstreamConnections::hasRoom(const UpstreamId &id) const
+bool UpstreamConnections::hasRoom(const UpstreamId &id, size_t bodyBytes) const
 {
     const auto found = m_state->pools.find(id);
-    return found == m_state->pools.end() || found->second->hasRoom();
+    return found == m_state->pools.end() || (found->second->hasRoom() && found->second->hasRoomFor(bodyBytes));
 }
 
 bool UpstreamConnections::hasRoomBesidesPosted(const UpstreamId &id) const
--- a/src/connection/UpstreamConnections.h
+++ b/src/connection/UpstreamConnections.h
@@ -38,8 +38,8 @@
     void withdrawUnusable();
     /** Opens a connection if there is none, unless the reconnection backoff forbids it. */
     void warm(const UpstreamTarget &target);
-    /** Whether an exchange could start without waiting for another one to end. */
-    bool hasRoom(const UpstreamId &id) const;
+    /** Whether an exchange with a body of this size could start without waiting for another one to end. */
+    bool hasRoom(const UpstreamId &id, size_t bodyBytes = 0) const;
     /** Like hasRoom(), but also counts what send() has taken in this turn of the loop and the pool does not know yet.
      */
     bool hasRoomBesidesPosted(const UpstreamId &id) const;
--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -85,7 +85,7 @@
         if (isStopped())
             return std::nullopt;
         return m_traffic.chooseReplica(service, tried, versionGroup(service, !tried.empty()),
-                                       priorityOf(m_route, m_request));
+                                       priorityOf(m_route, m_request), m_request.body.size());
     };
     hooks.tryConsumeBudget = [this](const ServiceName &service) { return m_traffic.tryConsumeBudget(service); };
     hooks.reportOverdue = [this](const UpstreamId &upstream) {
@@ -209,6 +209,7 @@
         return self->m_traffic.m_codec.encode(self->m_request, upstream, self->m_started + timeout - at);
     };
     request.requestId = m_request.id;
+    request.bodyBytes = m_request.body.size();
     request.deadline = m_deadline;
     request.fresh = !m_route.idempotent;
     request.priority = m_traffic.waitingPriority(m_route, m_request);
--- a/src/request/EntryTraffic.cpp
+++ b/src/request/EntryTraffic.cpp
@@ -358,7 +358,7 @@
 
 std::optional<ReplicaChoice> EntryTraffic::chooseReplica(const ServiceName &service,
                                                          const std::vector<UpstreamId> &tried, VersionGroup group,
-                                                         int priority)
+                                                         int priority, size_t bodyBytes)
 {
     std::vector<ReplicaTracker::Candidate> all;
     std::vector<ReplicaTracker::Candidate> withRoom;
@@ -376,7 +376,7 @@
         candidate.heartbeatAge = m_registry.heartbeatAge(*known);
         candidate.sharedLatencyRatio = m_sharedLoad.latencyRatio(now, id);
         all.push_back(candidate);
-        if (!keepsConnections(id, service) || !m_connections.hasRoom(id))
+        if (!keepsConnections(id, service) || !m_connections.hasRoom(id, bodyBytes))
             continue;
         if (m_sharedLoad.isEnabled() && m_sharedLoad.hasRoom(now, id, announcement.slots, priority))
             withSharedRoom.push_back(candidate);
--- a/src/request/EntryTraffic.h
+++ b/src/request/EntryTraffic.h
@@ -177,7 +177,7 @@
     void updateGroups();
     ScatterPlan makePlan(TimePoint now, const Route &route, const ForwardedRequest &request);
     std::optional<ReplicaChoice> chooseReplica(const ServiceName &service, const std::vector<UpstreamId> &tried,
-                                               VersionGroup group, int priority);
+                                               VersionGroup group, int priority, size_t bodyBytes);
     /** The replicas of the group that may get a request, or of its fallback, or those that are leaving if none is left.
      */
     std::vector<const KnownUpstream *> usableReplicas(TimePoint now, const ServiceName &service,
--- a/src/request/HttpCallerServer.cpp
+++ b/src/request/HttpCallerServer.cpp
@@ -111,6 +111,22 @@
             }};
 }
 
+/** Writes a response for as long as its caller takes some of it. */
+error_code writeResponse(beast::tcp_stream &stream, const http::response<http::string_body> &response,
+                         std::chrono::milliseconds stallTimeout)
+{
+    static Counter &stalled = Metrics::counter("hickoryspur_caller_writes_stalled_total");
+    http::response_serializer<http::string_body> serializer(response);
+    error_code error;
+    while (!error && !serializer.is_done()) {
+        stream.expires_after(stallTimeout);
+        error = await([&](auto done) { http::async_write_some(stream, serializer, std::move(done)); });
+    }
+    if (error == beast::error::timeout)
+        stalled.add();
+    return error;
+}
+
 CallerResponse errorResponse(error_code error)
 {
     Failure failure{ResultCode::MalformedRequest, "not a valid HTTP/1.1 request: " + error.message(), true};
@@ -212,6 +228,7 @@
         }
         error_code ignored;
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        limitUnsentBytes(socket);
         // Without the memory for a fiber, the connection is closed.
         static_cast<void>(runGuarded("accept", [&] {
             boost::fibers::fiber([state, stream = std::make_shared<beast::tcp_stream>(std::move(socket))] {
@@ -248,14 +265,16 @@
     const bool wantsKeepAlive = !error && parser.keep_alive();
     const OpenRequest openRequest(openRequests);
     CallerResponse response = error ? errorResponse(error) : handle(stream, toCallerRequest(parser.release()));
+    // The request has been freed. Its pinned bytes would count for as long as the caller does not read the answer.
+    if (!error)
+        parser.held() = {};
     const bool keepAlive = wantsKeepAlive && !closing;
     const http::response<http::string_body> message = toHttpResponse(std::move(response), keepAlive);
     // A caller may take its answer slowly, or not at all.
     ByteBudget::Share held = countBytes(connection);
     if (!held.resize(message.body().size()))
         return false;
-    stream.expires_after(limits.idleTimeout);
-    const error_code written = await([&](auto done) { http::async_write(stream, message, std::move(done)); });
+    const error_code written = writeResponse(stream, message, limits.writeStallTimeout);
     return !written && keepAlive;
 }
 
--- a/src/request/HttpCallerServer.h
+++ b/src/request/HttpCallerServer.h
@@ -50,12 +50,20 @@
 /** Called on a fiber of the server's thread. */
 using CallerHandler = std::function<CallerResponse(const CallerRequest &)>;
 
+/**
+ * Time in which a caller that reads slowly takes something: its kernel may open the window only after a sixteenth of a
+ * buffer of 6 MiB has been read, which takes this long at 40 KB/s. Slower callers may be cut off.
+ */
+constexpr std::chrono::milliseconds kWriteStallTimeout{10000};
+
 struct ServerLimits
 {
     uint64_t bodyBytes = 4ULL * 1024 * 1024;
     uint32_t headerBytes = 16U * 1024;
-    /** A connection is closed if reading a request, with the wait for it, or writing a response takes longer. */
+    /** A connection is closed if reading a request, with the wait for it, takes longer. */
     std::chrono::milliseconds idleTimeout{30000};
+    /** A connection is closed if its caller takes nothing of a response for so long. */
+    std::chrono::milliseconds writeStallTimeout{kWriteStallTimeout};
     size_t connections = 4096;
 };
 
--- a/test/failure/UpstreamConnectionsFailureTest.cpp
+++ b/test/failure/UpstreamConnectionsFailureTest.cpp
@@ -234,6 +234,7 @@
     {
         // More than the buffers of both sockets hold.
         constexpr size_t kBodyBytes = 32UL * 1024 * 1024;
+        const LimitForTest limit(2 * kBodyBytes);
         Upstream upstream(m_context);
         std::optional<ExchangeResult> early;
         send(
