Slow readers: a request that no replica has room for is refused as not run, shown end to end

The fixture frees its connections after each test, since open ones count in the memory that other tests see.

With the bound on held bytes taken out, this test and upstream_manyLargeRequests_staysBelowTheBound fail; with one deadline for a whole write to an upstream, upstream_readsSlowlyForLongerThanTheStallTime_getsAll does.

--- a/test/failure/SlowReaderFailureTest.cpp
+++ b/test/failure/SlowReaderFailureTest.cpp
@@ -2,6 +2,7 @@
 // for longer than a write may stand still, and one that goes on reading must get everything.
 #include "connection/AsioScheduler.h"
 #include "connection/UpstreamConnections.h"
+#include "fakes/EntryWorld.h"
 #include "fakes/RunUntil.h"
 #include "hickoryspur/process/ByteBudget.h"
 #include "hickoryspur/process/Metrics.h"
@@ -27,6 +28,7 @@
     CPPUNIT_TEST(upstream_readsSlowlyForLongerThanTheStallTime_getsAll);
     CPPUNIT_TEST(upstream_requestsBeyondTheMemory_areGivenUp);
     CPPUNIT_TEST(upstream_manyLargeRequests_staysBelowTheBound);
+    CPPUNIT_TEST(request_noReplicaHasRoomForItsBody_isRefusedAsNotRun);
     CPPUNIT_TEST_SUITE_END();
 
     using tcp = boost::asio::ip::tcp;
@@ -174,7 +176,21 @@
     }
 
 public:
-    void tearDown() override { connectionBytes().setLimit(ByteBudget::kDefaultLimitBytes); }
+    void setUp() override
+    {
+        m_context = std::make_unique<boost::asio::io_context>();
+        m_connections = std::make_unique<UpstreamConnections>(
+            *m_context,
+            [](const UpstreamAnswer &answer, const std::string &id) { return answer.field("Request") == id; }, 1);
+    }
+
+    // Not kept until the end of all tests: open connections count in the memory of the process.
+    void tearDown() override
+    {
+        m_connections.reset();
+        m_context.reset();
+        connectionBytes().setLimit(ByteBudget::kDefaultLimitBytes);
+    }
 
     // It kept its answer, and the bytes of its request, for the whole idle timeout.
     void caller_stopsReading_isCountedAndCutOff()
@@ -212,52 +228,52 @@
     // It held the request's memory, uncounted, and its connection up to the request's deadline.
     void upstream_stopsReading_requestIsCountedAndEndsUnanswered()
     {
-        Upstream upstream(m_context);
+        Upstream upstream(*m_context);
         std::optional<AttemptOutcome> stuck;
         std::optional<AttemptOutcome> other;
-        m_connections.send(target(upstream, 2), makeRequest("stuck", kRequestBytes),
-                           [&](const ExchangeResult &ended) { stuck = ended.outcome; });
-        runUntil(m_context, [] { return connectionBytes().heldBytes() >= kRequestBytes; });
-        m_connections.send(target(upstream, 2), makeRequest("other", 0),
-                           [&](const ExchangeResult &ended) { other = ended.outcome; });
-        runUntil(m_context, [&] {
+        m_connections->send(target(upstream, 2), makeRequest("stuck", kRequestBytes),
+                            [&](const ExchangeResult &ended) { stuck = ended.outcome; });
+        runUntil(*m_context, [] { return connectionBytes().heldBytes() >= kRequestBytes; });
+        m_connections->send(target(upstream, 2), makeRequest("other", 0),
+                            [&](const ExchangeResult &ended) { other = ended.outcome; });
+        runUntil(*m_context, [&] {
             upstream.accept();
             return upstream.sockets.size() == 2 && upstream.sockets[1].available() > 0;
         });
         reply(upstream.sockets[1], "other");
-        runUntil(m_context, [&] { return other.has_value(); });
+        runUntil(*m_context, [&] { return other.has_value(); });
         CPPUNIT_ASSERT(other == AttemptOutcome::Answered);
-        m_connections.tick(monotonicNow() + kWriteStallTime - 2s);
+        m_connections->tick(monotonicNow() + kWriteStallTime - 2s);
         CPPUNIT_ASSERT(!stuck);
-        m_connections.tick(monotonicNow() + kWriteStallTime);
+        m_connections->tick(monotonicNow() + kWriteStallTime);
         CPPUNIT_ASSERT(stuck == AttemptOutcome::NoResponse);
-        runUntil(m_context, [] { return connectionBytes().heldBytes() == 0; });
+        runUntil(*m_context, [] { return connectionBytes().heldBytes() == 0; });
     }
 
     // Guards against a bound on the whole write, which ends requests that make progress.
     void upstream_readsSlowlyForLongerThanTheStallTime_getsAll()
     {
-        Upstream upstream(m_context);
+        Upstream upstream(*m_context);
         std::optional<AttemptOutcome> outcome;
-        m_connections.send(target(upstream, 1), makeRequest("r", kRequestBytes),
-                           [&](const ExchangeResult &ended) { outcome = ended.outcome; });
+        m_connections->send(target(upstream, 1), makeRequest("r", kRequestBytes),
+                            [&](const ExchangeResult &ended) { outcome = ended.outcome; });
         size_t received = 0;
         const TimePoint end = monotonicNow() + kWriteStallTime + 500ms;
-        runUntil(m_context, [&] {
+        runUntil(*m_context, [&] {
             upstream.accept();
             return !upstream.sockets.empty();
         });
         while (monotonicNow() < end || received < kRequestBytes) {
             // So little each time that the write is not whole within the stall time.
             received += upstream.read(0, monotonicNow() < end ? 16UL * 1024 : kRequestBytes).size();
-            m_context.poll();
-            m_context.restart();
-            m_connections.tick(monotonicNow());
+            m_context->poll();
+            m_context->restart();
+            m_connections->tick(monotonicNow());
             std::this_thread::sleep_for(20ms);
             CPPUNIT_ASSERT(!outcome);
         }
         reply(upstream.sockets[0], "r");
-        runUntil(m_context, [&] { return outcome.has_value(); });
+        runUntil(*m_context, [&] { return outcome.has_value(); });
         CPPUNIT_ASSERT(outcome == AttemptOutcome::Answered);
     }
 
@@ -268,15 +284,15 @@
         std::vector<std::unique_ptr<Upstream>> upstreams;
         size_t ended = 0;
         for (size_t i = 0; i < 3; ++i) {
-            upstreams.push_back(std::make_unique<Upstream>(m_context));
+            upstreams.push_back(std::make_unique<Upstream>(*m_context));
             UpstreamTarget to = target(*upstreams.back(), 1);
             to.id = UpstreamId("u" + std::to_string(i));
-            m_connections.send(to, makeRequest("r", kRequestBytes), [&](const ExchangeResult &result) {
+            m_connections->send(to, makeRequest("r", kRequestBytes), [&](const ExchangeResult &result) {
                 CPPUNIT_ASSERT(result.outcome == AttemptOutcome::Failed);
                 ++ended;
             });
         }
-        runUntil(m_context, [&] { return ended == 2; });
+        runUntil(*m_context, [&] { return ended == 2; });
         CPPUNIT_ASSERT(connectionBytes().heldBytes() <= connectionBytes().limit());
     }
 
@@ -286,11 +302,11 @@
         constexpr uint32_t kConnections = 4;
         constexpr size_t kBodyBytes = 400UL * 1024;
         constexpr size_t kRequests = 6;
-        Upstream upstream(m_context);
+        Upstream upstream(*m_context);
         const UpstreamTarget to = target(upstream, kConnections);
         size_t answered = 0;
         for (size_t i = 0; i < kRequests; ++i)
-            m_connections.send(to, makeRequest("r", kBodyBytes), [&](const ExchangeResult &ended) {
+            m_connections->send(to, makeRequest("r", kBodyBytes), [&](const ExchangeResult &ended) {
                 CPPUNIT_ASSERT(ended.outcome == AttemptOutcome::Answered);
                 ++answered;
             });
@@ -303,31 +319,60 @@
             return all;
         };
         while (answered < kRequests) {
-            runUntil(m_context, [&] {
+            runUntil(*m_context, [&] {
                 return readAll() >= 2 * kBodyBytes || (answered + 1 == kRequests && readAll() >= kBodyBytes);
             });
             // What more there were would come now.
             for (int i = 0; i < 20; ++i) {
-                m_context.poll();
-                m_context.restart();
+                m_context->poll();
+                m_context->restart();
                 std::this_thread::sleep_for(1ms);
                 CPPUNIT_ASSERT(readAll() <= kConnections * ConnectionPool::kHeldBytesPerConnection);
             }
-            CPPUNIT_ASSERT(!m_connections.hasRoom(to.id, kBodyBytes) || answered + 1 == kRequests);
+            CPPUNIT_ASSERT(!m_connections->hasRoom(to.id, kBodyBytes) || answered + 1 == kRequests);
             const size_t first = static_cast<size_t>(
                 std::find_if(held.begin(), held.end(), [](size_t bytes) { return bytes > kBodyBytes; }) - held.begin());
             held.at(first) = 0;
             const size_t before = answered;
             reply(upstream.sockets.at(first), "r");
-            runUntil(m_context, [&] { return answered > before; });
+            runUntil(*m_context, [&] { return answered > before; });
         }
     }
 
+    // Guards against sending it all the same, and against an answer that does not tell that it has not run.
+    void request_noReplicaHasRoomForItsBody_isRefusedAsNotRun()
+    {
+        constexpr size_t kBodyBytes = 400UL * 1024;
+        entryworld::onFibers([](entryworld::World &world) {
+            world.addUpstream("labels", "a", [](const CallerRequest &request) {
+                boost::this_fiber::sleep_for(1s);
+                return platform::makeAnswer(request, "sig-labels", "label");
+            });
+            const std::unique_ptr<EntryTraffic> entry = world.startEntry("127.0.0.1", "a");
+            entryworld::announce(world, *entry, false);
+            RouteTable routes = entryworld::table(world);
+            // Room for several connections of this entry, but not for two such bodies.
+            routes.services.at(world.upstreams.front().service).connectionLimit = 32;
+            entry->setRoutes(routes);
+            std::vector<unsigned> statuses;
+            for (const Duration timeout : {2000ms, 500ms}) {
+                boost::fibers::fiber([&statuses, &entry, timeout] {
+                    ForwardedRequest request = entryworld::request("/label/1");
+                    request.body = std::string(kBodyBytes, 'x');
+                    request.timeout = timeout;
+                    statuses.push_back(entry->serve(request, entryworld::neverGone).status);
+                }).detach();
+                entryworld::tickFor({entry.get()}, 100ms);
+            }
+            entryworld::tickFor({entry.get()}, 1500ms);
+            CPPUNIT_ASSERT(statuses == std::vector<unsigned>({503, 200}));
+            CPPUNIT_ASSERT_EQUAL(size_t{1}, world.runs);
+        });
+    }
+
 private:
-    boost::asio::io_context m_context;
-    UpstreamConnections m_connections{
-        m_context, [](const UpstreamAnswer &answer, const std::string &id) { return answer.field("Request") == id; },
-        1};
+    std::unique_ptr<boost::asio::io_context> m_context;
+    std::unique_ptr<UpstreamConnections> m_connections;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SlowReaderFailureTest);
