--- a/src/app/CheckRoutesCommand.cpp
+++ b/src/app/CheckRoutesCommand.cpp
@@ -31,9 +31,13 @@
     if (!text)
         return tl::unexpected(text.error());
     const Result<RouteTable> table = readRoutes(*text);
-    if (!table)
-        return std::vector<Finding>{{FindingSeverity::Error, {}, table.error().message}};
-    std::vector<Finding> findings = reviewRouteTable(*table);
+    std::vector<Finding> findings;
+    if (!table) {
+        findings.emplace_back().severity = FindingSeverity::Error;
+        findings.back().message = table.error().message;
+        return findings;
+    }
+    findings = reviewRouteTable(*table);
     if (against.empty())
         return findings;
     const Result<std::string> previousText = readFile(against);
@@ -57,8 +61,11 @@
         return list.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     }
     std::string lines;
-    for (const Finding &finding : findings)
-        lines += (lines.empty() ? "" : "\n") + describeFinding(finding);
+    for (const Finding &finding : findings) {
+        if (!lines.empty())
+            lines += '\n';
+        lines += describeFinding(finding);
+    }
     return lines.empty() ? "no findings" : lines;
 }
 
--- a/src/version/RouteTableReview.cpp
+++ b/src/version/RouteTableReview.cpp
@@ -360,8 +360,11 @@
 std::vector<Finding> reviewRouteTable(const RouteTable &table)
 {
     Findings findings;
-    for (const std::string &error : checkRouteTable(table))
-        findings.push_back({FindingSeverity::Error, {}, error});
+    for (const std::string &error : checkRouteTable(table)) {
+        Finding &finding = findings.emplace_back();
+        finding.severity = FindingSeverity::Error;
+        finding.message = error;
+    }
     reviewRoutes(table, findings);
     reviewServices(table, findings);
     reviewLimits(table.limits, {findings, {FindingSubject::Limits, ""}});
