--- a/include/hickoryspur/process/ClockOffset.h
+++ b/include/hickoryspur/process/ClockOffset.h
@@ -1,6 +1,6 @@
-// The time of day on a host whose own clock may be wrong. Wall clocks differ between machines, and may step by seconds
-// on some of them. The time used is the median over the clocks of other hosts, which a minority of wrong clocks does
-// not move; between their messages it advances with this host's steady clock.
+// True time: the time of day on a host whose own clock may be wrong. Wall clocks differ between machines, and may step
+// by seconds on some of them. The time used is the median over the clocks of other hosts, which a minority of wrong
+// clocks does not move; between their messages it advances with this host's steady clock.
 //
 // It does no I/O and reads no clock.
 #pragma once
--- a/include/hickoryspur/process/ControlState.h
+++ b/include/hickoryspur/process/ControlState.h
@@ -37,7 +37,8 @@
     EntryUp,
     EntryDown,
     ReplaceRoutes,
-    /** Makes operatorName the holder of the duty `subject` under a new fencing token; number: Unix milliseconds. */
+    /** Makes operatorName the holder of the duty `subject` under a new fencing token; number: milliseconds since 1970.
+     */
     AcquireDuty,
     /** Fixes what is reported for the usage window `number`: text; count is the fencing token of duty `subject`. */
     DecideUsage,
@@ -151,7 +152,7 @@
     uint64_t token = 0;
     /** Name of the host that acquired the duty last. */
     std::string holder;
-    /** True time of the first acquisition, in Unix milliseconds. */
+    /** True time of the first acquisition, in milliseconds since 1970. */
     int64_t sinceMillis = 0;
     MSGPACK_DEFINE(token, holder, sinceMillis)
 };
--- a/include/hickoryspur/process/UsageCounter.h
+++ b/include/hickoryspur/process/UsageCounter.h
@@ -36,7 +36,8 @@
     MSGPACK_DEFINE(window, customer, total)
 };
 
-/** From an entry to a control host: the rows that have changed. */
+/** From an entry to a control host: the rows that have changed. Not the report to the outside service; see
+ * UsageReporter. */
 struct UsageReport
 {
     NodeId entry;
--- a/include/hickoryspur/process/UsageReporter.h
+++ b/include/hickoryspur/process/UsageReporter.h
@@ -66,7 +66,7 @@
 {
     /** Fencing token under which this host may act; nothing is done without one. */
     std::optional<uint64_t> token;
-    /** True time at which the duty was first acquired, in Unix milliseconds. */
+    /** True time at which the duty was first acquired, in milliseconds since 1970. */
     int64_t sinceMillis = 0;
     uint64_t lastDecided = 0;
     /** The oldest window that is decided and not delivered. */
@@ -86,7 +86,7 @@
 public:
     UsageReporter(UsageTiming timing, uint64_t seed);
 
-    /** @param trueMillis True time in Unix milliseconds. */
+    /** @param trueMillis True time in milliseconds since 1970. */
     UsageActions next(TimePoint now, int64_t trueMillis, const UsageView &view);
     void endDecide() { m_decidePending = false; }
     void endRecordSent() { m_recordPending = false; }
--- a/include/hickoryspur/process/UsageTotals.h
+++ b/include/hickoryspur/process/UsageTotals.h
@@ -18,7 +18,7 @@
 public:
     /** Windows that are kept, the current one included. */
     static constexpr uint64_t kWindows = 60;
-    /** Windows for which rows are accepted; entries send none that is older, so of earlier ones only the sums stay. */
+    /** Windows for which rows are accepted; only the sums of earlier ones stay. */
     static constexpr uint64_t kOpenWindows = 12;
     /** An entry's clock may be ahead of this host's by so many windows. */
     static constexpr uint64_t kFutureWindows = 1;
--- a/src/app/UsageReports.cpp
+++ b/src/app/UsageReports.cpp
@@ -79,12 +79,6 @@
 {
 }
 
-int64_t UsageReports::wallClockMillis(TimePoint)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 std::string UsageReports::makePingPayload()
 {
     return pack(kCommandTypes);
--- a/src/app/UsageReports.h
+++ b/src/app/UsageReports.h
@@ -30,8 +30,8 @@
         std::function<void(GroupThread::ReadCallback)> read;
         /** The counts of a window that is to be decided now. */
         std::function<CustomerCounts(uint64_t window)> counts = [](uint64_t) { return CustomerCounts(); };
-        /** True time in Unix milliseconds; by default this host's wall clock. */
-        std::function<int64_t(TimePoint)> trueMillis = wallClockMillis;
+        /** True time in milliseconds since 1970; by default this host's wall clock. */
+        std::function<int64_t(TimePoint)> trueMillis = [](TimePoint) { return wallClockMillis(); };
     };
 
     /**
@@ -60,7 +60,6 @@
         size_t waiting = 0;
     };
 
-    static int64_t wallClockMillis(TimePoint now);
     static LogView makeView(bool confirmed, const ControlState &state);
     /** Reads the log; continues with act() once it is read. */
     void refresh();
--- a/src/connection/ConnectionPool.cpp
+++ b/src/connection/ConnectionPool.cpp
@@ -85,7 +85,7 @@
 
 bool ConnectionPool::mustWaitForBytes(size_t bodyBytes) const
 {
-    // Not ahead of others that wait for the same.
+    // A new counted request does not go ahead of counted ones that already wait.
     return isCounted(bodyBytes)
         && (!hasRoomFor(bodyBytes) || std::any_of(m_waiting.begin(), m_waiting.end(), [](const Exchange &exchange) {
                return isCounted(exchange.request.bodyBytes);
@@ -97,7 +97,8 @@
     std::vector<ExchangeHandle> result;
     bool isBlocked = false;
     for (const Exchange &exchange : m_waiting) {
-        // Smaller requests do not pass a counted one without room, which could otherwise wait forever.
+        // A counted request does not pass an earlier counted one without room, which could otherwise wait forever.
+        // Uncounted ones may pass.
         isBlocked = isBlocked || !hasRoomFor(exchange.request.bodyBytes);
         if (!isBlocked || !isCounted(exchange.request.bodyBytes))
             result.push_back(exchange.handle);
--- a/src/connection/ConnectionPool.h
+++ b/src/connection/ConnectionPool.h
@@ -19,10 +19,11 @@
 {
 public:
     /**
-     * Body bytes that the upstream holds for each connection, on average: requests that are written, or being written,
-     * and not answered. It is the default limit of a body, so that usual requests never wait for it. One request that
-     * is larger than the whole bound is sent while the upstream holds no other counted one. All entries share the
-     * upstream's connections, which makes this a bound for all of them.
+     * Upper bound, for each connection that this entry may open, on the body bytes of requests that are written or
+     * being written and not yet answered; the connections of a pool share the sum. It equals the default limit of a
+     * request body, so requests within that limit do not wait for it. A body larger than the sum is sent only while no
+     * other counted body is held. Entries divide the upstream's connections, so their bounds add up to one for the
+     * upstream.
      */
     static constexpr size_t kHeldBytesPerConnection = 256UL * 1024;
     /** Bodies up to this size are not counted, as in ByteBudget: the number of connections bounds them. */
--- a/src/process/HostSettings.cpp
+++ b/src/process/HostSettings.cpp
@@ -21,6 +21,8 @@
 constexpr double kMaxConnectionMegabytes = 65536;
 constexpr Duration kMaxUsageTime = 1h;
 constexpr Duration kMinUsageWindow = 100ms;
+/** Control hosts accept rows for UsageTotals::kOpenWindows; a report that is due later would miss them. */
+constexpr int kMaxUsageDueWindows = 10;
 constexpr double kMinDutyRate = 0.01;
 constexpr double kMaxDutyRate = 10000;
 constexpr Duration kMinDirectoryValidity = 200ms;
@@ -72,6 +74,8 @@
     settings.usageAddress = readOptionalAddress(section, "usage-address");
     settings.usageWindow = section.duration("usage-window", kMinUsageWindow, kMaxUsageTime, settings.usageWindow);
     settings.usageDue = section.duration("usage-due", Duration::zero(), kMaxUsageTime, settings.usageDue);
+    if (settings.usageDue > kMaxUsageDueWindows * settings.usageWindow)
+        section.error("usage-due", "must be at most 10 times usage-window, since later no counts are accepted");
     settings.dutyLease = section.duration("duty-lease", kMinUsageWindow, kMaxUsageTime, settings.dutyLease);
     settings.dutyRate = section.number("duty-rate", kMinDutyRate, kMaxDutyRate, settings.dutyRate);
 }
--- a/src/process/LoadTotals.cpp
+++ b/src/process/LoadTotals.cpp
@@ -14,7 +14,9 @@
 constexpr double kRunningWeight = 0.3;
 /** Part of the slots from which on an upstream is loaded. */
 constexpr double kLoadedShare = 0.5;
-/** The load changes with every report; operators need its course. */
+/** Average running requests below which an upstream is not loaded, even if it has only one slot. */
+constexpr double kUnloadedRequests = 0.25;
+/** Minimum time between two log lines about the load, which changes with every report. */
 constexpr Duration kLogInterval = 5s;
 
 } // namespace
@@ -90,9 +92,8 @@
     std::erase_if(m_reports, [now](const auto &item) { return now - item.second.at >= kLoadValidity; });
     std::erase_if(m_upstreams, [now](const auto &item) {
         const Upstream &upstream = item.second;
-        // Without requests the average is halved in two reports.
         return now - upstream.lastAnswer >= kLoadValidity && !isShedding(now, upstream)
-            && upstream.averageRunning < kLoadedShare / 2;
+            && upstream.averageRunning < kUnloadedRequests;
     });
 }
 
--- a/test/correctness/HostSettingsTest.cpp
+++ b/test/correctness/HostSettingsTest.cpp
@@ -93,6 +93,8 @@
         CPPUNIT_ASSERT(settings->usageWindow == 2500ms && settings->usageDue == 7s && settings->dutyLease == 2500ms);
         CPPUNIT_ASSERT_EQUAL(12.5, settings->dutyRate);
         CPPUNIT_ASSERT(!parseWith(kAddresses + "usage-address: nowhere\n"));
+        // A report that is due after its counts have been dropped would be empty.
+        CPPUNIT_ASSERT(!parseWith(kAddresses + "usage-window: \"5s\"\nusage-due: \"51s\"\n"));
     }
 
 private:
