A test of large requests ends the exchange that it leaves running

The test of requests beyond the memory left a request running after its context was destroyed; its bytes stayed counted, and the later test's lower limit asked it to be given up. Reproduced by running both fixtures in one process, with a backtrace.

--- a/test/failure/SlowReaderFailureTest.cpp
+++ b/test/failure/SlowReaderFailureTest.cpp
@@ -282,18 +282,28 @@
     {
         connectionBytes().setLimit(kRequestBytes + kRequestBytes / 2);
         std::vector<std::unique_ptr<Upstream>> upstreams;
+        std::vector<UpstreamConnections::Handle> handles;
+        bool isDone = false;
         size_t ended = 0;
         for (size_t i = 0; i < 3; ++i) {
             upstreams.push_back(std::make_unique<Upstream>(*m_context));
             UpstreamTarget to = target(*upstreams.back(), 1);
             to.id = UpstreamId("u" + std::to_string(i));
-            m_connections->send(to, makeRequest("r", kRequestBytes), [&](const ExchangeResult &result) {
-                CPPUNIT_ASSERT(result.outcome == AttemptOutcome::Failed);
-                ++ended;
-            });
+            handles.push_back(
+                m_connections->send(to, makeRequest("r", kRequestBytes), [&](const ExchangeResult &result) {
+                    if (isDone)
+                        return;
+                    CPPUNIT_ASSERT(result.outcome == AttemptOutcome::Failed);
+                    ++ended;
+                }));
         }
         runUntil(*m_context, [&] { return ended == 2; });
         CPPUNIT_ASSERT(connectionBytes().heldBytes() <= connectionBytes().limit());
+        // An exchange that runs on would outlive its context, and later tests would be asked to give up its bytes.
+        isDone = true;
+        for (const UpstreamConnections::Handle handle : handles)
+            m_connections->cancel(handle);
+        runUntil(*m_context, [] { return connectionBytes().heldBytes() == 0; });
     }
 
     // The size of requests was bounded for each one only, and not for what an upstream holds of them.
