Refuse an answer whose status is not one that HTTP has

Callers saw: an upstream in trouble sent an answer with its signature and the status 000, and a caller whose request runs once at most got 000 with the body as the answer; the same with 001, 099, 600 and 999, and with 101, which no request of ours allows. An idempotent request was tried again. With Hickoryspur-Not-Executed beside such a status, the request was sent a second time.

Cause: Beast's parser takes any three digits for a status, and BoundedParser, by which every answer is read, asked nothing further. What follows asks only whether a status is a success.

Change: BoundedParser reports any status but 100, 102 to 199 and 200 to 599 as bad_status once the start line is read, so all readers of answers end the exchange as failed: 502 where the request may have run, another attempt where it is idempotent.

Evidence: BrokenAnswerTest, an entry and two sockets that answer with bytes of the test: a request that runs once at most, the same with the answer stating that it has not run, an idempotent one and a part of a merged answer, for each form. On status_thatIsNone_isNotPassedOn failed ("status 000": expected 502, got 0). Now it passes, with the 66 tests of the fixtures around it. Already handled on, kept as tests: broken start lines, a blank or a control byte in a field's name, and contradictory or cut lengths.

--- a/src/process/BoundedParser.h
+++ b/src/process/BoundedParser.h
@@ -6,10 +6,14 @@
 // one after the last chunk, is too long to be stored. This one has a limit for each part of a message and reports what
 // is beyond it as an error. Fields after the last chunk are read, bounded and dropped: nothing here needs them, and as
 // header fields they could claim what the head did not.
+//
+// Beast also accepts messages that HTTP/1.1 does not have, which would reach callers in another form than they were
+// sent. They are errors here: an answer whose status is no three-digit number from 100 to 599, or is 101.
 #pragma once
 
 #include "hickoryspur/process/ByteBudget.h"
 #include "process/ConnectionGuard.h"
+#include "process/HttpStatus.h"
 
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/message.hpp>
@@ -82,9 +86,14 @@
 
     void on_response_impl(int code, string_view, int version, error_code &ec) override
     {
+        const auto status = static_cast<unsigned>(code);
+        if (!isFinalStatus(status) && !isInterimStatus(status)) {
+            ec = error::bad_status;
+            return;
+        }
         store(ec, [&] {
             if constexpr (!isRequest) {
-                m_message.result(static_cast<unsigned>(code));
+                m_message.result(status);
                 m_message.version(version);
             }
         });
--- /dev/null
+++ b/test/failure/BrokenAnswerTest.cpp
@@ -0,0 +1,119 @@
+// Guards against bytes of an upstream in trouble that reach a caller as an answer though they are none: a caller would
+// take them for the result of its request. The upstreams are sockets that send what the test says.
+#include "fakes/BrokenAnswers.h"
+#include "fakes/EntryWorld.h"
+#include "fakes/RawUpstream.h"
+
+#include <algorithm>
+#include <atomic>
+
+using namespace hickoryspur;
+using namespace hickoryspur::entryworld;
+
+class BrokenAnswerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BrokenAnswerTest);
+    CPPUNIT_TEST(status_thatIsNone_isNotPassedOn);
+    CPPUNIT_TEST(startLine_thatIsNone_isNotPassedOn);
+    CPPUNIT_TEST(field_withABrokenNameOrValue_isNotPassedOn);
+    CPPUNIT_TEST(length_contradictoryOrNotReached_isNotPassedOn);
+    CPPUNIT_TEST(answer_soundInAnyForm_isPassedOn);
+    CPPUNIT_TEST_SUITE_END();
+
+    struct Play
+    {
+        CallerAnswer answer;
+        /** How often an upstream got the request. */
+        size_t requests = 0;
+    };
+
+    static bool hasSignature(const CallerAnswer &answer)
+    {
+        return std::any_of(answer.fields.begin(), answer.fields.end(),
+                           [](const auto &field) { return field.first == "Hickoryspur-Server-Seal"; });
+    }
+
+    /** What a caller of the path gets from two upstreams, the first of which to be asked answers with these bytes. */
+    static Play play(const std::string &path, const std::string &bytes, bool closes = true)
+    {
+        std::atomic<size_t> requests{0};
+        const auto reply = [&] {
+            return ++requests == 1 ? RawUpstream::Reply{bytes, closes} : RawUpstream::Reply{answers::sound(), false};
+        };
+        const RawUpstream first(reply);
+        const RawUpstream second(reply);
+        Play result;
+        onFibers([&](World &world) {
+            world.addUpstream("notices", "a", first.port());
+            world.addUpstream("notices", "a", second.port());
+            const std::unique_ptr<EntryTraffic> entry = world.startEntry("127.0.0.1", "a");
+            announce(world, *entry, false);
+            entry->setRoutes(table(world));
+            result.answer = entry->serve(request(path), neverGone);
+        });
+        result.requests = requests;
+        return result;
+    }
+
+    /** A request that runs once at most: it is not sent again, and its caller is not told that it has not run. */
+    static void assertFailsNotice(const std::string &name, const std::string &bytes)
+    {
+        const Play notice = play("/notice/1", bytes);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 502U, notice.answer.status);
+        CPPUNIT_ASSERT_MESSAGE(name, !hasSignature(notice.answer));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, size_t(1), notice.requests);
+    }
+
+    /** An idempotent request is sent again. */
+    static void assertRepeatsLabel(const std::string &name, const std::string &bytes)
+    {
+        const Play label = play("/label/1", bytes);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 200U, label.answer.status);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, answers::kBody, label.answer.body);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, size_t(2), label.requests);
+    }
+
+    /** A merged answer holds the records of sound parts only. */
+    static void assertNotMerged(const std::string &name, const std::string &bytes)
+    {
+        const Play query = play("/query/1", bytes);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 200U, query.answer.status);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, size_t(0), query.answer.body.size() % kRecordBytes);
+        for (size_t at = 0; at < query.answer.body.size(); at += kRecordBytes)
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(name, answers::kBody, query.answer.body.substr(at, kRecordBytes));
+    }
+
+    static void assertNotPassedOn(const std::vector<answers::NamedBytes> &group)
+    {
+        for (const answers::NamedBytes &broken : group) {
+            assertFailsNotice(broken.name, broken.bytes);
+            assertFailsNotice(broken.name + ", stating that it has not run", answers::statingNotRun(broken.bytes));
+            assertRepeatsLabel(broken.name, broken.bytes);
+            assertNotMerged(broken.name, broken.bytes);
+        }
+    }
+
+    static void assertPassedOn(const std::vector<answers::NamedBytes> &group)
+    {
+        for (const answers::NamedBytes &sound : group) {
+            const Play notice = play("/notice/1", sound.bytes);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(sound.name, 200U, notice.answer.status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(sound.name, answers::kBody, notice.answer.body);
+            CPPUNIT_ASSERT_MESSAGE(sound.name, hasSignature(notice.answer));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(sound.name, size_t(1), notice.requests);
+        }
+    }
+
+public:
+    void status_thatIsNone_isNotPassedOn() { assertNotPassedOn(answers::brokenStatuses()); }
+
+    void startLine_thatIsNone_isNotPassedOn() { assertNotPassedOn(answers::brokenStartLines()); }
+
+    void field_withABrokenNameOrValue_isNotPassedOn() { assertNotPassedOn(answers::brokenFields()); }
+
+    void length_contradictoryOrNotReached_isNotPassedOn() { assertNotPassedOn(answers::brokenLengths()); }
+
+    void answer_soundInAnyForm_isPassedOn() { assertPassedOn(answers::soundAnswers()); }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BrokenAnswerTest);
--- /dev/null
+++ b/test/fakes/BrokenAnswers.h
@@ -0,0 +1,126 @@
+// Answers of upstreams by their bytes: such that are no complete HTTP/1.1 answer, and unusual ones that are. All bear
+// the upstream's signature, and their connections are closed after them.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace hickoryspur::answers {
+
+struct NamedBytes
+{
+    std::string name;
+    std::string bytes;
+};
+
+inline const std::string kBody = "the body of it..";
+inline const std::string kSignature = "Hickoryspur-Server-Seal: sig\r\n";
+inline const std::string kLength = "Content-Length: 16\r\n";
+inline const std::string kChunked = "Transfer-Encoding: chunked\r\n";
+inline const std::string kChunks = "10\r\n" + kBody + "\r\n0\r\n";
+
+/** An answer with this start line, and with these fields after the signature. */
+inline std::string withHead(const std::string &startLine, const std::string &fields, const std::string &rest = kBody)
+{
+    return startLine + "\r\n" + kSignature + fields + "\r\n" + rest;
+}
+
+inline std::string withStatus(const std::string &status)
+{
+    return withHead("HTTP/1.1 " + status + " Status", kLength);
+}
+
+inline std::string withFields(const std::string &fields, const std::string &rest = kBody)
+{
+    return withHead("HTTP/1.1 200 OK", fields, rest);
+}
+
+inline std::string sound()
+{
+    return withStatus("200");
+}
+
+/** The same bytes with a field by which the upstream states that it has not run the request. */
+inline std::string statingNotRun(std::string bytes)
+{
+    const size_t at = bytes.find(kSignature);
+    return at == std::string::npos ? bytes : bytes.insert(at, "Hickoryspur-Not-Executed: 1\r\n");
+}
+
+inline std::vector<NamedBytes> brokenStatuses()
+{
+    std::vector<NamedBytes> result;
+    for (const std::string status : {"000", "001", "099", "101", "600", "999", "20", "2000", "2x0", "-20", ""})
+        result.push_back({"status " + status, withStatus(status)});
+    return result;
+}
+
+inline std::vector<NamedBytes> brokenStartLines()
+{
+    return {{"another protocol", withHead("ICY 200 OK", kLength)},
+            {"version 2.0", withHead("HTTP/2.0 200 OK", kLength)},
+            {"version 1.2", withHead("HTTP/1.2 200 OK", kLength)},
+            {"no version", withHead("200 OK", kLength)},
+            {"control byte in the reason", withHead("HTTP/1.1 200 O\x01K", kLength)},
+            {"lines that end with LF", "HTTP/1.1 200 OK\nHickoryspur-Server-Seal: sig\nContent-Length: 16\n\n" + kBody},
+            {"nothing", ""},
+            {"a body only", kBody},
+            {"a blank line first", "\r\n" + sound()},
+            {"a cut head", "HTTP/1.1 200 OK\r\n" + kSignature + kLength}};
+}
+
+inline std::vector<NamedBytes> brokenFields()
+{
+    std::vector<NamedBytes> result = {{"no colon", withFields("X-Bad\r\n" + kLength)},
+                                      {"no name", withFields(": 1\r\n" + kLength)},
+                                      {"control byte in a value", withFields("X-Bad: a\x01" + ("b\r\n" + kLength))},
+                                      {"CR in a value", withFields("X-Bad: a\rb\r\n" + kLength)},
+                                      {"LF in a value", withFields("X-Bad: a\nb\r\n" + kLength)}};
+    for (const char byte : {' ', '\t', '\0', '\x01', '\x0b', '\x7f', '\x80', '(', '@'}) {
+        const std::string text(1, byte);
+        const std::string code = " byte " + std::to_string(static_cast<unsigned char>(byte));
+        result.push_back({"in a name," + code, withFields("X" + text + "Bad: 1\r\n" + kLength)});
+        result.push_back({"before the colon," + code, withFields("X-Bad" + text + ": 1\r\n" + kLength)});
+        result.push_back(
+            {"first in the head," + code, "HTTP/1.1 200 OK\r\n" + text + kSignature + kLength + "\r\n" + kBody});
+    }
+    return result;
+}
+
+inline std::vector<NamedBytes> brokenLengths()
+{
+    std::vector<NamedBytes> result = {
+        {"two lengths", withFields(kLength + "Content-Length: 3\r\n")},
+        {"length and chunks", withFields(kLength + kChunked, kChunks + "\r\n")},
+        {"chunks and length", withFields(kChunked + kLength, kChunks + "\r\n")},
+        {"cut body", withFields("Content-Length: 17\r\n")},
+        {"cut chunk", withFields(kChunked, "10\r\nthe b")},
+        {"no last chunk", withFields(kChunked, "10\r\n" + kBody + "\r\n")},
+        {"no end of the last chunk", withFields(kChunked, kChunks)},
+        {"size of a chunk", withFields(kChunked, "x0\r\n" + kBody + "\r\n0\r\n\r\n")},
+        {"size of a chunk beyond 64 bits", withFields(kChunked, "10000000000000010\r\n" + kBody + "\r\n0\r\n\r\n")},
+        {"no end of a chunk", withFields(kChunked, "10\r\n" + kBody + "0\r\n\r\n")},
+        {"name after the last chunk", withFields(kChunked, kChunks + "X Bad: 1\r\n\r\n")},
+        {"length after the last chunk", withFields(kChunked, kChunks + "Content-Length: 3\r\n\r\n")}};
+    for (const std::string length : {"-16", "+16", "16, 3", "", "0x10", "16 3", "16;", "18446744073709551632"})
+        result.push_back({"length " + length, withFields("Content-Length: " + length + "\r\n")});
+    return result;
+}
+
+/** Complete answers with kBody, whose forms HTTP/1.1 allows. */
+inline std::vector<NamedBytes> soundAnswers()
+{
+    return {{"length", sound()},
+            {"chunks", withFields(kChunked, kChunks + "\r\n")},
+            {"chunks in capitals", withFields("TRANSFER-ENCODING: Chunked \r\n", kChunks + "\r\n")},
+            {"chunks and a late field", withFields(kChunked, kChunks + "X-Late: 1\r\n\r\n")},
+            {"neither length nor chunks", withFields("")},
+            {"length twice", withFields(kLength + kLength)},
+            {"version 1.0", withHead("HTTP/1.0 200 OK", kLength)},
+            {"no reason", withHead("HTTP/1.1 200 ", kLength)},
+            {"blanks and tabs around a value", withFields("X-Field: \t a \t b \t \r\n" + kLength)},
+            {"an empty value", withFields("X-Field:\r\n" + kLength)},
+            {"bytes above 127 in a value", withFields("X-Field: \xc3\xa4\r\n" + kLength)}};
+}
+
+} // namespace hickoryspur::answers
--- a/test/fakes/EntryWorld.h
+++ b/test/fakes/EntryWorld.h
@@ -51,8 +51,8 @@
         });
     }
 
-    /** Starts an upstream that answers as the handler says; a service may have several. */
-    void addUpstream(const std::string &service, const std::string &dataCentre, CallerHandler handler)
+    /** Adds an upstream that the test itself serves on this port; a service may have several. */
+    const Announcement &addUpstream(const std::string &service, const std::string &dataCentre, uint16_t port)
     {
         Announcement announcement;
         announcement.id = UpstreamId(service + '-' + std::to_string(upstreams.size() + 1));
@@ -61,8 +61,16 @@
         announcement.incarnation = 1;
         announcement.sequence = 1;
         announcement.address = "127.0.0.1";
-        announcement.port = freePort();
+        announcement.port = port;
         announcement.dataCentre = DataCentreName(dataCentre);
+        upstreams.push_back(announcement);
+        return upstreams.back();
+    }
+
+    /** Starts an upstream that answers as the handler says; a service may have several. */
+    void addUpstream(const std::string &service, const std::string &dataCentre, CallerHandler handler)
+    {
+        const Announcement &announcement = addUpstream(service, dataCentre, freePort());
         // The thread ends only after the fibers of all connections.
         ServerLimits limits;
         limits.idleTimeout = 500ms;
@@ -73,7 +81,6 @@
                                                });
         CPPUNIT_ASSERT(server);
         servers.push_back(std::move(*server));
-        upstreams.push_back(announcement);
     }
 
     std::unique_ptr<EntryTraffic> startEntry(const std::string &ip, const std::string &dataCentre,
