Refuse a field that goes on in a line which begins with a blank

Callers saw: an upstream in trouble sent a head in which a name began with a blank or a tab. The line was joined to the field before it, so the signature that callers got held another field; with " Content-Length: 3" the length was lost and the body was whatever came until the connection ended. Callers who send such a request got two answers: its body was served as a request of its own.

Cause: Beast's parser joins folded lines, which HTTP/1.1 no longer has, before BoundedParser sees the field.

Change: BoundedParser reports such a field as bad_obs_fold, in heads and after the last chunk, in answers and in requests. An exchange ends as failed, a request is refused with 400 and its connection is closed. Beast parses a field in place and only when the byte after its last line has come, so the byte after the line behind the name tells.

Evidence: without the check, line_thatBeginsWithABlank_isNotPassedOn failed ("blank before a name": expected 502, got 200), and server_lineThatBeginsWithABlank_isRefusedAndBodyIsNoRequest got 200 twice.

--- a/src/process/BoundedParser.h
+++ b/src/process/BoundedParser.h
@@ -8,7 +8,8 @@
 // header fields they could claim what the head did not.
 //
 // Beast also accepts messages that HTTP/1.1 does not have, which would reach callers in another form than they were
-// sent. They are errors here: an answer whose status is no three-digit number from 100 to 599, or is 101.
+// sent. They are errors here: an answer whose status is no three-digit number from 100 to 599, or is 101; and a field
+// that goes on in a line which begins with a blank, since a peer in trouble may have meant that line as another field.
 #pragma once
 
 #include "hickoryspur/process/ByteBudget.h"
@@ -99,8 +100,25 @@
         });
     }
 
+    /**
+     * Whether the field goes on in a line that begins with a blank. Beast joins such lines to the value, but it parses
+     * a field in place and only when the byte after its last line has come, so the lines are still behind the name.
+     */
+    static bool isFolded(string_view nameText)
+    {
+        const char *lineEnd = nameText.data() + nameText.size();
+        while (*lineEnd != '\n')
+            ++lineEnd;
+        const char next = lineEnd[1];
+        return next == ' ' || next == '\t';
+    }
+
     void on_field_impl(field name, string_view nameText, string_view value, error_code &ec) override
     {
+        if (isFolded(nameText)) {
+            ec = error::bad_obs_fold;
+            return;
+        }
         m_fieldBytes += nameText.size() + value.size();
         if (nameText.size() + value.size() > kMaxFieldBytes || m_fieldBytes > m_limits.headerBytes) {
             ec = error::header_limit;
--- a/test/failure/BrokenAnswerTest.cpp
+++ b/test/failure/BrokenAnswerTest.cpp
@@ -14,6 +14,7 @@
 {
     CPPUNIT_TEST_SUITE(BrokenAnswerTest);
     CPPUNIT_TEST(status_thatIsNone_isNotPassedOn);
+    CPPUNIT_TEST(line_thatBeginsWithABlank_isNotPassedOn);
     CPPUNIT_TEST(startLine_thatIsNone_isNotPassedOn);
     CPPUNIT_TEST(field_withABrokenNameOrValue_isNotPassedOn);
     CPPUNIT_TEST(length_contradictoryOrNotReached_isNotPassedOn);
@@ -107,6 +108,9 @@
 public:
     void status_thatIsNone_isNotPassedOn() { assertNotPassedOn(answers::brokenStatuses()); }
 
+    // It was joined to the field before it, which then held the name and the value of another one.
+    void line_thatBeginsWithABlank_isNotPassedOn() { assertNotPassedOn(answers::foldedLines()); }
+
     void startLine_thatIsNone_isNotPassedOn() { assertNotPassedOn(answers::brokenStartLines()); }
 
     void field_withABrokenNameOrValue_isNotPassedOn() { assertNotPassedOn(answers::brokenFields()); }
--- a/test/failure/HttpCallerServerFailureTest.cpp
+++ b/test/failure/HttpCallerServerFailureTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(server_fieldAfterLastChunkTooLong_isRefusedAndNextIsServed);
     CPPUNIT_TEST(server_fieldTooLongForAWideHeaderLimit_isRefusedAndNextIsServed);
     CPPUNIT_TEST(server_emptyChunkedBodyInPieces_isServed);
+    CPPUNIT_TEST(server_lineThatBeginsWithABlank_isRefusedAndBodyIsNoRequest);
     CPPUNIT_TEST(server_responseCannotBeSent_endsItsConnectionOnly);
     CPPUNIT_TEST(server_noDescriptorLeft_waitsBetweenTriesAndServesLater);
     CPPUNIT_TEST_SUITE_END();
@@ -168,6 +169,22 @@
         CPPUNIT_ASSERT(hasStatus(answer, "200"));
     }
 
+    /** A request with these fields is refused, and the bytes of another request in its body are not served. */
+    static void assertRefusedWhole(const std::string &fields)
+    {
+        Server server(limits(16U * 1024));
+        const std::string inBody = "GET /in-body HTTP/1.1\r\nHost: h\r\n\r\n";
+        const std::string answer = server.exchange("POST / HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n" + inBody);
+        CPPUNIT_ASSERT_MESSAGE(answer, hasStatus(answer, "400"));
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("HTTP/1.1 200") == std::string::npos);
+    }
+
+    // The length was joined to the field before it, and the body was served as the caller's next request.
+    void server_lineThatBeginsWithABlank_isRefusedAndBodyIsNoRequest()
+    {
+        assertRefusedWhole("X-Field: 1\r\n Content-Length: 37\r\n");
+    }
+
     void server_responseCannotBeSent_endsItsConnectionOnly()
     {
         const int64_t exceptions = connectionExceptions();
--- a/test/fakes/BrokenAnswers.h
+++ b/test/fakes/BrokenAnswers.h
@@ -87,6 +87,20 @@
     return result;
 }
 
+inline std::vector<NamedBytes> foldedLines()
+{
+    return {{"blank before a name", withFields(" X-Folded: 1\r\n" + kLength)},
+            {"tab before a name", withFields("\tX-Folded: 1\r\n" + kLength)},
+            {"blank before the length", withFields(" Content-Length: 3\r\n")},
+            {"tab before the length", withFields("\tContent-Length: 16\r\n")},
+            {"blank before the coding", withFields(" " + kChunked, kChunks + "\r\n")},
+            {"after an empty value", withFields("X-Empty:\r\n folded\r\n" + kLength)},
+            {"last in the head", withFields(kLength + " folded\r\n")},
+            {"a line of blanks", withFields("X-Field: 1\r\n  \r\n" + kLength)},
+            {"in a coding", withFields("Transfer-Encoding:\r\n chunked\r\n", kChunks + "\r\n")},
+            {"after the last chunk", withFields(kChunked, kChunks + "X-Late: 1\r\n folded\r\n\r\n")}};
+}
+
 inline std::vector<NamedBytes> brokenLengths()
 {
     std::vector<NamedBytes> result = {
