The servers of two test fixtures share one thread class, which keeps its promise

Cause, by the core: HttpCallerServerFailureTest's server thread was in set_value() of a boost::fibers::promise that stood on the stack of the constructor, which had returned meanwhile. A fault of the test, also in SlowReaderFailureTest; the product's fiber promises that another thread sets are shared.

Change: ServerThread in test/fakes starts and stops the server for both fixtures, which had a copy each, and its thread owns the promise.

--- a/test/failure/HttpCallerServerFailureTest.cpp
+++ b/test/failure/HttpCallerServerFailureTest.cpp
@@ -1,14 +1,12 @@
 // Guards against a request that ends the process which reads it, and against one that occupies a server for good. The
 // callers are sockets of the test; each server runs on a thread of its own, as in the product.
-#include "connection/AsioScheduler.h"
+#include "fakes/ServerThread.h"
 #include "process/ConnectionGuard.h"
-#include "request/HttpCallerServer.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/fiber/all.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <sys/resource.h>
@@ -32,33 +30,21 @@
 
     static constexpr size_t kUnstorableBytes = 70000;
 
-    /** A server whose handler answers with a field of the request's own length. */
-    class Server
+    /** A server that answers with a field that cannot be stored, if the target asks for it. */
+    class Server : public ServerThread
     {
     public:
-        explicit Server(ServerLimits limits)
+        explicit Server(const ServerLimits &limits)
+            : ServerThread(limits, answer)
         {
-            tcp::acceptor probe(m_clients, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-            m_port = probe.local_endpoint().port();
-            probe.close();
-            boost::fibers::promise<void> ready;
-            boost::fibers::future<void> started = ready.get_future();
-            m_thread = std::thread([this, limits, &ready] { run(limits, ready); });
-            started.wait();
-        }
-        Server(const Server &) = delete;
-        Server &operator=(const Server &) = delete;
-        ~Server()
-        {
-            m_stop = true;
-            m_thread.join();
         }
 
         /** The status line and all that follows it until the server closes; empty if it closed without an answer. */
-        std::string exchange(const std::string &bytes)
+        std::string exchange(const std::string &bytes) const
         {
-            tcp::socket socket(m_clients);
-            socket.connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(), m_port));
+            boost::asio::io_context context;
+            tcp::socket socket(context);
+            socket.connect(endpoint());
             boost::system::error_code error;
             boost::asio::write(socket, boost::asio::buffer(bytes), error);
             std::string answer;
@@ -66,45 +52,19 @@
             return answer;
         }
 
-        std::string get(const std::string &target)
+        std::string get(const std::string &target) const
         {
             return exchange("GET " + target + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
         }
 
-        /** A connection whose descriptor was taken before. */
-        void connect(tcp::socket &socket)
-        {
-            socket.connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(), m_port));
-        }
-
-        size_t openRequests() const { return m_openRequests; }
-
     private:
-        void run(ServerLimits limits, boost::fibers::promise<void> &ready)
+        static CallerResponse answer(const CallerRequest &request)
         {
-            auto context = std::make_shared<boost::asio::io_context>(1);
-            boost::fibers::use_scheduling_algorithm<AsioScheduler>(context);
-            auto server = HttpCallerServer::listen(*context, {"127.0.0.1", m_port}, limits, [](const auto &request) {
-                CallerResponse response;
-                if (request.path == "/unstorable")
-                    response.fields.emplace_back("X-Long", std::string(kUnstorableBytes, 'x'));
-                return response;
-            });
-            ready.set_value();
-            while (!m_stop) {
-                m_openRequests = server ? (*server)->openRequests() : 0;
-                boost::this_fiber::sleep_for(std::chrono::milliseconds(5));
-            }
-            if (server)
-                server->reset();
-            boost::this_fiber::sleep_for(limits.idleTimeout);
+            CallerResponse response;
+            if (request.path == "/unstorable")
+                response.fields.emplace_back("X-Long", std::string(kUnstorableBytes, 'x'));
+            return response;
         }
-
-        boost::asio::io_context m_clients;
-        uint16_t m_port = 0;
-        std::atomic<bool> m_stop{false};
-        std::atomic<size_t> m_openRequests{0};
-        std::thread m_thread;
     };
 
     static ServerLimits limits(uint32_t headerBytes)
@@ -131,7 +91,7 @@
     void server_fieldAfterLastChunkTooLong_isRefusedAndNextIsServed()
     {
         const int64_t exceptions = connectionExceptions();
-        Server server(limits(16U * 1024));
+        const Server server(limits(16U * 1024));
         const std::string answer =
             server.exchange("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Filler: "
                             + unstorable() + "\r\n\r\n");
@@ -143,7 +103,7 @@
     void server_fieldTooLongForAWideHeaderLimit_isRefusedAndNextIsServed()
     {
         const int64_t exceptions = connectionExceptions();
-        Server server(limits(120U * 1024));
+        const Server server(limits(120U * 1024));
         const std::string answer =
             server.exchange("GET / HTTP/1.1\r\nHost: h\r\nX-Filler: " + unstorable() + "\r\n\r\n");
         CPPUNIT_ASSERT(hasStatus(answer, "413"));
@@ -154,10 +114,10 @@
     // A caller whose last bytes came one by one ended the server's process.
     void server_emptyChunkedBodyInPieces_isServed()
     {
-        Server server(limits(16U * 1024));
+        const Server server(limits(16U * 1024));
         boost::asio::io_context clients;
         tcp::socket socket(clients, tcp::v4());
-        server.connect(socket);
+        socket.connect(server.endpoint());
         for (const char *piece :
              {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "\r", "\n"}) {
             boost::asio::write(socket, boost::asio::buffer(std::string(piece)));
@@ -172,7 +132,7 @@
     /** A request with these fields is refused, and the bytes of another request in its body are not served. */
     static void assertRefusedWhole(const std::string &fields)
     {
-        Server server(limits(16U * 1024));
+        const Server server(limits(16U * 1024));
         const std::string inBody = "GET /in-body HTTP/1.1\r\nHost: h\r\n\r\n";
         const std::string answer = server.exchange("POST / HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n" + inBody);
         CPPUNIT_ASSERT_MESSAGE(answer, hasStatus(answer, "400"));
@@ -188,7 +148,7 @@
     void server_responseCannotBeSent_endsItsConnectionOnly()
     {
         const int64_t exceptions = connectionExceptions();
-        Server server(limits(16U * 1024));
+        const Server server(limits(16U * 1024));
         CPPUNIT_ASSERT_EQUAL(std::string(), server.get("/unstorable"));
         CPPUNIT_ASSERT_EQUAL(exceptions + 1, connectionExceptions());
         CPPUNIT_ASSERT(hasStatus(server.get("/"), "200"));
@@ -199,7 +159,7 @@
     // A server without descriptors tried again at once, and kept its thread busy instead of serving open connections.
     void server_noDescriptorLeft_waitsBetweenTriesAndServesLater()
     {
-        Server server(limits(16U * 1024));
+        const Server server(limits(16U * 1024));
         boost::asio::io_context clients;
         tcp::socket waiting(clients, tcp::v4());
         rlimit usual{};
@@ -211,7 +171,7 @@
         none.rlim_cur = static_cast<rlim_t>(lowestFree);
         const int64_t failures = acceptFailures();
         CPPUNIT_ASSERT_EQUAL(0, ::setrlimit(RLIMIT_NOFILE, &none));
-        server.connect(waiting);
+        waiting.connect(server.endpoint());
         std::this_thread::sleep_for(std::chrono::milliseconds(300));
         CPPUNIT_ASSERT_EQUAL(0, ::setrlimit(RLIMIT_NOFILE, &usual));
         const int64_t tries = acceptFailures() - failures;
--- a/test/failure/SlowReaderFailureTest.cpp
+++ b/test/failure/SlowReaderFailureTest.cpp
@@ -1,20 +1,17 @@
 // Guards against callers and upstreams that read slowly or not at all: they must not occupy memory without bounds, nor
 // for longer than a write may stand still, and one that goes on reading must get everything.
-#include "connection/AsioScheduler.h"
 #include "connection/UpstreamConnections.h"
 #include "fakes/EntryWorld.h"
 #include "fakes/RunUntil.h"
+#include "fakes/ServerThread.h"
 #include "hickoryspur/process/ByteBudget.h"
 #include "hickoryspur/process/Metrics.h"
-#include "request/HttpCallerServer.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/fiber/all.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <atomic>
-#include <thread>
 #include <vector>
 
 using namespace hickoryspur;
@@ -38,32 +35,21 @@
     /** Kernels take this much more than they are told to, beside kMaxUnsentBytes. */
     static constexpr int kReceiveBytes = 64 * 1024;
 
-    /** A server on its own thread, whose answers are large; a request takes kAnswerBytes, too. */
-    class Server
+    /** A server whose answers are large; a request takes kAnswerBytes, too. */
+    class Server : public ServerThread
     {
     public:
-        explicit Server(ServerLimits limits)
+        explicit Server(const ServerLimits &limits)
+            : ServerThread(limits, answer)
         {
-            boost::fibers::promise<void> ready;
-            boost::fibers::future<void> started = ready.get_future();
-            m_thread = std::thread([this, limits, &ready] { run(limits, ready); });
-            started.wait();
-        }
-        Server(const Server &) = delete;
-        Server &operator=(const Server &) = delete;
-        ~Server()
-        {
-            m_stop = true;
-            m_thread.join();
         }
 
         /** Sends a request on a connection whose kernel takes little of the answer. */
         void request(tcp::socket &socket) const
         {
-            const tcp::endpoint endpoint(boost::asio::ip::address_v4::loopback(), m_port);
-            socket.open(endpoint.protocol());
+            socket.open(tcp::v4());
             socket.set_option(boost::asio::socket_base::receive_buffer_size(kReceiveBytes));
-            socket.connect(endpoint);
+            socket.connect(endpoint());
             const std::string body(kRequestBytes, 'x');
             boost::asio::write(socket,
                                boost::asio::buffer("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: "
@@ -71,30 +57,12 @@
         }
 
     private:
-        void run(ServerLimits limits, boost::fibers::promise<void> &ready)
+        static CallerResponse answer(const CallerRequest &)
         {
-            auto context = std::make_shared<boost::asio::io_context>(1);
-            boost::fibers::use_scheduling_algorithm<AsioScheduler>(context);
-            {
-                const tcp::acceptor probe(*context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-                m_port = probe.local_endpoint().port();
-            }
-            auto server = HttpCallerServer::listen(*context, {"127.0.0.1", m_port}, limits, [](const auto &) {
-                CallerResponse response;
-                response.body = std::string(kAnswerBytes, 'a');
-                return response;
-            });
-            ready.set_value();
-            while (!m_stop)
-                boost::this_fiber::sleep_for(std::chrono::milliseconds(5));
-            if (server)
-                server->reset();
-            boost::this_fiber::sleep_for(limits.idleTimeout);
+            CallerResponse response;
+            response.body = std::string(kAnswerBytes, 'a');
+            return response;
         }
-
-        uint16_t m_port = 0;
-        std::atomic<bool> m_stop{false};
-        std::thread m_thread;
     };
 
     struct Upstream
