Refuse a transfer coding other than chunked

Callers saw: an upstream in trouble answered with "Transfer-Encoding: chunked, gzip" or an unknown coding, and callers got 200 with the lines of the chunks in the body; with "gzip, chunked" coded bytes as if they were plain. Callers who send such a request got two answers: its body was served as a request of its own.

Cause: Beast's parser looks for "chunked" as the last coding and takes any other message for one without a coding, which ends with the connection, or as a request has no body.

Change: BoundedParser reports as bad_transfer_encoding any coding that is not just chunked, and every coding of version 1.0, which has none (RFC 9112, 6.1). Nothing here decodes others, and no request asks for one. An exchange ends as failed, a request is refused with 400.

--- a/src/process/BoundedParser.h
+++ b/src/process/BoundedParser.h
@@ -9,7 +9,8 @@
 //
 // Beast also accepts messages that HTTP/1.1 does not have, which would reach callers in another form than they were
 // sent. They are errors here: an answer whose status is no three-digit number from 100 to 599, or is 101; and a field
-// that goes on in a line which begins with a blank, since a peer in trouble may have meant that line as another field.
+// that goes on in a line which begins with a blank, since a peer in trouble may have meant that line as another field;
+// and a transfer coding other than chunked, after which Beast gives out coded bytes as the body.
 #pragma once
 
 #include "hickoryspur/process/ByteBudget.h"
@@ -113,12 +114,23 @@
         return next == ' ' || next == '\t';
     }
 
+    /** Version 1.0 has no transfer codings, and this program decodes no other one and asks for none. */
+    bool isReadableCoding(string_view coding) const
+    {
+        constexpr unsigned kVersion11 = 11;
+        return m_message.version() >= kVersion11 && boost::beast::iequals(coding, "chunked");
+    }
+
     void on_field_impl(field name, string_view nameText, string_view value, error_code &ec) override
     {
         if (isFolded(nameText)) {
             ec = error::bad_obs_fold;
             return;
         }
+        if (name == field::transfer_encoding && !isReadableCoding(value)) {
+            ec = error::bad_transfer_encoding;
+            return;
+        }
         m_fieldBytes += nameText.size() + value.size();
         if (nameText.size() + value.size() > kMaxFieldBytes || m_fieldBytes > m_limits.headerBytes) {
             ec = error::header_limit;
--- a/test/failure/BrokenAnswerTest.cpp
+++ b/test/failure/BrokenAnswerTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST_SUITE(BrokenAnswerTest);
     CPPUNIT_TEST(status_thatIsNone_isNotPassedOn);
     CPPUNIT_TEST(line_thatBeginsWithABlank_isNotPassedOn);
+    CPPUNIT_TEST(transferCoding_otherThanChunked_isNotPassedOn);
     CPPUNIT_TEST(startLine_thatIsNone_isNotPassedOn);
     CPPUNIT_TEST(field_withABrokenNameOrValue_isNotPassedOn);
     CPPUNIT_TEST(length_contradictoryOrNotReached_isNotPassedOn);
@@ -111,6 +112,9 @@
     // It was joined to the field before it, which then held the name and the value of another one.
     void line_thatBeginsWithABlank_isNotPassedOn() { assertNotPassedOn(answers::foldedLines()); }
 
+    // The lines of the chunks were in the body, or coded bytes were passed on as if they were plain.
+    void transferCoding_otherThanChunked_isNotPassedOn() { assertNotPassedOn(answers::unknownCodings()); }
+
     void startLine_thatIsNone_isNotPassedOn() { assertNotPassedOn(answers::brokenStartLines()); }
 
     void field_withABrokenNameOrValue_isNotPassedOn() { assertNotPassedOn(answers::brokenFields()); }
--- a/test/failure/HttpCallerServerFailureTest.cpp
+++ b/test/failure/HttpCallerServerFailureTest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(server_fieldTooLongForAWideHeaderLimit_isRefusedAndNextIsServed);
     CPPUNIT_TEST(server_emptyChunkedBodyInPieces_isServed);
     CPPUNIT_TEST(server_lineThatBeginsWithABlank_isRefusedAndBodyIsNoRequest);
+    CPPUNIT_TEST(server_transferCodingOtherThanChunked_isRefusedAndBodyIsNoRequest);
     CPPUNIT_TEST(server_responseCannotBeSent_endsItsConnectionOnly);
     CPPUNIT_TEST(server_noDescriptorLeft_waitsBetweenTriesAndServesLater);
     CPPUNIT_TEST_SUITE_END();
@@ -145,6 +146,13 @@
         assertRefusedWhole("X-Field: 1\r\n Content-Length: 37\r\n");
     }
 
+    // The request was taken for one without a body, and its body for the caller's next request.
+    void server_transferCodingOtherThanChunked_isRefusedAndBodyIsNoRequest()
+    {
+        for (const char *coding : {"gzip", "chunked, gzip", "gzip, chunked", "identity", ""})
+            assertRefusedWhole("Transfer-Encoding: " + std::string(coding) + "\r\n");
+    }
+
     void server_responseCannotBeSent_endsItsConnectionOnly()
     {
         const int64_t exceptions = connectionExceptions();
--- a/test/fakes/BrokenAnswers.h
+++ b/test/fakes/BrokenAnswers.h
@@ -101,6 +101,20 @@
             {"after the last chunk", withFields(kChunked, kChunks + "X-Late: 1\r\n folded\r\n\r\n")}};
 }
 
+inline std::vector<NamedBytes> unknownCodings()
+{
+    std::vector<NamedBytes> result = {
+        {"coding with a length", withFields("Transfer-Encoding: gzip\r\n" + kLength)},
+        {"coding after a length", withFields(kLength + "Transfer-Encoding: gzip\r\n")},
+        {"coding before chunked", withFields("Transfer-Encoding: gzip\r\n" + kChunked, kChunks + "\r\n")},
+        {"coding after chunked", withFields(kChunked + "Transfer-Encoding: gzip\r\n", kChunks + "\r\n")},
+        {"chunked of version 1.0", withHead("HTTP/1.0 200 OK", kChunked, kChunks + "\r\n")}};
+    for (const std::string coding : {"chunked, gzip", "gzip, chunked", "gzip", "identity", "x-unknown", "chunked;q=1",
+                                     "\"chunked\"", "chunked, chunked", ",", ""})
+        result.push_back({"coding " + coding, withFields("Transfer-Encoding: " + coding + "\r\n", kChunks + "\r\n")});
+    return result;
+}
+
 inline std::vector<NamedBytes> brokenLengths()
 {
     std::vector<NamedBytes> result = {
