Read on after an interim answer until the final one

Callers saw: an upstream answered with 100, 102 or 103, which HTTP allows before the final answer. With a signature and nothing after it, the caller got the 100 as its answer; with a sound 200 after it the caller got 502, the 200 was lost with the connection, and an idempotent request ran twice. Calls of control hosts, the load tool and operators' commands took a 100 for the answer as well.

Cause: Beast's parser ends an interim answer like a final one, and each of the five readers of answers stopped there.

Change: AnswerReader in src/process is what reads an answer now, for upstreams (both channels), services and tools. It drops interim answers, which together may be as long as the head of one answer, and knows where an answer ends with its connection and whether that stays open; this stood in two places. A connection of the `serve` channel whose answer ended with it is not used again. An upstream that ends after nothing but interim answers counts as lost like one that has not begun to answer.

The fuzzing of answers reads through AnswerReader too.

--- a/src/connection/HttpUpstreamChannel.cpp
+++ b/src/connection/HttpUpstreamChannel.cpp
@@ -4,7 +4,7 @@
 #include "hickoryspur/process/Check.h"
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/Metrics.h"
-#include "process/BoundedParser.h"
+#include "process/AnswerReader.h"
 #include "process/HttpLimits.h"
 #include "process/Numbers.h"
 
@@ -105,9 +105,9 @@
             if (const std::shared_ptr<Connection> self = weak.lock())
                 asio::post(self->m_stream.get_executor(), [self] { self->close(); });
         };
-        m_parser.emplace(ParserLimits(), ByteBudget::Share(connectionBytes(), "upstream", std::move(giveUp)));
-        http::async_read(m_stream, m_buffer, *m_parser,
-                         [self = shared_from_this()](error_code error, size_t) { self->end(error); });
+        m_reader.emplace(ParserLimits(), ByteBudget::Share(connectionBytes(), "upstream", std::move(giveUp)));
+        asyncReadAnswer(m_stream, m_buffer, *m_reader,
+                        [self = shared_from_this()](error_code error) { self->end(error); });
     }
 
     void end(error_code error)
@@ -115,12 +115,14 @@
         Ended ended = std::move(m_ended);
         m_ended = nullptr;
         http::response<http::string_body> response;
-        if (!error && m_parser)
-            response = m_parser->release();
-        // Bytes after the answer belong to no request, so the connection is not reused.
-        if (m_buffer.size() > 0)
-            response.keep_alive(false);
-        m_parser.reset();
+        if (!error && m_reader) {
+            // Bytes after the answer belong to no request, so the connection is not reused.
+            const bool keep = m_reader->keepsConnection() && m_buffer.size() == 0;
+            response = m_reader->release();
+            if (!keep)
+                response.keep_alive(false);
+        }
+        m_reader.reset();
         if (ended)
             ended(error, m_written, response);
     }
@@ -128,7 +130,7 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer{kMaxUnparsedBytes};
     http::request<http::string_body> m_request;
-    std::optional<AnswerParser> m_parser;
+    std::optional<AnswerReader> m_reader;
     Ended m_ended;
     bool m_connected = false;
     bool m_written = false;
--- a/src/connection/UpstreamConnection.cpp
+++ b/src/connection/UpstreamConnection.cpp
@@ -238,7 +238,7 @@
 bool UpstreamConnection::isWriteStalled(TimePoint now) const
 {
     // An upstream that has begun to answer may leave the rest of the request unread.
-    return m_exchange && m_isWriting && !m_parser->got_some() && now - m_writeProgressAt >= kWriteStallTime;
+    return m_exchange && m_isWriting && !m_reader->hasBegun() && now - m_writeProgressAt >= kWriteStallTime;
 }
 
 void UpstreamConnection::onWritten()
@@ -267,45 +267,33 @@
 
 void UpstreamConnection::startAnswer()
 {
-    m_parser.emplace(ParserLimits(), countBytes("upstream"));
-    m_parser->eager(true);
+    m_reader.emplace(ParserLimits(), countBytes("upstream"));
 }
 
 void UpstreamConnection::parse(error_code readError)
 {
-    error_code error = readError;
     // An upstream that has begun to answer has not ended because of the request.
-    const AttemptOutcome failure = readError && !m_parser->got_some() ? AttemptOutcome::Lost : AttemptOutcome::Failed;
-    if (error == asio::error::eof) {
-        // An answer without a length ends with its connection.
-        error = {};
-        if (m_parser->got_some())
-            m_parser->put_eof(error);
-        if (!error && !m_parser->is_done())
-            error = http::error::end_of_stream;
-    }
-    while (!error && !m_parser->is_done() && m_buffer.size() > 0) {
-        const size_t used = m_parser->put(m_buffer.data(), error);
-        m_buffer.consume(used);
-        if (error != http::error::need_more)
-            continue;
-        error = {};
-        break;
-    }
+    const AttemptOutcome failure = readError && !m_reader->hasBegun() ? AttemptOutcome::Lost : AttemptOutcome::Failed;
+    error_code error = readError;
+    if (!readError)
+        error = m_reader->parse(m_buffer);
+    else if (readError == asio::error::eof)
+        error = m_reader->parseEnd();
     if (error)
         finish({failure, {}, "read failed: " + error.message()}, false);
-    else if (m_parser->is_done())
+    else if (m_reader->isDone())
         onAnswer();
 }
 
 void UpstreamConnection::onAnswer()
 {
     static Counter &mismatches = Metrics::counter("hickoryspur_upstream_reply_mismatch_total");
-    const bool keep = m_parser->get().keep_alive() && !m_parser->get().need_eof();
-    if (const std::optional<Duration> idle = parseKeepAliveTimeout(m_parser->get()[http::field::keep_alive]))
+    const bool keep = m_reader->keepsConnection();
+    ByteBudget::Share held = std::move(m_reader->held());
+    AnswerReader::Message message = m_reader->release();
+    if (const std::optional<Duration> idle = parseKeepAliveTimeout(message[http::field::keep_alive]))
         m_idleTimeout = *idle;
-    ByteBudget::Share held = std::move(m_parser->held());
-    UpstreamAnswer answer = toAnswer(m_parser->release());
+    UpstreamAnswer answer = toAnswer(std::move(message));
     const std::shared_ptr<ConnectionPool> pool = m_pool.lock();
     if (pool && !pool->belongsTo(answer, m_exchange->request.requestId)) {
         mismatches.add();
--- a/src/connection/UpstreamConnection.h
+++ b/src/connection/UpstreamConnection.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "connection/UpstreamExchange.h"
-#include "process/BoundedParser.h"
+#include "process/AnswerReader.h"
 #include "process/HttpLimits.h"
 
 #include <boost/asio/io_context.hpp>
@@ -94,8 +94,8 @@
     TimePoint m_writeProgressAt;
     /** Counts the request while the upstream has not taken all of it. */
     ByteBudget::Share m_requestHeld;
-    /** Parses the answer to the running exchange. */
-    std::optional<AnswerParser> m_parser;
+    /** Reads the answer to the running exchange. */
+    std::optional<AnswerReader> m_reader;
     boost::beast::flat_buffer m_buffer{kMaxUnparsedAnswerBytes};
 };
 
--- a/src/request/HttpCallerServer.cpp
+++ b/src/request/HttpCallerServer.cpp
@@ -2,7 +2,7 @@
 
 #include "hickoryspur/process/LogEvent.h"
 #include "hickoryspur/process/Metrics.h"
-#include "process/BoundedParser.h"
+#include "process/AnswerReader.h"
 #include "process/ConnectionGuard.h"
 #include "process/HttpLimits.h"
 #include "request/AnswerJson.h"
@@ -403,7 +403,7 @@
 
     error_code connect(std::chrono::milliseconds timeout);
     /** Writes the request and reads the answer, within the timeout that is set on the stream. */
-    error_code transfer(const http::request<http::string_body> &message, AnswerParser &parser);
+    error_code transfer(const http::request<http::string_body> &message, AnswerReader &reader);
 };
 
 HttpCallerClient::HttpCallerClient(asio::io_context &context, const HostAddress &address)
@@ -425,27 +425,27 @@
     return error;
 }
 
-error_code HttpCallerClient::State::transfer(const http::request<http::string_body> &message, AnswerParser &parser)
+error_code HttpCallerClient::State::transfer(const http::request<http::string_body> &message, AnswerReader &reader)
 {
     if (const error_code error = await([&](auto done) { http::async_write(*stream, message, std::move(done)); }))
         return error;
-    return await([&](auto done) { http::async_read(*stream, buffer, parser, std::move(done)); });
+    return await([&](auto done) { asyncReadAnswer(*stream, buffer, reader, std::move(done)); });
 }
 
 Result<CallerResponse> HttpCallerClient::exchange(const CallerRequest &request, std::chrono::milliseconds timeout)
 {
     error_code error = m_state->stream ? error_code() : m_state->connect(timeout);
     const http::request<http::string_body> message = toHttpRequest(m_state->address, request);
-    AnswerParser parser((ParserLimits()));
+    AnswerReader reader;
     if (!error) {
         m_state->stream->expires_after(timeout);
-        error = m_state->transfer(message, parser);
+        error = m_state->transfer(message, reader);
     }
-    if (error || !parser.keep_alive())
+    if (error || !reader.keepsConnection())
         m_state->stream.reset();
     if (error)
         return failure(ResultCode::ConnectionFailed, m_state->address.text() + ": " + error.message());
-    return toCallerResponse(parser.release());
+    return toCallerResponse(reader.release());
 }
 
 Result<CallerResponse> HttpCallerClient::exchangeOnce(const CallerRequest &request, const CallLimits &limits,
@@ -457,15 +457,15 @@
         return failure(ResultCode::ConnectionFailed, address + ": " + error.message(), true);
     http::request<http::string_body> message = toHttpRequest(m_state->address, request);
     message.keep_alive(false);
-    AnswerParser parser({limits.headerBytes, limits.bodyBytes});
+    AnswerReader reader({limits.headerBytes, limits.bodyBytes});
     m_state->stream->expires_at(deadline);
     if (!mayWrite())
         return failure(ResultCode::NoLeader, "this host may no longer call " + address, true);
-    const error_code error = m_state->transfer(message, parser);
+    const error_code error = m_state->transfer(message, reader);
     m_state->stream.reset();
     if (error)
         return failure(ResultCode::ConnectionFailed, address + ": " + error.message());
-    return toCallerResponse(parser.release());
+    return toCallerResponse(reader.release());
 }
 
 Result<CallerResponse> httpExchange(const HostAddress &address, const CallerRequest &request,
@@ -476,7 +476,7 @@
     stream.expires_after(timeout);
     const http::request<http::string_body> message = toHttpRequest(address, request);
     beast::flat_buffer buffer(kMaxUnparsedBytes);
-    AnswerParser parser(kToolLimits);
+    AnswerReader reader(kToolLimits);
     error_code error;
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.address), address.port);
     stream.async_connect(endpoint, [&](error_code connected) {
@@ -487,16 +487,13 @@
             error = written;
             if (error)
                 return;
-            http::async_read(stream, buffer, parser, [&](error_code read, size_t) { error = read; });
+            asyncReadAnswer(stream, buffer, reader, [&](error_code read) { error = read; });
         });
     });
     context.run();
     if (error)
         return failure(ResultCode::ConnectionFailed, address.text() + ": " + error.message());
-    CallerResponse response;
-    response.status = parser.get().result_int();
-    response.body = parser.get().body();
-    return response;
+    return toCallerResponse(reader.release());
 }
 
 } // namespace hickoryspur
--- /dev/null
+++ b/test/failure/AnswerReaderFailureTest.cpp
@@ -0,0 +1,189 @@
+// Guards against bytes that are no answer and are taken for one, wherever an answer is read: in pieces of any size, by
+// calls to services, by command-line tools and on the channel to upstreams that `serve` uses.
+#include "connection/AsioScheduler.h"
+#include "connection/HttpUpstreamChannel.h"
+#include "fakes/BrokenAnswers.h"
+#include "fakes/RawUpstream.h"
+#include "fakes/RunUntil.h"
+#include "hickoryspur/connection/Announcement.h"
+#include "process/AnswerReader.h"
+#include "request/HttpCallerClient.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+#include <thread>
+
+using namespace hickoryspur;
+
+class AnswerReaderFailureTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(AnswerReaderFailureTest);
+    CPPUNIT_TEST(answers_brokenInPiecesOfAnySize_areRefused);
+    CPPUNIT_TEST(answers_soundInPiecesOfAnySize_areRead);
+    CPPUNIT_TEST(call_answerBroken_failsAndIsNotNotRun);
+    CPPUNIT_TEST(client_answerBroken_failsAndNextIsServed);
+    CPPUNIT_TEST(tool_answerBroken_fails);
+    CPPUNIT_TEST(channel_answerBroken_outcomeIsUnknown);
+    CPPUNIT_TEST(channel_answerSound_isRead);
+    CPPUNIT_TEST(readers_answerSound_isRead);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::chrono::milliseconds kTimeout{2000};
+
+    /** The answer that a connection with these bytes gives, or nothing. */
+    static std::optional<AnswerReader::Message> read(const std::string &bytes, size_t pieceBytes)
+    {
+        AnswerReader reader;
+        boost::beast::flat_buffer buffer;
+        boost::system::error_code error;
+        for (size_t at = 0; at < bytes.size() && !error && !reader.isDone(); at += pieceBytes) {
+            const size_t size = std::min(pieceBytes, bytes.size() - at);
+            boost::asio::buffer_copy(buffer.prepare(size), boost::asio::buffer(bytes.data() + at, size));
+            buffer.commit(size);
+            error = reader.parse(buffer);
+        }
+        if (!error && !reader.isDone())
+            error = reader.parseEnd();
+        return error ? std::nullopt : std::optional(reader.release());
+    }
+
+    static CallerRequest request()
+    {
+        CallerRequest request;
+        request.method = "POST";
+        request.target = request.path = "/";
+        return request;
+    }
+
+    static HostAddress addressOf(const RawUpstream &upstream) { return {"127.0.0.1", upstream.port()}; }
+
+    /** Runs the test on a fiber of a thread of its own, since fibers' scheduling is set for a thread. */
+    static void onFiber(const std::function<void(boost::asio::io_context &)> &test)
+    {
+        std::exception_ptr failure;
+        std::thread([&] {
+            const auto context = std::make_shared<boost::asio::io_context>(1);
+            boost::fibers::use_scheduling_algorithm<AsioScheduler>(context);
+            try {
+                test(*context);
+            } catch (...) {
+                failure = std::current_exception();
+            }
+        }).join();
+        if (failure)
+            std::rethrow_exception(failure);
+    }
+
+    /** What the channel makes of this answer to its request, which the answer names. */
+    static ChannelResult channelResult(std::string bytes)
+    {
+        const size_t fieldsAt = bytes.find(answers::kSignature);
+        if (fieldsAt != std::string::npos)
+            bytes.insert(fieldsAt, "Hickoryspur-Request-Id: r1\r\nHickoryspur-Outcome: shed\r\n");
+        const RawUpstream upstream(RawUpstream::Reply{bytes});
+        boost::asio::io_context context(1);
+        Announcement announcement;
+        announcement.address = "127.0.0.1";
+        announcement.port = upstream.port();
+        const std::unique_ptr<UpstreamChannel> channel = httpChannelFactory(context)(announcement);
+        ChannelRequest sent;
+        sent.requestId = "r1";
+        sent.deadline = monotonicNow() + 2s;
+        std::optional<ChannelResult> result;
+        channel->send(sent, [&](ChannelResult ended) { result = std::move(ended); });
+        runUntil(context, [&] { return result.has_value(); });
+        return *result;
+    }
+
+public:
+    void answers_brokenInPiecesOfAnySize_areRefused()
+    {
+        for (const answers::NamedBytes &broken : answers::allBroken())
+            for (size_t pieceBytes = 1; pieceBytes <= broken.bytes.size(); ++pieceBytes)
+                CPPUNIT_ASSERT_MESSAGE(broken.name, !read(broken.bytes, pieceBytes));
+    }
+
+    void answers_soundInPiecesOfAnySize_areRead()
+    {
+        for (const answers::NamedBytes &sound : answers::allSound())
+            for (size_t pieceBytes = 1; pieceBytes <= sound.bytes.size(); ++pieceBytes) {
+                const auto answer = read(sound.bytes, pieceBytes);
+                CPPUNIT_ASSERT_MESSAGE(sound.name, answer.has_value());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(sound.name, 200U, answer->result_int());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(sound.name, answers::kBody, answer->body());
+            }
+    }
+
+    // A service that has executed the call counts it twice if it is told again under another number.
+    void call_answerBroken_failsAndIsNotNotRun()
+    {
+        for (const answers::NamedBytes &broken : answers::allBroken())
+            onFiber([&](boost::asio::io_context &context) {
+                const RawUpstream service(RawUpstream::Reply{broken.bytes});
+                HttpCallerClient client(context, addressOf(service));
+                const auto answer = client.exchangeOnce(request(), CallLimits(), [] { return true; });
+                CPPUNIT_ASSERT_MESSAGE(broken.name, !answer);
+                CPPUNIT_ASSERT_MESSAGE(broken.name, !answer.error().notRun);
+            });
+    }
+
+    void client_answerBroken_failsAndNextIsServed()
+    {
+        for (const answers::NamedBytes &broken : answers::allBroken())
+            onFiber([&](boost::asio::io_context &context) {
+                bool isFirst = true;
+                const RawUpstream host([&] {
+                    return RawUpstream::Reply{std::exchange(isFirst, false) ? broken.bytes : answers::sound()};
+                });
+                HttpCallerClient client(context, addressOf(host));
+                CPPUNIT_ASSERT_MESSAGE(broken.name, !client.exchange(request(), kTimeout));
+                const auto next = client.exchange(request(), kTimeout);
+                CPPUNIT_ASSERT_MESSAGE(broken.name, next.has_value());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.name, answers::kBody, next->body);
+            });
+    }
+
+    void tool_answerBroken_fails()
+    {
+        for (const answers::NamedBytes &broken : answers::allBroken()) {
+            const RawUpstream host(RawUpstream::Reply{broken.bytes});
+            CPPUNIT_ASSERT_MESSAGE(broken.name, !httpExchange(addressOf(host), request(), kTimeout));
+        }
+    }
+
+    // The outcome in the fields of such an answer was believed: after "shed", a request that may have run counts as not
+    // run.
+    void channel_answerBroken_outcomeIsUnknown()
+    {
+        for (const answers::NamedBytes &broken : answers::allBroken())
+            CPPUNIT_ASSERT_MESSAGE(broken.name, channelResult(broken.bytes).outcome == SubOutcome::Unknown);
+    }
+
+    void channel_answerSound_isRead()
+    {
+        const std::string refusal = answers::withStatus("503");
+        CPPUNIT_ASSERT(channelResult(refusal).outcome == SubOutcome::Shed);
+        CPPUNIT_ASSERT(channelResult("HTTP/1.1 100 Continue\r\n\r\n" + refusal).outcome == SubOutcome::Shed);
+    }
+
+    void readers_answerSound_isRead()
+    {
+        for (const answers::NamedBytes &sound : answers::allSound())
+            onFiber([&](boost::asio::io_context &context) {
+                const RawUpstream host(RawUpstream::Reply{sound.bytes});
+                HttpCallerClient client(context, addressOf(host));
+                for (const auto &answer :
+                     {client.exchangeOnce(request(), CallLimits(), [] { return true; }),
+                      client.exchange(request(), kTimeout), httpExchange(addressOf(host), request(), kTimeout)}) {
+                    CPPUNIT_ASSERT_MESSAGE(sound.name, answer.has_value());
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(sound.name, 200U, answer->status);
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(sound.name, answers::kBody, answer->body);
+                }
+            });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AnswerReaderFailureTest);
--- a/test/failure/BrokenAnswerTest.cpp
+++ b/test/failure/BrokenAnswerTest.cpp
@@ -14,6 +14,9 @@
 {
     CPPUNIT_TEST_SUITE(BrokenAnswerTest);
     CPPUNIT_TEST(status_thatIsNone_isNotPassedOn);
+    CPPUNIT_TEST(interimAnswer_withoutAFinalOne_isNotPassedOn);
+    CPPUNIT_TEST(interimAnswer_beforeTheFinalOne_isDropped);
+    CPPUNIT_TEST(interimAnswers_withoutEnd_failTheExchange);
     CPPUNIT_TEST(line_thatBeginsWithABlank_isNotPassedOn);
     CPPUNIT_TEST(transferCoding_otherThanChunked_isNotPassedOn);
     CPPUNIT_TEST(startLine_thatIsNone_isNotPassedOn);
@@ -109,6 +112,28 @@
 public:
     void status_thatIsNone_isNotPassedOn() { assertNotPassedOn(answers::brokenStatuses()); }
 
+    // A 100 went to the caller as the final answer.
+    void interimAnswer_withoutAFinalOne_isNotPassedOn()
+    {
+        assertNotPassedOn(answers::interimOnly());
+        assertNotPassedOn(answers::brokenAfterInterim());
+    }
+
+    // The final answer was lost, and a request that may be repeated ran twice.
+    void interimAnswer_beforeTheFinalOne_isDropped() { assertPassedOn(answers::soundAfterInterim()); }
+
+    // More of them than the head of an answer may have bytes, on a connection that stays open.
+    void interimAnswers_withoutEnd_failTheExchange()
+    {
+        std::string bytes;
+        while (bytes.size() < 64UL * 1024)
+            bytes += "HTTP/1.1 102 Processing\r\n\r\n";
+        const TimePoint start = monotonicNow();
+        const Play notice = play("/notice/1", bytes, false);
+        CPPUNIT_ASSERT_EQUAL(502U, notice.answer.status);
+        CPPUNIT_ASSERT(monotonicNow() - start < 1s);
+    }
+
     // It was joined to the field before it, which then held the name and the value of another one.
     void line_thatBeginsWithABlank_isNotPassedOn() { assertNotPassedOn(answers::foldedLines()); }
 
--- a/test/failure/ParserFuzzTest.cpp
+++ b/test/failure/ParserFuzzTest.cpp
@@ -13,7 +13,7 @@
 #include "hickoryspur/request/Authenticator.h"
 #include "hickoryspur/request/Delegation.h"
 #include "hickoryspur/version/Document.h"
-#include "process/BoundedParser.h"
+#include "process/AnswerReader.h"
 
 #include <boost/asio/buffer.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -161,6 +161,28 @@
         CPPUNIT_ASSERT(parser.get().body().size() <= ParserLimits().bodyBytes);
     }
 
+    /** The same for an answer, with interim ones before it; one that is read has a status of a final answer. */
+    void readAnswer(const std::string &bytes)
+    {
+        AnswerReader reader;
+        boost::beast::flat_buffer buffer;
+        boost::system::error_code error;
+        for (size_t offset = 0; offset < bytes.size() && !error && !reader.isDone();) {
+            const size_t piece = 1 + below(bytes.size() - offset);
+            boost::asio::buffer_copy(buffer.prepare(piece), boost::asio::buffer(bytes.data() + offset, piece));
+            buffer.commit(piece);
+            offset += piece;
+            error = reader.parse(buffer);
+        }
+        if (!error && !reader.isDone())
+            error = reader.parseEnd();
+        if (error)
+            return;
+        const AnswerReader::Message answer = reader.release();
+        CPPUNIT_ASSERT(isFinalStatus(answer.result_int()));
+        CPPUNIT_ASSERT(answer.body().size() <= ParserLimits().bodyBytes);
+    }
+
     static std::string fileText(const std::string &path)
     {
         std::ifstream file(path, std::ios::binary);
@@ -191,8 +213,12 @@
         fuzz({"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nKeep-Alive: timeout=5\r\n\r\nhello",
               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n0\r\nX: y\r\n\r\n",
               "HTTP/1.1 503 No\r\nConnection: close\r\n\r\nto the end",
-              "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 -\r\n\r\n"},
-             [this](const std::string &bytes) { feed<AnswerParser>(bytes); });
+              "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 -\r\n\r\n",
+              "HTTP/1.1 200 OK\r\nX: y\r\n folded\r\nTransfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n"},
+             [this](const std::string &bytes) {
+                 feed<AnswerParser>(bytes);
+                 readAnswer(bytes);
+             });
     }
 
     void requests_changedAtRandom_areParsedOrRefused()
--- a/test/fakes/BrokenAnswers.h
+++ b/test/fakes/BrokenAnswers.h
@@ -135,6 +135,24 @@
     return result;
 }
 
+/** Interim answers without a final one. */
+inline std::vector<NamedBytes> interimOnly()
+{
+    std::vector<NamedBytes> result;
+    for (const std::string status : {"100", "102", "103", "199"})
+        result.push_back({"only " + status, withHead("HTTP/1.1 " + status + " Interim", "", "")});
+    return result;
+}
+
+/** An interim answer before what is no answer, and one with the body that it cannot have. */
+inline std::vector<NamedBytes> brokenAfterInterim()
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    return {{"status after an interim answer", interim + withStatus("000")},
+            {"cut after an interim answer", interim + "HTTP/1.1 200 OK\r\n" + kSignature},
+            {"body of an interim answer", withHead("HTTP/1.1 100 Continue", kLength) + sound()}};
+}
+
 /** Complete answers with kBody, whose forms HTTP/1.1 allows. */
 inline std::vector<NamedBytes> soundAnswers()
 {
@@ -151,4 +169,34 @@
             {"bytes above 127 in a value", withFields("X-Field: \xc3\xa4\r\n" + kLength)}};
 }
 
+/** The same after interim answers. */
+inline std::vector<NamedBytes> soundAfterInterim()
+{
+    const std::string hints = "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n";
+    return {{"after 100", "HTTP/1.1 100 Continue\r\n\r\n" + sound()},
+            {"after 102", "HTTP/1.1 102 Processing\r\n" + kSignature + "\r\n" + sound()},
+            {"after 103", hints + sound()},
+            {"after several", "HTTP/1.1 100 \r\n\r\n" + hints + hints + sound()},
+            {"chunks after 100", "HTTP/1.1 100 Continue\r\n\r\n" + withFields(kChunked, kChunks + "\r\n")}};
+}
+
+/** All that is no complete answer. */
+inline std::vector<NamedBytes> allBroken()
+{
+    std::vector<NamedBytes> result;
+    for (const auto &group : {brokenStatuses(), brokenStartLines(), brokenFields(), foldedLines(), unknownCodings(),
+                              brokenLengths(), interimOnly(), brokenAfterInterim()})
+        result.insert(result.end(), group.begin(), group.end());
+    return result;
+}
+
+/** All that is a complete answer. */
+inline std::vector<NamedBytes> allSound()
+{
+    std::vector<NamedBytes> result = soundAnswers();
+    for (const NamedBytes &answer : soundAfterInterim())
+        result.push_back(answer);
+    return result;
+}
+
 } // namespace hickoryspur::answers
