Pass on the answer of another entry only if HTTP has such an answer

Callers of an entry that is cut off from the upstreams are served through another one. During an upgrade that may be one of an earlier release, which passes on whatever status its upstream sent: 000, 100 or 999 would still reach callers as the final answer.

Cause: RemoteRequest asked the codec only whether the status promises too much and whether the answer is signed.

Change: isWellFormed() in the request codec's module asks for a final status, a body only where the status allows one, and names and values of fields in the bytes that HTTP allows. Without that, the caller gets 502: the other entry had accepted the request.

--- a/include/hickoryspur/request/RequestCodec.h
+++ b/include/hickoryspur/request/RequestCodec.h
@@ -88,6 +88,12 @@
     MSGPACK_DEFINE(status, fields, body)
 };
 
+/**
+ * Whether HTTP/1.1 has such an answer: a final status, a body only with a status that allows one, and fields whose
+ * names and values have no other bytes than RFC 9110, sections 5.1 and 5.5, allow.
+ */
+bool isWellFormed(const CallerAnswer &answer);
+
 enum class RefusalKind {
     /** The request has not run and will not run; the caller may retry later. */
     NotRunTryLater,
--- a/src/request/RemoteRequest.cpp
+++ b/src/request/RemoteRequest.cpp
@@ -78,7 +78,8 @@
         reply.group.ended = reply.group.mayHaveRun = true;
         noteReportedUsage(monotonicNow(), m_run, reply.group, *m_usage);
     }
-    if (!reply.answer.empty() && m_traffic.m_codec.mayRelay(reply.answer.front()))
+    // An entry of an earlier release passes on what its upstream sent, also if it is no answer of HTTP.
+    if (!reply.answer.empty() && isWellFormed(reply.answer.front()) && m_traffic.m_codec.mayRelay(reply.answer.front()))
         return finish(std::move(reply.answer.front()));
     if (reply.refused)
         return sendToNext();
--- a/test/failure/DelegationFailureTest.cpp
+++ b/test/failure/DelegationFailureTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(entry_backInTouch_servesItself);
     CPPUNIT_TEST(entry_cutOffAndMostOthersUnreachable_callersAreServedThroughTheLastOne);
     CPPUNIT_TEST(notIdempotent_delegated_runsOnce);
+    CPPUNIT_TEST(answerOfAnotherEntry_thatIsNone_isNotPassedOn);
     CPPUNIT_TEST(query_overManyShards_isAnsweredByBothEntries);
     CPPUNIT_TEST(query_otherEntryGone_isAnsweredByThisOne);
     CPPUNIT_TEST_SUITE_END();
@@ -40,9 +41,11 @@
         return kLocations;
     }
 
-    static Pair startPair(const World &world, bool firstCutOff, bool secondCutOff)
+    static Pair startPair(const World &world, bool firstCutOff, bool secondCutOff,
+                          const RequestCodec &secondCodec = platform::makePlatformCodec().traffic)
     {
-        Pair pair{world.startEntry("127.0.0.1", "a"), world.startEntry("127.0.0.2", "b")};
+        Pair pair{world.startEntry("127.0.0.1", "a"),
+                  world.startEntry("127.0.0.2", "b", AdmissionMode::Arrival, secondCodec)};
         announce(world, *pair.first, firstCutOff);
         announce(world, *pair.second, secondCutOff);
         for (EntryTraffic *entry : {pair.first.get(), pair.second.get()}) {
@@ -147,6 +150,44 @@
         });
     }
 
+    // An entry of an earlier release may pass on a status that is none, as the final answer. The other forms would be
+    // read by the caller in another way than they are meant, or end its connection without an answer.
+    void answerOfAnotherEntry_thatIsNone_isNotPassedOn()
+    {
+        const std::vector<CallerAnswer> broken = {
+            {0, {}, "body"},
+            {99, {}, "body"},
+            {100, {}, ""},
+            {101, {}, ""},
+            {600, {}, "body"},
+            {200, {{"X Bad", "1"}}, "body"},
+            {200, {{"", "1"}}, "body"},
+            {200, {{"X-Bad\r\nX-Other", "1"}}, "body"},
+            {200, {{"X-Bad", "1\r\nX-Other: 2"}}, "body"},
+            {200, {{"X-Bad", std::string(1, '\0')}}, "body"},
+            {204, {}, "body"},
+        };
+        onFibers([&](World &world) {
+            addUpstreams(world, 6);
+            CallerAnswer passedOn;
+            RequestCodec codec = platform::makePlatformCodec().traffic;
+            codec.passThrough = [&passedOn](const UpstreamAnswer &) { return passedOn; };
+            const Pair pair = startPair(world, true, false, codec);
+            awaitCutOff(*pair.first);
+            for (const CallerAnswer &answer : broken) {
+                passedOn = answer;
+                passedOn.fields.emplace_back("Hickoryspur-Server-Seal", "sig");
+                world.runs = 0;
+                const CallerAnswer received = pair.first->serve(request("/notice/1"), neverGone);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(answer.status), 502U, received.status);
+                CPPUNIT_ASSERT(received.fields.empty());
+                CPPUNIT_ASSERT_EQUAL(size_t(1), world.runs);
+            }
+            passedOn = {404, {{"Hickoryspur-Server-Seal", "sig"}, {"X-Note", "\xc3\xa4\tb"}}, "body"};
+            CPPUNIT_ASSERT_EQUAL(404U, pair.first->serve(request("/notice/1"), neverGone).status);
+        });
+    }
+
     void query_overManyShards_isAnsweredByBothEntries()
     {
         onFibers([](World &world) {
--- a/test/fakes/EntryWorld.h
+++ b/test/fakes/EntryWorld.h
@@ -84,14 +84,15 @@
     }
 
     std::unique_ptr<EntryTraffic> startEntry(const std::string &ip, const std::string &dataCentre,
-                                             AdmissionMode admission = AdmissionMode::Arrival) const
+                                             AdmissionMode admission = AdmissionMode::Arrival,
+                                             RequestCodec codec = platform::makePlatformCodec().traffic) const
     {
         TrafficConfig config;
         config.admission = admission;
         config.dataCentre = DataCentreName(dataCentre);
         config.internalAddress = {ip, internalPort};
         config.seed = hash(ip);
-        auto traffic = std::make_unique<EntryTraffic>(*context, config, platform::makePlatformCodec().traffic);
+        auto traffic = std::make_unique<EntryTraffic>(*context, config, std::move(codec));
         CPPUNIT_ASSERT(traffic->listen());
         traffic->setServing(true);
         return traffic;
