--- a/test/failure/AnswerReaderFailureTest.cpp
+++ b/test/failure/AnswerReaderFailureTest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(answers_soundInPiecesOfAnySize_areRead);
     CPPUNIT_TEST(call_answerBroken_failsAndIsNotNotRun);
     CPPUNIT_TEST(client_answerBroken_failsAndNextIsServed);
+    CPPUNIT_TEST(client_bytesAfterAnswer_areNotTheNextAnswer);
     CPPUNIT_TEST(tool_answerBroken_fails);
     CPPUNIT_TEST(channel_answerBroken_outcomeIsUnknown);
     CPPUNIT_TEST(channel_answerSound_isRead);
@@ -146,6 +147,24 @@
             });
     }
 
+    // A second copy of the answer was taken for that to the next request on the connection.
+    void client_bytesAfterAnswer_areNotTheNextAnswer()
+    {
+        onFiber([](boost::asio::io_context &context) {
+            bool isFirst = true;
+            const RawUpstream host([&] {
+                const bool copies = std::exchange(isFirst, false);
+                return RawUpstream::Reply{copies ? answers::sound() + answers::sound() : answers::withStatus("404"),
+                                          false};
+            });
+            HttpCallerClient client(context, addressOf(host));
+            CPPUNIT_ASSERT_EQUAL(200U, client.exchange(request(), kTimeout)->status);
+            CPPUNIT_ASSERT_EQUAL(404U, client.exchange(request(), kTimeout)->status);
+            CPPUNIT_ASSERT_EQUAL(404U, client.exchange(request(), kTimeout)->status);
+            CPPUNIT_ASSERT_EQUAL(size_t(3), host.requests());
+        });
+    }
+
     void tool_answerBroken_fails()
     {
         for (const answers::NamedBytes &broken : answers::allBroken()) {
