--- a/src/process/BoundedParser.h
+++ b/src/process/BoundedParser.h
@@ -7,10 +7,10 @@
 // is beyond it as an error. Fields after the last chunk are read, bounded and dropped: nothing here needs them, and as
 // header fields they could claim what the head did not.
 //
-// Beast also accepts messages that HTTP/1.1 does not have, which would reach callers in another form than they were
-// sent. They are errors here: an answer whose status is no three-digit number from 100 to 599, or is 101; and a field
-// that goes on in a line which begins with a blank, since a peer in trouble may have meant that line as another field;
-// and a transfer coding other than chunked, after which Beast gives out coded bytes as the body.
+// Beast also accepts messages that are malformed by HTTP/1.1 and gives them out changed. They are errors here: an
+// answer with a status other than 100 to 599, or with 101; a field that is folded over several lines, since a faulty
+// peer may have meant the further lines as other fields; and a transfer coding other than chunked, whose coded bytes
+// would be the body.
 #pragma once
 
 #include "hickoryspur/process/ByteBudget.h"
@@ -102,8 +102,8 @@
     }
 
     /**
-     * Whether the field goes on in a line that begins with a blank. Beast joins such lines to the value, but it parses
-     * a field in place and only when the byte after its last line has come, so the lines are still behind the name.
+     * Whether the field goes on in a line that begins with a blank (RFC 9112, section 5.2). Beast joins the lines into
+     * the value, but parses them in place and reads one byte beyond the last, so that they can be read behind the name.
      */
     static bool isFolded(string_view nameText)
     {
--- a/test/failure/AnswerReaderFailureTest.cpp
+++ b/test/failure/AnswerReaderFailureTest.cpp
@@ -2,7 +2,7 @@
 // calls to services, by command-line tools and on the channel to upstreams that `serve` uses.
 #include "connection/AsioScheduler.h"
 #include "connection/HttpUpstreamChannel.h"
-#include "fakes/BrokenAnswers.h"
+#include "fakes/MalformedAnswers.h"
 #include "fakes/RawUpstream.h"
 #include "fakes/RunUntil.h"
 #include "hickoryspur/connection/Announcement.h"
@@ -21,15 +21,15 @@
 class AnswerReaderFailureTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(AnswerReaderFailureTest);
-    CPPUNIT_TEST(answers_brokenInPiecesOfAnySize_areRefused);
+    CPPUNIT_TEST(answers_malformedInPiecesOfAnySize_areRefused);
     CPPUNIT_TEST(answers_soundInPiecesOfAnySize_areRead);
-    CPPUNIT_TEST(call_answerBroken_failsAndIsNotNotRun);
-    CPPUNIT_TEST(client_answerBroken_failsAndNextIsServed);
+    CPPUNIT_TEST(call_answerMalformed_failsAndIsNotNotRun);
+    CPPUNIT_TEST(client_answerMalformed_failsAndNextIsServed);
     CPPUNIT_TEST(client_bytesAfterAnswer_areNotTheNextAnswer);
-    CPPUNIT_TEST(tool_answerBroken_fails);
-    CPPUNIT_TEST(channel_answerBroken_outcomeIsUnknown);
-    CPPUNIT_TEST(channel_answerSound_isRead);
-    CPPUNIT_TEST(readers_answerSound_isRead);
+    CPPUNIT_TEST(tool_answerMalformed_fails);
+    CPPUNIT_TEST(channel_answerMalformed_outcomeIsUnknown);
+    CPPUNIT_TEST(channel_answerValid_isRead);
+    CPPUNIT_TEST(readers_answerValid_isRead);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::chrono::milliseconds kTimeout{2000};
@@ -100,50 +100,50 @@
     }
 
 public:
-    void answers_brokenInPiecesOfAnySize_areRefused()
+    void answers_malformedInPiecesOfAnySize_areRefused()
     {
-        for (const answers::NamedBytes &broken : answers::allBroken())
-            for (size_t pieceBytes = 1; pieceBytes <= broken.bytes.size(); ++pieceBytes)
-                CPPUNIT_ASSERT_MESSAGE(broken.name, !read(broken.bytes, pieceBytes));
+        for (const answers::NamedBytes &malformed : answers::allMalformed())
+            for (size_t pieceBytes = 1; pieceBytes <= malformed.bytes.size(); ++pieceBytes)
+                CPPUNIT_ASSERT_MESSAGE(malformed.name, !read(malformed.bytes, pieceBytes));
     }
 
     void answers_soundInPiecesOfAnySize_areRead()
     {
-        for (const answers::NamedBytes &sound : answers::allSound())
-            for (size_t pieceBytes = 1; pieceBytes <= sound.bytes.size(); ++pieceBytes) {
-                const auto answer = read(sound.bytes, pieceBytes);
-                CPPUNIT_ASSERT_MESSAGE(sound.name, answer.has_value());
-                CPPUNIT_ASSERT_EQUAL_MESSAGE(sound.name, 200U, answer->result_int());
-                CPPUNIT_ASSERT_EQUAL_MESSAGE(sound.name, answers::kBody, answer->body());
+        for (const answers::NamedBytes &valid : answers::allValid())
+            for (size_t pieceBytes = 1; pieceBytes <= valid.bytes.size(); ++pieceBytes) {
+                const auto answer = read(valid.bytes, pieceBytes);
+                CPPUNIT_ASSERT_MESSAGE(valid.name, answer.has_value());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(valid.name, 200U, answer->result_int());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(valid.name, answers::kBody, answer->body());
             }
     }
 
     // A service that has executed the call counts it twice if it is told again under another number.
-    void call_answerBroken_failsAndIsNotNotRun()
+    void call_answerMalformed_failsAndIsNotNotRun()
     {
-        for (const answers::NamedBytes &broken : answers::allBroken())
+        for (const answers::NamedBytes &malformed : answers::allMalformed())
             onFiber([&](boost::asio::io_context &context) {
-                const RawUpstream service(RawUpstream::Reply{broken.bytes});
+                const RawUpstream service(RawUpstream::Reply{malformed.bytes});
                 HttpCallerClient client(context, addressOf(service));
                 const auto answer = client.exchangeOnce(request(), CallLimits(), [] { return true; });
-                CPPUNIT_ASSERT_MESSAGE(broken.name, !answer);
-                CPPUNIT_ASSERT_MESSAGE(broken.name, !answer.error().notRun);
+                CPPUNIT_ASSERT_MESSAGE(malformed.name, !answer);
+                CPPUNIT_ASSERT_MESSAGE(malformed.name, !answer.error().notRun);
             });
     }
 
-    void client_answerBroken_failsAndNextIsServed()
+    void client_answerMalformed_failsAndNextIsServed()
     {
-        for (const answers::NamedBytes &broken : answers::allBroken())
+        for (const answers::NamedBytes &malformed : answers::allMalformed())
             onFiber([&](boost::asio::io_context &context) {
                 bool isFirst = true;
                 const RawUpstream host([&] {
-                    return RawUpstream::Reply{std::exchange(isFirst, false) ? broken.bytes : answers::sound()};
+                    return RawUpstream::Reply{std::exchange(isFirst, false) ? malformed.bytes : answers::valid()};
                 });
                 HttpCallerClient client(context, addressOf(host));
-                CPPUNIT_ASSERT_MESSAGE(broken.name, !client.exchange(request(), kTimeout));
+                CPPUNIT_ASSERT_MESSAGE(malformed.name, !client.exchange(request(), kTimeout));
                 const auto next = client.exchange(request(), kTimeout);
-                CPPUNIT_ASSERT_MESSAGE(broken.name, next.has_value());
-                CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.name, answers::kBody, next->body);
+                CPPUNIT_ASSERT_MESSAGE(malformed.name, next.has_value());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(malformed.name, answers::kBody, next->body);
             });
     }
 
@@ -154,7 +154,7 @@
             bool isFirst = true;
             const RawUpstream host([&] {
                 const bool copies = std::exchange(isFirst, false);
-                return RawUpstream::Reply{copies ? answers::sound() + answers::sound() : answers::withStatus("404"),
+                return RawUpstream::Reply{copies ? answers::valid() + answers::valid() : answers::withStatus("404"),
                                           false};
             });
             HttpCallerClient client(context, addressOf(host));
@@ -165,41 +165,41 @@
         });
     }
 
-    void tool_answerBroken_fails()
+    void tool_answerMalformed_fails()
     {
-        for (const answers::NamedBytes &broken : answers::allBroken()) {
-            const RawUpstream host(RawUpstream::Reply{broken.bytes});
-            CPPUNIT_ASSERT_MESSAGE(broken.name, !httpExchange(addressOf(host), request(), kTimeout));
+        for (const answers::NamedBytes &malformed : answers::allMalformed()) {
+            const RawUpstream host(RawUpstream::Reply{malformed.bytes});
+            CPPUNIT_ASSERT_MESSAGE(malformed.name, !httpExchange(addressOf(host), request(), kTimeout));
         }
     }
 
     // The outcome in the fields of such an answer was believed: after "shed", a request that may have run counts as not
     // run.
-    void channel_answerBroken_outcomeIsUnknown()
+    void channel_answerMalformed_outcomeIsUnknown()
     {
-        for (const answers::NamedBytes &broken : answers::allBroken())
-            CPPUNIT_ASSERT_MESSAGE(broken.name, channelResult(broken.bytes).outcome == SubOutcome::Unknown);
+        for (const answers::NamedBytes &malformed : answers::allMalformed())
+            CPPUNIT_ASSERT_MESSAGE(malformed.name, channelResult(malformed.bytes).outcome == SubOutcome::Unknown);
     }
 
-    void channel_answerSound_isRead()
+    void channel_answerValid_isRead()
     {
         const std::string refusal = answers::withStatus("503");
         CPPUNIT_ASSERT(channelResult(refusal).outcome == SubOutcome::Shed);
         CPPUNIT_ASSERT(channelResult("HTTP/1.1 100 Continue\r\n\r\n" + refusal).outcome == SubOutcome::Shed);
     }
 
-    void readers_answerSound_isRead()
+    void readers_answerValid_isRead()
     {
-        for (const answers::NamedBytes &sound : answers::allSound())
+        for (const answers::NamedBytes &valid : answers::allValid())
             onFiber([&](boost::asio::io_context &context) {
-                const RawUpstream host(RawUpstream::Reply{sound.bytes});
+                const RawUpstream host(RawUpstream::Reply{valid.bytes});
                 HttpCallerClient client(context, addressOf(host));
                 for (const auto &answer :
                      {client.exchangeOnce(request(), CallLimits(), [] { return true; }),
                       client.exchange(request(), kTimeout), httpExchange(addressOf(host), request(), kTimeout)}) {
-                    CPPUNIT_ASSERT_MESSAGE(sound.name, answer.has_value());
-                    CPPUNIT_ASSERT_EQUAL_MESSAGE(sound.name, 200U, answer->status);
-                    CPPUNIT_ASSERT_EQUAL_MESSAGE(sound.name, answers::kBody, answer->body);
+                    CPPUNIT_ASSERT_MESSAGE(valid.name, answer.has_value());
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(valid.name, 200U, answer->status);
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(valid.name, answers::kBody, answer->body);
                 }
             });
     }
--- a/test/failure/DelegationFailureTest.cpp
+++ b/test/failure/DelegationFailureTest.cpp
@@ -17,7 +17,7 @@
     CPPUNIT_TEST(entry_backInTouch_servesItself);
     CPPUNIT_TEST(entry_cutOffAndMostOthersUnreachable_callersAreServedThroughTheLastOne);
     CPPUNIT_TEST(notIdempotent_delegated_runsOnce);
-    CPPUNIT_TEST(answerOfAnotherEntry_thatIsNone_isNotPassedOn);
+    CPPUNIT_TEST(answerOfAnotherEntry_malformed_isNotPassedOn);
     CPPUNIT_TEST(query_overManyShards_isAnsweredByBothEntries);
     CPPUNIT_TEST(query_otherEntryGone_isAnsweredByThisOne);
     CPPUNIT_TEST_SUITE_END();
@@ -152,9 +152,9 @@
 
     // An entry of an earlier release may pass on a status that is none, as the final answer. The other forms would be
     // read by the caller in another way than they are meant, or end its connection without an answer.
-    void answerOfAnotherEntry_thatIsNone_isNotPassedOn()
+    void answerOfAnotherEntry_malformed_isNotPassedOn()
     {
-        const std::vector<CallerAnswer> broken = {
+        const std::vector<CallerAnswer> malformed = {
             {0, {}, "body"},
             {99, {}, "body"},
             {100, {}, ""},
@@ -174,7 +174,7 @@
             codec.passThrough = [&passedOn](const UpstreamAnswer &) { return passedOn; };
             const Pair pair = startPair(world, true, false, codec);
             awaitCutOff(*pair.first);
-            for (const CallerAnswer &answer : broken) {
+            for (const CallerAnswer &answer : malformed) {
                 passedOn = answer;
                 passedOn.fields.emplace_back("Hickoryspur-Server-Seal", "sig");
                 world.runs = 0;
--- a/test/failure/HttpCallerServerFailureTest.cpp
+++ b/test/failure/HttpCallerServerFailureTest.cpp
@@ -21,7 +21,7 @@
     CPPUNIT_TEST(server_fieldAfterLastChunkTooLong_isRefusedAndNextIsServed);
     CPPUNIT_TEST(server_fieldTooLongForAWideHeaderLimit_isRefusedAndNextIsServed);
     CPPUNIT_TEST(server_emptyChunkedBodyInPieces_isServed);
-    CPPUNIT_TEST(server_lineThatBeginsWithABlank_isRefusedAndBodyIsNoRequest);
+    CPPUNIT_TEST(server_foldedLine_isRefusedAndBodyIsNoRequest);
     CPPUNIT_TEST(server_transferCodingOtherThanChunked_isRefusedAndBodyIsNoRequest);
     CPPUNIT_TEST(server_responseCannotBeSent_endsItsConnectionOnly);
     CPPUNIT_TEST(server_noDescriptorLeft_waitsBetweenTriesAndServesLater);
@@ -141,7 +141,7 @@
     }
 
     // The length was joined to the field before it, and the body was served as the caller's next request.
-    void server_lineThatBeginsWithABlank_isRefusedAndBodyIsNoRequest()
+    void server_foldedLine_isRefusedAndBodyIsNoRequest()
     {
         assertRefusedWhole("X-Field: 1\r\n Content-Length: 37\r\n");
     }
--- a/test/failure/BrokenAnswerTest.cpp
+++ b/test/failure/MalformedAnswerTest.cpp
@@ -1,7 +1,7 @@
-// Guards against bytes of an upstream in trouble that reach a caller as an answer though they are none: a caller would
-// take them for the result of its request. The upstreams are sockets that send what the test says.
-#include "fakes/BrokenAnswers.h"
+// Guards against malformed answers of upstreams that are passed on: a caller would take them for the result of its
+// request. The upstreams are sockets that send the bytes of the test.
 #include "fakes/EntryWorld.h"
+#include "fakes/MalformedAnswers.h"
 #include "fakes/RawUpstream.h"
 
 #include <algorithm>
@@ -10,19 +10,19 @@
 using namespace hickoryspur;
 using namespace hickoryspur::entryworld;
 
-class BrokenAnswerTest : public CppUnit::TestFixture
+class MalformedAnswerTest : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(BrokenAnswerTest);
-    CPPUNIT_TEST(status_thatIsNone_isNotPassedOn);
+    CPPUNIT_TEST_SUITE(MalformedAnswerTest);
+    CPPUNIT_TEST(status_invalid_isNotPassedOn);
     CPPUNIT_TEST(interimAnswer_withoutAFinalOne_isNotPassedOn);
     CPPUNIT_TEST(interimAnswer_beforeTheFinalOne_isDropped);
     CPPUNIT_TEST(interimAnswers_withoutEnd_failTheExchange);
-    CPPUNIT_TEST(line_thatBeginsWithABlank_isNotPassedOn);
+    CPPUNIT_TEST(line_folded_isNotPassedOn);
     CPPUNIT_TEST(transferCoding_otherThanChunked_isNotPassedOn);
-    CPPUNIT_TEST(startLine_thatIsNone_isNotPassedOn);
-    CPPUNIT_TEST(field_withABrokenNameOrValue_isNotPassedOn);
-    CPPUNIT_TEST(length_contradictoryOrNotReached_isNotPassedOn);
-    CPPUNIT_TEST(answer_soundInAnyForm_isPassedOn);
+    CPPUNIT_TEST(startLine_malformed_isNotPassedOn);
+    CPPUNIT_TEST(field_invalidNameOrValue_isNotPassedOn);
+    CPPUNIT_TEST(length_invalidOrNotReached_isNotPassedOn);
+    CPPUNIT_TEST(answer_valid_isPassedOn);
     CPPUNIT_TEST_SUITE_END();
 
     struct Play
@@ -43,7 +43,7 @@
     {
         std::atomic<size_t> requests{0};
         const auto reply = [&] {
-            return ++requests == 1 ? RawUpstream::Reply{bytes, closes} : RawUpstream::Reply{answers::sound(), false};
+            return ++requests == 1 ? RawUpstream::Reply{bytes, closes} : RawUpstream::Reply{answers::valid(), false};
         };
         const RawUpstream first(reply);
         const RawUpstream second(reply);
@@ -78,7 +78,7 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE(name, size_t(2), label.requests);
     }
 
-    /** A merged answer holds the records of sound parts only. */
+    /** A merged answer holds the records of valid parts only. */
     static void assertNotMerged(const std::string &name, const std::string &bytes)
     {
         const Play query = play("/query/1", bytes);
@@ -90,37 +90,38 @@
 
     static void assertNotPassedOn(const std::vector<answers::NamedBytes> &group)
     {
-        for (const answers::NamedBytes &broken : group) {
-            assertFailsNotice(broken.name, broken.bytes);
-            assertFailsNotice(broken.name + ", stating that it has not run", answers::statingNotRun(broken.bytes));
-            assertRepeatsLabel(broken.name, broken.bytes);
-            assertNotMerged(broken.name, broken.bytes);
+        for (const answers::NamedBytes &malformed : group) {
+            assertFailsNotice(malformed.name, malformed.bytes);
+            assertFailsNotice(malformed.name + ", stating that it has not run",
+                              answers::statingNotRun(malformed.bytes));
+            assertRepeatsLabel(malformed.name, malformed.bytes);
+            assertNotMerged(malformed.name, malformed.bytes);
         }
     }
 
     static void assertPassedOn(const std::vector<answers::NamedBytes> &group)
     {
-        for (const answers::NamedBytes &sound : group) {
-            const Play notice = play("/notice/1", sound.bytes);
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(sound.name, 200U, notice.answer.status);
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(sound.name, answers::kBody, notice.answer.body);
-            CPPUNIT_ASSERT_MESSAGE(sound.name, hasSignature(notice.answer));
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(sound.name, size_t(1), notice.requests);
+        for (const answers::NamedBytes &valid : group) {
+            const Play notice = play("/notice/1", valid.bytes);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(valid.name, 200U, notice.answer.status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(valid.name, answers::kBody, notice.answer.body);
+            CPPUNIT_ASSERT_MESSAGE(valid.name, hasSignature(notice.answer));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(valid.name, size_t(1), notice.requests);
         }
     }
 
 public:
-    void status_thatIsNone_isNotPassedOn() { assertNotPassedOn(answers::brokenStatuses()); }
+    void status_invalid_isNotPassedOn() { assertNotPassedOn(answers::invalidStatuses()); }
 
     // A 100 went to the caller as the final answer.
     void interimAnswer_withoutAFinalOne_isNotPassedOn()
     {
         assertNotPassedOn(answers::interimOnly());
-        assertNotPassedOn(answers::brokenAfterInterim());
+        assertNotPassedOn(answers::malformedAfterInterim());
     }
 
     // The final answer was lost, and a request that may be repeated ran twice.
-    void interimAnswer_beforeTheFinalOne_isDropped() { assertPassedOn(answers::soundAfterInterim()); }
+    void interimAnswer_beforeTheFinalOne_isDropped() { assertPassedOn(answers::validAfterInterim()); }
 
     // More of them than the head of an answer may have bytes, on a connection that stays open.
     void interimAnswers_withoutEnd_failTheExchange()
@@ -135,18 +136,18 @@
     }
 
     // It was joined to the field before it, which then held the name and the value of another one.
-    void line_thatBeginsWithABlank_isNotPassedOn() { assertNotPassedOn(answers::foldedLines()); }
+    void line_folded_isNotPassedOn() { assertNotPassedOn(answers::foldedLines()); }
 
     // The lines of the chunks were in the body, or coded bytes were passed on as if they were plain.
     void transferCoding_otherThanChunked_isNotPassedOn() { assertNotPassedOn(answers::unknownCodings()); }
 
-    void startLine_thatIsNone_isNotPassedOn() { assertNotPassedOn(answers::brokenStartLines()); }
+    void startLine_malformed_isNotPassedOn() { assertNotPassedOn(answers::malformedStartLines()); }
 
-    void field_withABrokenNameOrValue_isNotPassedOn() { assertNotPassedOn(answers::brokenFields()); }
+    void field_invalidNameOrValue_isNotPassedOn() { assertNotPassedOn(answers::malformedFields()); }
 
-    void length_contradictoryOrNotReached_isNotPassedOn() { assertNotPassedOn(answers::brokenLengths()); }
+    void length_invalidOrNotReached_isNotPassedOn() { assertNotPassedOn(answers::invalidLengths()); }
 
-    void answer_soundInAnyForm_isPassedOn() { assertPassedOn(answers::soundAnswers()); }
+    void answer_valid_isPassedOn() { assertPassedOn(answers::validAnswers()); }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(BrokenAnswerTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(MalformedAnswerTest);
--- a/test/fakes/BrokenAnswers.h
+++ b/test/fakes/MalformedAnswers.h
@@ -35,7 +35,7 @@
     return withHead("HTTP/1.1 200 OK", fields, rest);
 }
 
-inline std::string sound()
+inline std::string valid()
 {
     return withStatus("200");
 }
@@ -47,7 +47,7 @@
     return at == std::string::npos ? bytes : bytes.insert(at, "Hickoryspur-Not-Executed: 1\r\n");
 }
 
-inline std::vector<NamedBytes> brokenStatuses()
+inline std::vector<NamedBytes> invalidStatuses()
 {
     std::vector<NamedBytes> result;
     for (const std::string status : {"000", "001", "099", "101", "600", "999", "20", "2000", "2x0", "-20", ""})
@@ -55,7 +55,7 @@
     return result;
 }
 
-inline std::vector<NamedBytes> brokenStartLines()
+inline std::vector<NamedBytes> malformedStartLines()
 {
     return {{"another protocol", withHead("ICY 200 OK", kLength)},
             {"version 2.0", withHead("HTTP/2.0 200 OK", kLength)},
@@ -65,11 +65,11 @@
             {"lines that end with LF", "HTTP/1.1 200 OK\nHickoryspur-Server-Seal: sig\nContent-Length: 16\n\n" + kBody},
             {"nothing", ""},
             {"a body only", kBody},
-            {"a blank line first", "\r\n" + sound()},
+            {"a blank line first", "\r\n" + valid()},
             {"a cut head", "HTTP/1.1 200 OK\r\n" + kSignature + kLength}};
 }
 
-inline std::vector<NamedBytes> brokenFields()
+inline std::vector<NamedBytes> malformedFields()
 {
     std::vector<NamedBytes> result = {{"no colon", withFields("X-Bad\r\n" + kLength)},
                                       {"no name", withFields(": 1\r\n" + kLength)},
@@ -115,7 +115,7 @@
     return result;
 }
 
-inline std::vector<NamedBytes> brokenLengths()
+inline std::vector<NamedBytes> invalidLengths()
 {
     std::vector<NamedBytes> result = {
         {"two lengths", withFields(kLength + "Content-Length: 3\r\n")},
@@ -145,18 +145,18 @@
 }
 
 /** An interim answer before what is no answer, and one with the body that it cannot have. */
-inline std::vector<NamedBytes> brokenAfterInterim()
+inline std::vector<NamedBytes> malformedAfterInterim()
 {
     const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
     return {{"status after an interim answer", interim + withStatus("000")},
             {"cut after an interim answer", interim + "HTTP/1.1 200 OK\r\n" + kSignature},
-            {"body of an interim answer", withHead("HTTP/1.1 100 Continue", kLength) + sound()}};
+            {"body of an interim answer", withHead("HTTP/1.1 100 Continue", kLength) + valid()}};
 }
 
 /** Complete answers with kBody, whose forms HTTP/1.1 allows. */
-inline std::vector<NamedBytes> soundAnswers()
+inline std::vector<NamedBytes> validAnswers()
 {
-    return {{"length", sound()},
+    return {{"length", valid()},
             {"chunks", withFields(kChunked, kChunks + "\r\n")},
             {"chunks in capitals", withFields("TRANSFER-ENCODING: Chunked \r\n", kChunks + "\r\n")},
             {"chunks and a late field", withFields(kChunked, kChunks + "X-Late: 1\r\n\r\n")},
@@ -170,31 +170,31 @@
 }
 
 /** The same after interim answers. */
-inline std::vector<NamedBytes> soundAfterInterim()
+inline std::vector<NamedBytes> validAfterInterim()
 {
     const std::string hints = "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n";
-    return {{"after 100", "HTTP/1.1 100 Continue\r\n\r\n" + sound()},
-            {"after 102", "HTTP/1.1 102 Processing\r\n" + kSignature + "\r\n" + sound()},
-            {"after 103", hints + sound()},
-            {"after several", "HTTP/1.1 100 \r\n\r\n" + hints + hints + sound()},
+    return {{"after 100", "HTTP/1.1 100 Continue\r\n\r\n" + valid()},
+            {"after 102", "HTTP/1.1 102 Processing\r\n" + kSignature + "\r\n" + valid()},
+            {"after 103", hints + valid()},
+            {"after several", "HTTP/1.1 100 \r\n\r\n" + hints + hints + valid()},
             {"chunks after 100", "HTTP/1.1 100 Continue\r\n\r\n" + withFields(kChunked, kChunks + "\r\n")}};
 }
 
 /** All that is no complete answer. */
-inline std::vector<NamedBytes> allBroken()
+inline std::vector<NamedBytes> allMalformed()
 {
     std::vector<NamedBytes> result;
-    for (const auto &group : {brokenStatuses(), brokenStartLines(), brokenFields(), foldedLines(), unknownCodings(),
-                              brokenLengths(), interimOnly(), brokenAfterInterim()})
+    for (const auto &group : {invalidStatuses(), malformedStartLines(), malformedFields(), foldedLines(),
+                              unknownCodings(), invalidLengths(), interimOnly(), malformedAfterInterim()})
         result.insert(result.end(), group.begin(), group.end());
     return result;
 }
 
 /** All that is a complete answer. */
-inline std::vector<NamedBytes> allSound()
+inline std::vector<NamedBytes> allValid()
 {
-    std::vector<NamedBytes> result = soundAnswers();
-    for (const NamedBytes &answer : soundAfterInterim())
+    std::vector<NamedBytes> result = validAnswers();
+    for (const NamedBytes &answer : validAfterInterim())
         result.push_back(answer);
     return result;
 }
