Say what the listed answers of upstreams are; a test's name

What a newcomer's reading of the diff stumbled on: the head of MalformedAnswers.h, and answers_soundInPieces, now answers_validInPieces.

--- a/test/failure/AnswerReaderFailureTest.cpp
+++ b/test/failure/AnswerReaderFailureTest.cpp
@@ -22,7 +22,7 @@
 {
     CPPUNIT_TEST_SUITE(AnswerReaderFailureTest);
     CPPUNIT_TEST(answers_malformedInPiecesOfAnySize_areRefused);
-    CPPUNIT_TEST(answers_soundInPiecesOfAnySize_areRead);
+    CPPUNIT_TEST(answers_validInPiecesOfAnySize_areRead);
     CPPUNIT_TEST(call_answerMalformed_failsAndIsNotNotRun);
     CPPUNIT_TEST(client_answerMalformed_failsAndNextIsServed);
     CPPUNIT_TEST(client_bytesAfterAnswer_areNotTheNextAnswer);
@@ -107,7 +107,7 @@
                 CPPUNIT_ASSERT_MESSAGE(malformed.name, !read(malformed.bytes, pieceBytes));
     }
 
-    void answers_soundInPiecesOfAnySize_areRead()
+    void answers_validInPiecesOfAnySize_areRead()
     {
         for (const answers::NamedBytes &valid : answers::allValid())
             for (size_t pieceBytes = 1; pieceBytes <= valid.bytes.size(); ++pieceBytes) {
--- a/test/fakes/MalformedAnswers.h
+++ b/test/fakes/MalformedAnswers.h
@@ -1,5 +1,6 @@
-// Answers of upstreams by their bytes: such that are no complete HTTP/1.1 answer, and unusual ones that are. All bear
-// the upstream's signature, and their connections are closed after them.
+// Bytes that upstreams send as an answer: answers that are malformed by HTTP/1.1, and valid ones in unusual forms. They
+// bear the upstream's signature where the form has room for it, and are meant for a connection that is closed after
+// them.
 #pragma once
 
 #include <string>
