--- a/test/fakes/MalformedAnswers.h
+++ b/test/fakes/MalformedAnswers.h
@@ -70,6 +70,16 @@
             {"a cut head", "HTTP/1.1 200 OK\r\n" + kSignature + kLength}};
 }
 
+/** Names of fields that hold a byte which no name may have. */
+inline std::vector<NamedBytes> withByteInName(char byte)
+{
+    const std::string text(1, byte);
+    const std::string code = " byte " + std::to_string(static_cast<unsigned char>(byte));
+    return {{"in a name," + code, withFields("X" + text + "Bad: 1\r\n" + kLength)},
+            {"before the colon," + code, withFields("X-Bad" + text + ": 1\r\n" + kLength)},
+            {"first in the head," + code, "HTTP/1.1 200 OK\r\n" + text + kSignature + kLength + "\r\n" + kBody}};
+}
+
 inline std::vector<NamedBytes> malformedFields()
 {
     std::vector<NamedBytes> result = {{"no colon", withFields("X-Bad\r\n" + kLength)},
@@ -77,14 +87,9 @@
                                       {"control byte in a value", withFields("X-Bad: a\x01" + ("b\r\n" + kLength))},
                                       {"CR in a value", withFields("X-Bad: a\rb\r\n" + kLength)},
                                       {"LF in a value", withFields("X-Bad: a\nb\r\n" + kLength)}};
-    for (const char byte : {' ', '\t', '\0', '\x01', '\x0b', '\x7f', '\x80', '(', '@'}) {
-        const std::string text(1, byte);
-        const std::string code = " byte " + std::to_string(static_cast<unsigned char>(byte));
-        result.push_back({"in a name," + code, withFields("X" + text + "Bad: 1\r\n" + kLength)});
-        result.push_back({"before the colon," + code, withFields("X-Bad" + text + ": 1\r\n" + kLength)});
-        result.push_back(
-            {"first in the head," + code, "HTTP/1.1 200 OK\r\n" + text + kSignature + kLength + "\r\n" + kBody});
-    }
+    for (const char byte : {' ', '\t', '\0', '\x01', '\x0b', '\x7f', '\x80', '(', '@'})
+        for (const NamedBytes &answer : withByteInName(byte))
+            result.push_back(answer);
     return result;
 }
 
