Ask the answer's reader whether its connection may carry another request

AnswerReader::mayReuseConnection() says it now for the client and both channels to upstreams. Behaviour as before.

--- a/src/connection/HttpUpstreamChannel.cpp
+++ b/src/connection/HttpUpstreamChannel.cpp
@@ -116,10 +116,8 @@
         m_ended = nullptr;
         http::response<http::string_body> response;
         if (!error && m_reader) {
-            // Bytes after the answer belong to no request, so the connection is not reused.
-            const bool keep = m_reader->keepsConnection() && m_buffer.size() == 0;
             response = m_reader->release();
-            if (!keep)
+            if (!m_reader->mayReuseConnection(m_buffer))
                 response.keep_alive(false);
         }
         m_reader.reset();
--- a/src/connection/UpstreamConnection.cpp
+++ b/src/connection/UpstreamConnection.cpp
@@ -288,7 +288,6 @@
 void UpstreamConnection::onAnswer()
 {
     static Counter &mismatches = Metrics::counter("hickoryspur_upstream_reply_mismatch_total");
-    const bool keep = m_reader->keepsConnection();
     ByteBudget::Share held = std::move(m_reader->held());
     AnswerReader::Message message = m_reader->release();
     if (const std::optional<Duration> idle = parseKeepAliveTimeout(message[http::field::keep_alive]))
@@ -297,13 +296,12 @@
     const std::shared_ptr<ConnectionPool> pool = m_pool.lock();
     if (pool && !pool->belongsTo(answer, m_exchange->request.requestId)) {
         mismatches.add();
-        if (!keep || ++m_mismatchedAnswers > kMaxMismatchedAnswers)
+        if (!m_reader->keepsConnection() || ++m_mismatchedAnswers > kMaxMismatchedAnswers)
             return finish({AttemptOutcome::Failed, {}, "the answer belongs to another request"}, false);
         startAnswer();
         return parse({});
     }
-    // Bytes after the answer belong to no request, so the connection is not reused.
-    finish({AttemptOutcome::Answered, std::move(answer), "", std::move(held)}, keep && m_buffer.size() == 0);
+    finish({AttemptOutcome::Answered, std::move(answer), "", std::move(held)}, m_reader->mayReuseConnection(m_buffer));
 }
 
 void UpstreamConnection::finish(ExchangeResult result, bool keep)
--- a/src/process/AnswerReader.h
+++ b/src/process/AnswerReader.h
@@ -40,6 +40,11 @@
     bool hasBegun() const { return m_parser->got_some(); }
     /** Whether the answer leaves its connection open; requires isDone(). */
     bool keepsConnection() const { return m_parser->keep_alive(); }
+    /** Whether the connection may carry another request: bytes that the buffer still holds would be its answer. */
+    bool mayReuseConnection(const boost::beast::flat_buffer &buffer) const
+    {
+        return keepsConnection() && buffer.size() == 0;
+    }
     Message release() { return m_parser->release(); }
     ByteBudget::Share &held() { return m_parser->held(); }
 
--- a/src/request/HttpCallerServer.cpp
+++ b/src/request/HttpCallerServer.cpp
@@ -441,8 +441,7 @@
         m_state->stream->expires_after(timeout);
         error = m_state->transfer(message, reader);
     }
-    // Bytes after the answer belong to no request, so the connection is not reused.
-    if (error || !reader.keepsConnection() || m_state->buffer.size() > 0)
+    if (error || !reader.mayReuseConnection(m_state->buffer))
         m_state->stream.reset();
     if (error)
         return failure(ResultCode::ConnectionFailed, m_state->address.text() + ": " + error.message());
