Tests share the thread with fibers, the free port and the answer in pieces

Read again: AnswerReaderFailureTest had written a second copy of what UsageReportsFailureTest has to run steps on a fiber, ServerThread a third one of freePort, and the fuzzing and AnswerReaderFailureTest the same loop over pieces of an answer. They stand in test/fakes/FiberThread.h and AnswerPieces.h now. A failed assertion on such a thread in UsageReportsFailureTest fails its test, where it ended the program. No check, bound or seed changed; the fuzzing draws its pieces in the same order.

--- a/test/failure/AnswerReaderFailureTest.cpp
+++ b/test/failure/AnswerReaderFailureTest.cpp
@@ -1,20 +1,18 @@
 // Guards against bytes that are no answer and are taken for one, wherever an answer is read: in pieces of any size, by
 // calls to services, by command-line tools and on the channel to upstreams that `serve` uses.
-#include "connection/AsioScheduler.h"
 #include "connection/HttpUpstreamChannel.h"
+#include "fakes/AnswerPieces.h"
+#include "fakes/FiberThread.h"
 #include "fakes/MalformedAnswers.h"
 #include "fakes/RawUpstream.h"
 #include "fakes/RunUntil.h"
 #include "hickoryspur/connection/Announcement.h"
-#include "process/AnswerReader.h"
 #include "request/HttpCallerClient.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <algorithm>
-#include <functional>
 #include <optional>
-#include <thread>
+#include <utility>
 
 using namespace hickoryspur;
 
@@ -34,21 +32,9 @@
 
     static constexpr std::chrono::milliseconds kTimeout{2000};
 
-    /** The answer that a connection with these bytes gives, or nothing. */
     static std::optional<AnswerReader::Message> read(const std::string &bytes, size_t pieceBytes)
     {
-        AnswerReader reader;
-        boost::beast::flat_buffer buffer;
-        boost::system::error_code error;
-        for (size_t at = 0; at < bytes.size() && !error && !reader.isDone(); at += pieceBytes) {
-            const size_t size = std::min(pieceBytes, bytes.size() - at);
-            boost::asio::buffer_copy(buffer.prepare(size), boost::asio::buffer(bytes.data() + at, size));
-            buffer.commit(size);
-            error = reader.parse(buffer);
-        }
-        if (!error && !reader.isDone())
-            error = reader.parseEnd();
-        return error ? std::nullopt : std::optional(reader.release());
+        return readInPieces(bytes, [pieceBytes](size_t) { return pieceBytes; });
     }
 
     static CallerRequest request()
@@ -61,23 +47,6 @@
 
     static HostAddress addressOf(const RawUpstream &upstream) { return {"127.0.0.1", upstream.port()}; }
 
-    /** Runs the test on a fiber of a thread of its own, since fibers' scheduling is set for a thread. */
-    static void onFiber(const std::function<void(boost::asio::io_context &)> &test)
-    {
-        std::exception_ptr failure;
-        std::thread([&] {
-            const auto context = std::make_shared<boost::asio::io_context>(1);
-            boost::fibers::use_scheduling_algorithm<AsioScheduler>(context);
-            try {
-                test(*context);
-            } catch (...) {
-                failure = std::current_exception();
-            }
-        }).join();
-        if (failure)
-            std::rethrow_exception(failure);
-    }
-
     /** What the channel makes of this answer to its request, which the answer names. */
     static ChannelResult channelResult(std::string bytes)
     {
@@ -122,9 +91,9 @@
     void call_answerMalformed_failsAndIsNotNotRun()
     {
         for (const answers::NamedBytes &malformed : answers::allMalformed())
-            onFiber([&](boost::asio::io_context &context) {
+            onFiberThread([&](const auto &context) {
                 const RawUpstream service(RawUpstream::Reply{malformed.bytes});
-                HttpCallerClient client(context, addressOf(service));
+                HttpCallerClient client(*context, addressOf(service));
                 const auto answer = client.exchangeOnce(request(), CallLimits(), [] { return true; });
                 CPPUNIT_ASSERT_MESSAGE(malformed.name, !answer);
                 CPPUNIT_ASSERT_MESSAGE(malformed.name, !answer.error().notRun);
@@ -134,12 +103,12 @@
     void client_answerMalformed_failsAndNextIsServed()
     {
         for (const answers::NamedBytes &malformed : answers::allMalformed())
-            onFiber([&](boost::asio::io_context &context) {
+            onFiberThread([&](const auto &context) {
                 bool isFirst = true;
                 const RawUpstream host([&] {
                     return RawUpstream::Reply{std::exchange(isFirst, false) ? malformed.bytes : answers::valid()};
                 });
-                HttpCallerClient client(context, addressOf(host));
+                HttpCallerClient client(*context, addressOf(host));
                 CPPUNIT_ASSERT_MESSAGE(malformed.name, !client.exchange(request(), kTimeout));
                 const auto next = client.exchange(request(), kTimeout);
                 CPPUNIT_ASSERT_MESSAGE(malformed.name, next.has_value());
@@ -150,14 +119,14 @@
     // A second copy of the answer was taken for that to the next request on the connection.
     void client_bytesAfterAnswer_areNotTheNextAnswer()
     {
-        onFiber([](boost::asio::io_context &context) {
+        onFiberThread([](const auto &context) {
             bool isFirst = true;
             const RawUpstream host([&] {
                 const bool copies = std::exchange(isFirst, false);
                 return RawUpstream::Reply{copies ? answers::valid() + answers::valid() : answers::withStatus("404"),
                                           false};
             });
-            HttpCallerClient client(context, addressOf(host));
+            HttpCallerClient client(*context, addressOf(host));
             CPPUNIT_ASSERT_EQUAL(200U, client.exchange(request(), kTimeout)->status);
             CPPUNIT_ASSERT_EQUAL(404U, client.exchange(request(), kTimeout)->status);
             CPPUNIT_ASSERT_EQUAL(404U, client.exchange(request(), kTimeout)->status);
@@ -191,9 +160,9 @@
     void readers_answerValid_isRead()
     {
         for (const answers::NamedBytes &valid : answers::allValid())
-            onFiber([&](boost::asio::io_context &context) {
+            onFiberThread([&](const auto &context) {
                 const RawUpstream host(RawUpstream::Reply{valid.bytes});
-                HttpCallerClient client(context, addressOf(host));
+                HttpCallerClient client(*context, addressOf(host));
                 for (const auto &answer :
                      {client.exchangeOnce(request(), CallLimits(), [] { return true; }),
                       client.exchange(request(), kTimeout), httpExchange(addressOf(host), request(), kTimeout)}) {
--- a/test/failure/ParserFuzzTest.cpp
+++ b/test/failure/ParserFuzzTest.cpp
@@ -2,6 +2,7 @@
 // to accept or refuse the result without throwing. HICKORYSPUR_FUZZ_ROUNDS sets the number of changed samples for each
 // parser, HICKORYSPUR_FUZZ_SEED the seed; scripts/fuzz runs it with sanitizers.
 #include "PlatformCodec.h"
+#include "fakes/AnswerPieces.h"
 #include "hickoryspur/connection/Announcement.h"
 #include "hickoryspur/process/GroupNode.h"
 #include "hickoryspur/process/HostSettings.h"
@@ -13,7 +14,6 @@
 #include "hickoryspur/request/Authenticator.h"
 #include "hickoryspur/request/Delegation.h"
 #include "hickoryspur/version/Document.h"
-#include "process/AnswerReader.h"
 
 #include <boost/asio/buffer.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -164,23 +164,11 @@
     /** The same for an answer, with interim ones before it; one that is read has a status of a final answer. */
     void readAnswer(const std::string &bytes)
     {
-        AnswerReader reader;
-        boost::beast::flat_buffer buffer;
-        boost::system::error_code error;
-        for (size_t offset = 0; offset < bytes.size() && !error && !reader.isDone();) {
-            const size_t piece = 1 + below(bytes.size() - offset);
-            boost::asio::buffer_copy(buffer.prepare(piece), boost::asio::buffer(bytes.data() + offset, piece));
-            buffer.commit(piece);
-            offset += piece;
-            error = reader.parse(buffer);
-        }
-        if (!error && !reader.isDone())
-            error = reader.parseEnd();
-        if (error)
+        const auto answer = readInPieces(bytes, [this](size_t left) { return 1 + below(left); });
+        if (!answer)
             return;
-        const AnswerReader::Message answer = reader.release();
-        CPPUNIT_ASSERT(isFinalStatus(answer.result_int()));
-        CPPUNIT_ASSERT(answer.body().size() <= ParserLimits().bodyBytes);
+        CPPUNIT_ASSERT(isFinalStatus(answer->result_int()));
+        CPPUNIT_ASSERT(answer->body().size() <= ParserLimits().bodyBytes);
     }
 
     static std::string fileText(const std::string &path)
--- a/test/failure/UsageReportsFailureTest.cpp
+++ b/test/failure/UsageReportsFailureTest.cpp
@@ -3,7 +3,7 @@
 // written although the host has lost the duty while it connected. The service is a stand-in on the loop of the test.
 #include "PlatformCodec.h"
 #include "app/UsageReports.h"
-#include "connection/AsioScheduler.h"
+#include "fakes/FiberThread.h"
 #include "hickoryspur/process/MessageCodec.h"
 #include "request/HttpCallerClient.h"
 
@@ -21,22 +21,6 @@
 using Context = std::shared_ptr<boost::asio::io_context>;
 using tcp = boost::asio::ip::tcp;
 
-/** Runs the steps on a fiber of a thread of its own, as a control host's loop runs. */
-void runOnLoop(const std::function<void(const Context &)> &steps)
-{
-    std::thread([&steps] {
-        const auto context = std::make_shared<boost::asio::io_context>(1);
-        boost::fibers::use_scheduling_algorithm<AsioScheduler>(context);
-        steps(context);
-    }).join();
-}
-
-uint16_t freePort()
-{
-    boost::asio::io_context context;
-    return tcp::acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)).local_endpoint().port();
-}
-
 /** The service: it checks tokens and contents, and answers its first calls as the script says. */
 struct Service
 {
@@ -100,7 +84,7 @@
         Service service;
         service.script = {"slow", "409", "429", "503"};
         size_t turns = 0;
-        runOnLoop([&](const Context &context) {
+        onFiberThread([&](const Context &context) {
             const HostAddress address{"127.0.0.1", freePort()};
             ServerLimits limits;
             limits.idleTimeout = std::chrono::milliseconds(300);
@@ -161,7 +145,7 @@
             }
         });
         std::optional<Failure> result;
-        runOnLoop([&](const Context &context) {
+        onFiberThread([&](const Context &context) {
             HttpCallerClient client(*context, address);
             CallerRequest request;
             request.method = "POST";
@@ -179,7 +163,7 @@
     {
         size_t calls = 0;
         std::optional<Failure> result;
-        runOnLoop([&](const Context &context) {
+        onFiberThread([&](const Context &context) {
             const HostAddress address{"127.0.0.1", freePort()};
             ServerLimits limits;
             limits.idleTimeout = std::chrono::milliseconds(100);
--- a/test/fakes/EntryWorld.h
+++ b/test/fakes/EntryWorld.h
@@ -4,11 +4,10 @@
 
 #include "PlatformCodec.h"
 #include "UpstreamMessages.h"
-#include "connection/AsioScheduler.h"
+#include "fakes/FiberThread.h"
 #include "request/EntryTraffic.h"
 #include "request/HttpCallerServer.h"
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -33,14 +32,6 @@
     std::vector<Announcement> upstreams;
     size_t runs = 0;
 
-    static uint16_t freePort()
-    {
-        boost::asio::io_context context;
-        boost::asio::ip::tcp::acceptor acceptor(
-            context, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-        return acceptor.local_endpoint().port();
-    }
-
     /** Starts an upstream that holds one record. */
     void addUpstream(const std::string &service, const std::string &dataCentre)
     {
--- a/test/fakes/ServerThread.h
+++ b/test/fakes/ServerThread.h
@@ -1,12 +1,9 @@
 // A server of the product on a thread of its own, whose callers are sockets of the test.
 #pragma once
 
-#include "connection/AsioScheduler.h"
+#include "fakes/FiberThread.h"
 #include "request/HttpCallerServer.h"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/fiber/operations.hpp>
-
 #include <atomic>
 #include <future>
 #include <memory>
@@ -48,7 +45,7 @@
     {
         auto context = std::make_shared<boost::asio::io_context>(1);
         boost::fibers::use_scheduling_algorithm<AsioScheduler>(context);
-        m_port = freePort(*context);
+        m_port = freePort();
         auto server = HttpCallerServer::listen(*context, {"127.0.0.1", m_port}, limits, std::move(handler));
         listening.set_value();
         while (!m_stop) {
@@ -61,13 +58,6 @@
         boost::this_fiber::sleep_for(limits.idleTimeout);
     }
 
-    static uint16_t freePort(boost::asio::io_context &context)
-    {
-        using tcp = boost::asio::ip::tcp;
-        const tcp::acceptor probe(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-        return probe.local_endpoint().port();
-    }
-
     uint16_t m_port = 0;
     std::atomic<bool> m_stop{false};
     std::atomic<size_t> m_openRequests{0};
