Tests reserve the ports of servers that start later

Cause, a fault of the tests: freePort() bound a port, closed it and gave its number away. The entry that it was meant for starts after 40 upstreams have taken ports, and one of them may be given the same.

Change: ReservedPort keeps a socket bound that does not listen, on all loopback addresses. The kernel gives its port to nobody, and a server that reuses addresses, as those of the product do, can listen there meanwhile. All users of freePort() use it, and PeerCallsFailureTest, which had a copy.

--- a/test/failure/PeerCallsFailureTest.cpp
+++ b/test/failure/PeerCallsFailureTest.cpp
@@ -1,9 +1,12 @@
 #include "connection/PeerCalls.h"
+#include "fakes/ReservedPort.h"
 #include "fakes/RunUntil.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <optional>
+
 using namespace hickoryspur;
 
 /**
@@ -25,17 +28,14 @@
     using tcp = boost::asio::ip::tcp;
 
     boost::asio::io_context m_context;
+    std::optional<ReservedPort> m_port;
     PeerCalls::Respond m_respond;
     std::vector<std::string> m_served;
     size_t m_cancelled = 0;
     std::vector<std::string> m_replies;
     std::vector<bool> m_lost;
 
-    HostAddress freeAddress()
-    {
-        tcp::acceptor acceptor(m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-        return {"127.0.0.1", acceptor.local_endpoint().port()};
-    }
+    HostAddress reserveAddress() { return m_port.emplace(m_context).address(); }
 
     std::unique_ptr<PeerCalls> makeServer(const HostAddress &address)
     {
@@ -68,7 +68,7 @@
 public:
     void call_answeredTwice_bothRepliesArrive()
     {
-        const HostAddress address = freeAddress();
+        const HostAddress address = reserveAddress();
         const auto server = makeServer(address);
         const auto client = makeClient();
         client->call(monotonicNow(), address, "question", hooks());
@@ -83,7 +83,7 @@
 
     void call_nobodyListens_isLostAndNotSent()
     {
-        const HostAddress address = freeAddress();
+        const HostAddress address = reserveAddress();
         const auto client = makeClient();
         client->call(monotonicNow(), address, "question", hooks());
         runUntil(m_context, [&] { return !m_lost.empty(); });
@@ -94,7 +94,7 @@
 
     void call_entryEnds_isLostAndMayHaveBeenSent()
     {
-        const HostAddress address = freeAddress();
+        const HostAddress address = reserveAddress();
         tcp::acceptor acceptor(m_context, tcp::endpoint(boost::asio::ip::make_address(address.address), address.port));
         const auto client = makeClient();
         client->call(monotonicNow(), address, "question", hooks());
@@ -108,7 +108,7 @@
 
     void call_entrySilent_isNotUsedAndThenLost()
     {
-        const HostAddress address = freeAddress();
+        const HostAddress address = reserveAddress();
         tcp::acceptor acceptor(m_context, tcp::endpoint(boost::asio::ip::make_address(address.address), address.port));
         const auto client = makeClient();
         const TimePoint start = monotonicNow();
@@ -126,7 +126,7 @@
 
     void call_cancelled_isCancelledThereAndReplyIsDropped()
     {
-        const HostAddress address = freeAddress();
+        const HostAddress address = reserveAddress();
         const auto server = makeServer(address);
         const auto client = makeClient();
         const PeerCalls::CallId id = client->call(monotonicNow(), address, "question", hooks());
@@ -142,7 +142,7 @@
     // Otherwise an entry keeps and pings a connection to every entry that it has ever called.
     void connection_unused_isClosed()
     {
-        const HostAddress address = freeAddress();
+        const HostAddress address = reserveAddress();
         const auto server = makeServer(address);
         const auto client = makeClient();
         client->call(monotonicNow(), address, "question", hooks());
@@ -158,7 +158,7 @@
 
     void call_callerEnds_isCancelledThere()
     {
-        const HostAddress address = freeAddress();
+        const HostAddress address = reserveAddress();
         const auto server = makeServer(address);
         tcp::socket socket(m_context);
         {
--- a/test/failure/UsageReportsFailureTest.cpp
+++ b/test/failure/UsageReportsFailureTest.cpp
@@ -4,6 +4,7 @@
 #include "PlatformCodec.h"
 #include "app/UsageReports.h"
 #include "fakes/FiberThread.h"
+#include "fakes/ReservedPort.h"
 #include "hickoryspur/process/MessageCodec.h"
 #include "request/HttpCallerClient.h"
 
@@ -85,7 +86,8 @@
         service.script = {"slow", "409", "429", "503"};
         size_t turns = 0;
         onFiberThread([&](const Context &context) {
-            const HostAddress address{"127.0.0.1", freePort()};
+            const ReservedPort port(*context);
+            const HostAddress address = port.address();
             ServerLimits limits;
             limits.idleTimeout = std::chrono::milliseconds(300);
             auto server = HttpCallerServer::listen(
@@ -164,7 +166,8 @@
         size_t calls = 0;
         std::optional<Failure> result;
         onFiberThread([&](const Context &context) {
-            const HostAddress address{"127.0.0.1", freePort()};
+            const ReservedPort port(*context);
+            const HostAddress address = port.address();
             ServerLimits limits;
             limits.idleTimeout = std::chrono::milliseconds(100);
             auto server = HttpCallerServer::listen(*context, address, limits, [&](const CallerRequest &) {
--- a/test/fakes/EntryWorld.h
+++ b/test/fakes/EntryWorld.h
@@ -4,7 +4,8 @@
 
 #include "PlatformCodec.h"
 #include "UpstreamMessages.h"
-#include "fakes/FiberThread.h"
+#include "connection/AsioScheduler.h"
+#include "fakes/ReservedPort.h"
 #include "request/EntryTraffic.h"
 #include "request/HttpCallerServer.h"
 
@@ -27,7 +28,7 @@
 struct World
 {
     std::shared_ptr<boost::asio::io_context> context = std::make_shared<boost::asio::io_context>(1);
-    uint16_t internalPort = freePort();
+    ReservedPort internalPort{*context};
     std::vector<std::unique_ptr<HttpCallerServer>> servers;
     std::vector<Announcement> upstreams;
     size_t runs = 0;
@@ -61,11 +62,12 @@
     /** Starts an upstream that answers as the handler says; a service may have several. */
     void addUpstream(const std::string &service, const std::string &dataCentre, CallerHandler handler)
     {
-        const Announcement &announcement = addUpstream(service, dataCentre, freePort());
+        const ReservedPort port(*context);
+        addUpstream(service, dataCentre, port.number());
         // The thread ends only after the fibers of all connections.
         ServerLimits limits;
         limits.idleTimeout = 500ms;
-        auto server = HttpCallerServer::listen(*context, {announcement.address, announcement.port}, limits,
+        auto server = HttpCallerServer::listen(*context, port.address(), limits,
                                                [this, handler = std::move(handler)](const CallerRequest &request) {
                                                    ++runs;
                                                    return handler(request);
@@ -81,7 +83,7 @@
         TrafficConfig config;
         config.admission = admission;
         config.dataCentre = DataCentreName(dataCentre);
-        config.internalAddress = {ip, internalPort};
+        config.internalAddress = {ip, internalPort.number()};
         config.seed = hash(ip);
         auto traffic = std::make_unique<EntryTraffic>(*context, config, std::move(codec));
         CPPUNIT_ASSERT(traffic->listen());
--- a/test/fakes/FiberThread.h
+++ b/test/fakes/FiberThread.h
@@ -1,13 +1,11 @@
-// A thread with the fibers of the product, for tests that wait on them, and ports for the servers there.
+// A thread with the fibers of the product, for tests that wait on them.
 #pragma once
 
 #include "connection/AsioScheduler.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/fiber/operations.hpp>
 
-#include <cstdint>
 #include <exception>
 #include <functional>
 #include <memory>
@@ -32,12 +30,4 @@
         std::rethrow_exception(failure);
 }
 
-/** A port of the loopback address on which nobody listens. */
-inline uint16_t freePort()
-{
-    using tcp = boost::asio::ip::tcp;
-    boost::asio::io_context context;
-    return tcp::acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)).local_endpoint().port();
-}
-
 } // namespace hickoryspur
--- a/test/fakes/ServerThread.h
+++ b/test/fakes/ServerThread.h
@@ -1,7 +1,8 @@
 // A server of the product on a thread of its own, whose callers are sockets of the test.
 #pragma once
 
-#include "fakes/FiberThread.h"
+#include "connection/AsioScheduler.h"
+#include "fakes/ReservedPort.h"
 #include "request/HttpCallerServer.h"
 
 #include <atomic>
@@ -45,8 +46,9 @@
     {
         auto context = std::make_shared<boost::asio::io_context>(1);
         boost::fibers::use_scheduling_algorithm<AsioScheduler>(context);
-        m_port = freePort();
-        auto server = HttpCallerServer::listen(*context, {"127.0.0.1", m_port}, limits, std::move(handler));
+        const ReservedPort port(*context);
+        m_port = port.number();
+        auto server = HttpCallerServer::listen(*context, port.address(), limits, std::move(handler));
         listening.set_value();
         while (!m_stop) {
             m_openRequests = server ? (*server)->openRequests() : 0;
