Answers to HEAD have no body, from upstreams and to callers

What callers saw: an upstream that answers HEAD as HTTP says, with the length and no body, was waited for until the deadline: 504 after 2 s. A body that an upstream sends all the same was passed on, and the ports with answers of our own (`serve`, operators) wrote theirs; a caller that keeps its connection takes such a body for the beginning of its next answer.

Cause: neither the writer nor the readers of answers knew the method, which decides where an answer ends (RFC 9112, section 6.3).

Change: HttpCallerServer writes the head alone; a length is stated only where it is known. AnswerReader ends such an answer with its head, and its connection is closed, since a faulty upstream may send a body all the same, also later. The calls of services, the load tool and the commands send no HEAD.

--- a/src/connection/UpstreamConnection.cpp
+++ b/src/connection/UpstreamConnection.cpp
@@ -267,7 +267,8 @@
 
 void UpstreamConnection::startAnswer()
 {
-    m_reader.emplace(ParserLimits(), countBytes("upstream"));
+    const auto request = m_exchange->request.isHead ? AnswerReader::Request::Head : AnswerReader::Request::Other;
+    m_reader.emplace(ParserLimits(), countBytes("upstream"), request);
 }
 
 void UpstreamConnection::parse(error_code readError)
--- a/src/connection/UpstreamExchange.h
+++ b/src/connection/UpstreamExchange.h
@@ -31,6 +31,8 @@
      */
     std::function<std::string(TimePoint)> encode;
     std::string requestId;
+    /** Whether the request is a HEAD, whose answer has no body. */
+    bool isHead = false;
     /** Size of the request's body, known before it is encoded; bounds what one upstream holds, see ConnectionPool. */
     size_t bodyBytes = 0;
     /** An exchange without an answer ends then: NoResponse if it was sent, NotSent otherwise. */
--- a/src/process/AnswerReader.cpp
+++ b/src/process/AnswerReader.cpp
@@ -9,8 +9,9 @@
 
 } // namespace
 
-AnswerReader::AnswerReader(ParserLimits limits, ByteBudget::Share held)
+AnswerReader::AnswerReader(ParserLimits limits, ByteBudget::Share held, Request request)
     : m_limits(limits)
+    , m_request(request)
 {
     start(std::move(held));
 }
@@ -19,6 +20,7 @@
 {
     m_parser.emplace(m_limits, std::move(held));
     m_parser->eager(true);
+    m_parser->skip(m_request == Request::Head);
 }
 
 error_code AnswerReader::parse(boost::beast::flat_buffer &buffer)
--- a/src/process/AnswerReader.h
+++ b/src/process/AnswerReader.h
@@ -2,7 +2,8 @@
 // host that a command-line tool asks.
 //
 // Interim answers, of which any number may precede the final one (RFC 9110, section 15.2), are dropped. All of them
-// together are limited like the head of one answer.
+// together are limited like the head of one answer. The answer to a HEAD request ends with its head, whatever length
+// that states (RFC 9112, section 6.3).
 #pragma once
 
 #include "process/BoundedParser.h"
@@ -24,8 +25,13 @@
 public:
     using Message = AnswerParser::Message;
 
-    /** The share counts the body while the answer is read, and whoever takes it goes on counting. */
-    explicit AnswerReader(ParserLimits limits = {}, ByteBudget::Share held = {});
+    enum class Request { Head, Other };
+
+    /**
+     * Reads the answer to such a request. The share counts the body while the answer is read, and whoever takes it goes
+     * on counting.
+     */
+    explicit AnswerReader(ParserLimits limits = {}, ByteBudget::Share held = {}, Request request = Request::Other);
 
     /**
      * Parses what the buffer holds, as far as the answer goes, and removes it from the buffer. Returns an error of
@@ -40,10 +46,13 @@
     bool hasBegun() const { return m_parser->got_some(); }
     /** Whether the answer leaves its connection open; requires isDone(). */
     bool keepsConnection() const { return m_parser->keep_alive(); }
-    /** Whether the connection may carry another request: bytes that the buffer still holds would be its answer. */
+    /**
+     * Whether the connection may carry another request: bytes that the buffer still holds would be its answer, and so
+     * would a body that a faulty peer sends after the answer to a HEAD request.
+     */
     bool mayReuseConnection(const boost::beast::flat_buffer &buffer) const
     {
-        return keepsConnection() && buffer.size() == 0;
+        return keepsConnection() && buffer.size() == 0 && m_request != Request::Head;
     }
     Message release() { return m_parser->release(); }
     ByteBudget::Share &held() { return m_parser->held(); }
@@ -53,6 +62,7 @@
     boost::system::error_code dropInterim();
 
     ParserLimits m_limits;
+    Request m_request;
     std::optional<AnswerParser> m_parser;
     uint64_t m_parsedBytes = 0;
 };
--- a/src/request/ActiveRequest.cpp
+++ b/src/request/ActiveRequest.cpp
@@ -215,6 +215,7 @@
         return self->m_traffic.m_codec.encode(self->m_request, upstream, self->m_started + timeout - at);
     };
     request.requestId = m_request.id;
+    request.isHead = m_request.method == "HEAD";
     request.bodyBytes = m_request.body.size();
     request.deadline = m_deadline;
     request.fresh = !m_route.idempotent;
--- a/src/request/HttpCallerServer.cpp
+++ b/src/request/HttpCallerServer.cpp
@@ -102,6 +102,15 @@
     return message;
 }
 
+/** The answer to a HEAD request, whose body is not sent. If it has none, the length for a GET is not known. */
+http::response<http::string_body> toHeadResponse(CallerResponse response, bool keepAlive)
+{
+    http::response<http::string_body> message = toHttpResponse(std::move(response), keepAlive);
+    if (message.body().empty())
+        message.erase(http::field::content_length);
+    return message;
+}
+
 /** Counts what a caller's connection holds; to give it up, the connection is closed. */
 ByteBudget::Share countBytes(const std::shared_ptr<beast::tcp_stream> &stream)
 {
@@ -111,14 +120,16 @@
             }};
 }
 
-/** Writes a response for as long as its caller takes some of it. */
-error_code writeResponse(beast::tcp_stream &stream, const http::response<http::string_body> &response,
+/** Writes a response, or its head alone, for as long as its caller takes some of it. */
+error_code writeResponse(beast::tcp_stream &stream, const http::response<http::string_body> &response, bool headOnly,
                          std::chrono::milliseconds stallTimeout)
 {
     static Counter &stalled = Metrics::counter("hickoryspur_caller_writes_stalled_total");
     http::response_serializer<http::string_body> serializer(response);
+    serializer.split(headOnly);
+    const auto isWritten = [&] { return headOnly ? serializer.is_header_done() : serializer.is_done(); };
     error_code error;
-    while (!error && !serializer.is_done()) {
+    while (!error && !isWritten()) {
         stream.expires_after(stallTimeout);
         error = await([&](auto done) { http::async_write_some(stream, serializer, std::move(done)); });
     }
@@ -264,17 +275,19 @@
         return false;
     const bool wantsKeepAlive = !error && parser.keep_alive();
     const OpenRequest openRequest(openRequests);
+    const bool isHead = parser.get().method() == http::verb::head;
     CallerResponse response = error ? errorResponse(error) : handle(stream, toCallerRequest(parser.release()));
     // The request has been freed. Its pinned bytes would count for as long as the caller does not read the answer.
     if (!error)
         parser.held() = {};
     const bool keepAlive = wantsKeepAlive && !closing;
-    const http::response<http::string_body> message = toHttpResponse(std::move(response), keepAlive);
+    const http::response<http::string_body> message =
+        isHead ? toHeadResponse(std::move(response), keepAlive) : toHttpResponse(std::move(response), keepAlive);
     // A caller may take its answer slowly, or not at all.
     ByteBudget::Share held = countBytes(connection);
     if (!held.resize(message.body().size()))
         return false;
-    const error_code written = writeResponse(stream, message, limits.writeStallTimeout);
+    const error_code written = writeResponse(stream, message, isHead, limits.writeStallTimeout);
     return !written && keepAlive;
 }
 
--- a/test/failure/HttpCallerServerFailureTest.cpp
+++ b/test/failure/HttpCallerServerFailureTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(server_emptyChunkedBodyInPieces_isServed);
     CPPUNIT_TEST(server_foldedLine_isRefusedAndBodyIsNoRequest);
     CPPUNIT_TEST(server_transferCodingOtherThanChunked_isRefusedAndBodyIsNoRequest);
+    CPPUNIT_TEST(server_headRequest_isAnsweredWithoutABody);
     CPPUNIT_TEST(server_responseCannotBeSent_endsItsConnectionOnly);
     CPPUNIT_TEST(server_noDescriptorLeft_waitsBetweenTriesAndServesLater);
     CPPUNIT_TEST_SUITE_END();
@@ -58,12 +59,21 @@
             return exchange("GET " + target + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
         }
 
+        /** The answers to both requests, which one connection carries. */
+        std::string headThenGet(const std::string &target) const
+        {
+            return exchange("HEAD " + target + " HTTP/1.1\r\nHost: h\r\n\r\nGET " + target
+                            + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        }
+
     private:
         static CallerResponse answer(const CallerRequest &request)
         {
             CallerResponse response;
             if (request.path == "/unstorable")
                 response.fields.emplace_back("X-Long", std::string(kUnstorableBytes, 'x'));
+            if (request.path == "/body")
+                response.body = "body";
             return response;
         }
     };
@@ -153,6 +163,20 @@
             assertRefusedWhole("Transfer-Encoding: " + std::string(coding) + "\r\n");
     }
 
+    // The body was written, and its caller took it for the beginning of the next answer.
+    void server_headRequest_isAnsweredWithoutABody()
+    {
+        const Server server(limits(16U * 1024));
+        for (const std::string target : {"/body", "/empty"}) {
+            const std::string answers = server.headThenGet(target);
+            const size_t end = answers.find("\r\n\r\n");
+            CPPUNIT_ASSERT(hasStatus(answers, "200") && end != std::string::npos);
+            const std::string head = answers.substr(0, end + 2);
+            CPPUNIT_ASSERT_EQUAL(target == "/body", head.find("Content-Length: 4\r\n") != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(answers, hasStatus(answers.substr(end + 4), "200"));
+        }
+    }
+
     void server_responseCannotBeSent_endsItsConnectionOnly()
     {
         const int64_t exceptions = connectionExceptions();
--- a/test/failure/MalformedAnswerTest.cpp
+++ b/test/failure/MalformedAnswerTest.cpp
@@ -23,6 +23,8 @@
     CPPUNIT_TEST(field_invalidNameOrValue_isNotPassedOn);
     CPPUNIT_TEST(length_invalidOrNotReached_isNotPassedOn);
     CPPUNIT_TEST(answer_valid_isPassedOn);
+    CPPUNIT_TEST(headRequest_answerWithoutBody_isPassedOn);
+    CPPUNIT_TEST(headRequest_answerWithBody_isNotReadAsTheNextAnswer);
     CPPUNIT_TEST_SUITE_END();
 
     struct Play
@@ -32,6 +34,13 @@
         size_t requests = 0;
     };
 
+    static ForwardedRequest headRequest(const std::string &path)
+    {
+        ForwardedRequest result = request(path);
+        result.method = "HEAD";
+        return result;
+    }
+
     static bool hasSignature(const CallerAnswer &answer)
     {
         return std::any_of(answer.fields.begin(), answer.fields.end(),
@@ -40,6 +49,11 @@
 
     /** What a caller of the path gets from two upstreams, the first of which to be asked answers with these bytes. */
     static Play play(const std::string &path, const std::string &bytes, bool closes = true)
+    {
+        return play(request(path), bytes, closes);
+    }
+
+    static Play play(const ForwardedRequest &request, const std::string &bytes, bool closes)
     {
         std::atomic<size_t> requests{0};
         const auto reply = [&] {
@@ -54,7 +68,7 @@
             const std::unique_ptr<EntryTraffic> entry = world.startEntry("127.0.0.1", "a");
             announce(world, *entry, false);
             entry->setRoutes(table(world));
-            result.answer = entry->serve(request(path), neverGone);
+            result.answer = entry->serve(request, neverGone);
         });
         result.requests = requests;
         return result;
@@ -148,6 +162,40 @@
     void length_invalidOrNotReached_isNotPassedOn() { assertNotPassedOn(answers::invalidLengths()); }
 
     void answer_valid_isPassedOn() { assertPassedOn(answers::validAnswers()); }
+
+    // The body was awaited until the deadline, as the head states its length.
+    void headRequest_answerWithoutBody_isPassedOn()
+    {
+        for (const std::string &fields : {answers::kLength, answers::kChunked, std::string()}) {
+            const TimePoint start = monotonicNow();
+            const Play label = play(headRequest("/label/1"), answers::withFields(fields, ""), false);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(fields, 200U, label.answer.status);
+            CPPUNIT_ASSERT_MESSAGE(fields, hasSignature(label.answer));
+            CPPUNIT_ASSERT_MESSAGE(fields, label.answer.body.empty());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(fields, size_t(1), label.requests);
+            CPPUNIT_ASSERT_MESSAGE(fields, monotonicNow() - start < 1s);
+        }
+        const Play query = play(headRequest("/query/1"), answers::withFields(answers::kLength, ""), false);
+        CPPUNIT_ASSERT_EQUAL(200U, query.answer.status);
+        CPPUNIT_ASSERT(query.answer.body.empty());
+    }
+
+    void headRequest_answerWithBody_isNotReadAsTheNextAnswer()
+    {
+        const RawUpstream upstream(RawUpstream::Reply{answers::valid(), false});
+        onFibers([&](World &world) {
+            world.addUpstream("notices", "a", upstream.port());
+            const std::unique_ptr<EntryTraffic> entry = world.startEntry("127.0.0.1", "a");
+            announce(world, *entry, false);
+            entry->setRoutes(table(world));
+            const CallerAnswer head = entry->serve(headRequest("/label/1"), neverGone);
+            CPPUNIT_ASSERT_EQUAL(200U, head.status);
+            CPPUNIT_ASSERT_EQUAL(std::string(), head.body);
+            const CallerAnswer next = entry->serve(request("/notice/1"), neverGone);
+            CPPUNIT_ASSERT_EQUAL(200U, next.status);
+            CPPUNIT_ASSERT_EQUAL(answers::kBody, next.body);
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MalformedAnswerTest);
